--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+GOLANGCI_LINT = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+SCHEMAS = $(wildcard schema/*.json)
+
+.PHONY: build test generate check-generated format check-format lint
+
+build:
+	go build -o bin/hornbeamproxy ./cmd/hornbeamproxy
+
+test:
+	go test $(TESTFLAGS) ./...
+
+generate:
+	cd tools && go tool go-jsonschema --only-models --struct-name-from-title \
+		--tags json,toml,cbor --capitalization ID --capitalization URL --package api \
+		--output ../api/api.gen.go $(addprefix ../,$(SCHEMAS))
+	cd tools && go tool gofumpt -w ../api/api.gen.go
+
+check-generated:
+	cp api/api.gen.go /tmp/api.gen.go.$$$$ && $(MAKE) -s generate && \
+		cmp api/api.gen.go /tmp/api.gen.go.$$$$; status=$$?; rm -f /tmp/api.gen.go.$$$$; exit $$status
+
+format:
+	cd tools && go tool gofumpt -w ..
+
+check-format:
+	@unformatted=$$(cd tools && go tool gofumpt -l ..); \
+		if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+
+lint:
+	go vet ./...
+	$(GOLANGCI_LINT) run ./...
