--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -442,7 +442,7 @@
 
 type LogSettings struct {
 	// debug, info, warn or error. Default info.
-	Level *string `json:"level,omitempty,omitzero" toml:"level,omitempty" cbor:"level,omitempty"`
+	Level string `json:"level,omitempty,omitzero" toml:"level,omitempty" cbor:"level,omitempty"`
 }
 
 type Model struct {
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,64 @@
+// Package placement orders the endpoints of a pool for a chat. A policy is a
+// pure function of the chat's key and the endpoints; whether an endpoint may
+// take the work is decided by its admission owner.
+package placement
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Endpoint is a candidate for placement. Create it with NewEndpoint.
+type Endpoint struct {
+	ID     string
+	Zone   string
+	Weight float64 // relative capacity, above 0
+	hash   uint64
+}
+
+// NewEndpoint returns a candidate with its hash. A weight of 0 or less counts
+// as 1.
+func NewEndpoint(id, zone string, weight float64) Endpoint {
+	if weight <= 0 {
+		weight = 1
+	}
+	return Endpoint{ID: id, Zone: zone, Weight: weight, hash: xxhash.Sum64String(id)}
+}
+
+// Policy orders endpoints for a key.
+type Policy interface {
+	// Rank appends to dst up to limit indexes of endpoints, in the order in
+	// which they should be tried for the key. It is safe for concurrent use.
+	Rank(dst []int, key uint64, endpoints []Endpoint, limit int) []int
+}
+
+// ChatKey returns the placement key of a chat of a workspace.
+func ChatKey(workspace, chat string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	// Digest.WriteString never fails.
+	_, _ = digest.WriteString(workspace)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(chat)
+	return digest.Sum64()
+}
+
+// mix combines a key with an endpoint's hash (finalizer of SplitMix64).
+func mix(key, hash uint64) uint64 {
+	x := key ^ hash
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
+
+// score is the weighted rendezvous score of an endpoint for a key: the highest
+// wins, and an endpoint wins a share of the keys proportional to its weight.
+func score(key uint64, e *Endpoint) float64 {
+	// 53 random bits, shifted by one half so that the logarithm is finite.
+	unit := (float64(mix(key, e.hash)>>11) + 0.5) / (1 << 53)
+	return -e.Weight / math.Log(unit)
+}
--- /dev/null
+++ b/placement/rendezvous.go
@@ -0,0 +1,82 @@
+package placement
+
+// Rendezvous is weighted rendezvous hashing. The endpoint with the highest
+// score is the chat's home. The others follow with those in the home's
+// availability zone first, each group by score, so that a chat that spills
+// over stays close to its home. When an endpoint joins or leaves, only the
+// chats that it wins or held change their home.
+type Rendezvous struct{}
+
+// maxRanked bounds the candidates that Rank keeps in its sorted buffers.
+const maxRanked = 16
+
+type ranked struct {
+	index int
+	score float64
+}
+
+// top keeps the best candidates in falling order of their scores.
+type top struct {
+	items [maxRanked]ranked
+	count int
+}
+
+func (t *top) insert(candidate ranked, limit int) {
+	if t.count == limit {
+		if candidate.score <= t.items[limit-1].score {
+			return
+		}
+		t.count--
+	}
+	at := t.count
+	for at > 0 && t.items[at-1].score < candidate.score {
+		t.items[at] = t.items[at-1]
+		at--
+	}
+	t.items[at] = candidate
+	t.count++
+}
+
+// Rank implements Policy. The limit is at most 16. It takes time proportional
+// to the number of endpoints and allocates nothing but the growth of dst.
+func (Rendezvous) Rank(dst []int, key uint64, endpoints []Endpoint, limit int) []int {
+	limit = min(limit, maxRanked, len(endpoints))
+	if limit <= 0 {
+		return dst
+	}
+	home := homeOf(key, endpoints)
+	zone := endpoints[home].Zone
+	var near, far top
+	for i := range endpoints {
+		if i == home {
+			continue
+		}
+		candidate := ranked{index: i, score: score(key, &endpoints[i])}
+		if endpoints[i].Zone == zone {
+			near.insert(candidate, limit)
+		} else {
+			far.insert(candidate, limit)
+		}
+	}
+	dst = append(dst, home)
+	dst = near.appendTo(dst, limit-1)
+	return far.appendTo(dst, limit-1-min(near.count, limit-1))
+}
+
+func homeOf(key uint64, endpoints []Endpoint) int {
+	home := 0
+	best := score(key, &endpoints[0])
+	for i := 1; i < len(endpoints); i++ {
+		if s := score(key, &endpoints[i]); s > best {
+			home, best = i, s
+		}
+	}
+	return home
+}
+
+func (t *top) appendTo(dst []int, limit int) []int {
+	for _, item := range t.items[:min(t.count, limit)] {
+		dst = append(dst, item.index)
+	}
+	return dst
+}
