--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -17,6 +17,10 @@
 
 	// Revision corresponds to the JSON schema field "revision".
 	Revision uint64 `json:"revision" toml:"revision" cbor:"revision"`
+
+	// The note holds only title and author, to bound the size of the head. Its result
+	// is read as a whole state.
+	Trimmed bool `json:"trimmed,omitempty,omitzero" toml:"trimmed,omitempty" cbor:"trimmed,omitempty"`
 }
 
 type AdminSettings struct {
@@ -254,6 +258,9 @@
 // Desired state of the fleet at one revision, object notes/state/<revision>-<note
 // id>.
 type FleetState struct {
+	// Drain time of the newest note with withdrawals; 0 means 300.
+	DrainSeconds int `json:"drain_seconds,omitempty,omitzero" toml:"drain_seconds,omitempty" cbor:"drain_seconds,omitempty"`
+
 	// Endpoints corresponds to the JSON schema field "endpoints".
 	Endpoints []Endpoint `json:"endpoints,omitempty,omitzero" toml:"endpoints,omitempty" cbor:"endpoints,omitempty"`
 
@@ -457,6 +464,12 @@
 
 	// Withdrawn corresponds to the JSON schema field "withdrawn".
 	Withdrawn bool `json:"withdrawn,omitempty,omitzero" toml:"withdrawn,omitempty" cbor:"withdrawn,omitempty"`
+
+	// Adapters that get no new work.
+	WithdrawnAdapters []string `json:"withdrawn_adapters,omitempty,omitzero" toml:"withdrawn_adapters,omitempty" cbor:"withdrawn_adapters,omitempty"`
+
+	// Versions that get no new work.
+	WithdrawnVersions []string `json:"withdrawn_versions,omitempty,omitzero" toml:"withdrawn_versions,omitempty" cbor:"withdrawn_versions,omitempty"`
 }
 
 // Release note: what is added, changed and withdrawn.
@@ -510,7 +523,7 @@
 }
 
 type NoteWithdrawals struct {
-	// Adapters corresponds to the JSON schema field "adapters".
+	// model:adapter, or adapter for all models that list it.
 	Adapters []string `json:"adapters,omitempty,omitzero" toml:"adapters,omitempty" cbor:"adapters,omitempty"`
 
 	// Time that running work may take before it is resumed elsewhere. 0 means 300.
--- /dev/null
+++ b/fleet/problems.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one fault in a release note.
+type Problem struct {
+	// Path names the faulty part, such as added.endpoints[2].url.
+	Path string `json:"path"`
+	// Text says what is wrong with it.
+	Text string `json:"text"`
+}
+
+// String returns the problem on one line.
+func (p Problem) String() string {
+	if p.Path == "" {
+		return p.Text
+	}
+	return p.Path + ": " + p.Text
+}
+
+// Problems is the error of a note that cannot be accepted. It lists all faults,
+// in the order of the note.
+type Problems []Problem
+
+// Error returns one line per problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// add appends one problem. A nil list ignores it.
+func (p *Problems) add(path, format string, args ...any) {
+	if p == nil {
+		return
+	}
+	*p = append(*p, Problem{Path: path, Text: fmt.Sprintf(format, args...)})
+}
+
+// asError returns nil for an empty list, never a typed nil.
+func (p Problems) asError() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,255 @@
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+// keyDigestBytes is the length of the digest of an API key.
+const keyDigestBytes = sha256.Size
+
+// DefaultDrain is the time that running work on withdrawn endpoints may take
+// when the note does not state it.
+const DefaultDrain = 300 * time.Second
+
+// Pool is the set of endpoints that may serve a model, an adapter or version of
+// it, or a service. Withdrawn endpoints are not in it.
+type Pool struct {
+	// Name is model, model:adapter, model@version, or the service's id.
+	Name string
+	// Endpoints is sorted by id and must not be modified.
+	Endpoints []*api.Endpoint
+}
+
+// View is an immutable index of one state for the request path. It is safe for
+// concurrent use, and no lookup allocates.
+type View struct {
+	state        State
+	workspaces   map[[keyDigestBytes]byte]*api.Workspace
+	byName       map[string]*api.Workspace
+	endpoints    map[string]*api.Endpoint
+	withdrawn    map[string]bool
+	models       map[string]*api.Model
+	services     map[string]*api.Service
+	pools        map[string]*Pool
+	servicePools map[string]*Pool
+}
+
+// NewView builds the index of a state.
+func NewView(s State) *View {
+	v := &View{
+		state:        s,
+		workspaces:   make(map[[keyDigestBytes]byte]*api.Workspace, len(s.Workspaces)),
+		byName:       make(map[string]*api.Workspace, len(s.Workspaces)),
+		endpoints:    make(map[string]*api.Endpoint, len(s.Endpoints)),
+		withdrawn:    map[string]bool{},
+		models:       make(map[string]*api.Model, len(s.Models)),
+		services:     make(map[string]*api.Service, len(s.Services)),
+		pools:        map[string]*Pool{},
+		servicePools: make(map[string]*Pool, len(s.Services)),
+	}
+	v.indexWorkspaces()
+	v.indexPools()
+	return v
+}
+
+func (v *View) indexWorkspaces() {
+	for i := range v.state.Workspaces {
+		w := &v.state.Workspaces[i]
+		v.byName[w.ID] = w
+		var sum [keyDigestBytes]byte
+		if n, err := hex.Decode(sum[:], []byte(w.KeySha256)); err == nil && n == len(sum) && !w.Withdrawn {
+			v.workspaces[sum] = w
+		}
+	}
+}
+
+func (v *View) indexPools() {
+	zones := make(map[string]bool, len(v.state.Zones))
+	for _, z := range v.state.Zones {
+		zones[z.ID] = z.Withdrawn
+	}
+	for i := range v.state.Models {
+		m := &v.state.Models[i]
+		v.models[m.ID] = m
+		v.addPools(m)
+	}
+	for i := range v.state.Services {
+		s := &v.state.Services[i]
+		v.services[s.ID] = s
+		v.servicePools[s.ID] = &Pool{Name: s.ID}
+	}
+	for i := range v.state.Endpoints {
+		e := &v.state.Endpoints[i]
+		v.endpoints[e.ID] = e
+		if e.Withdrawn || zones[e.Zone] || !v.place(e) {
+			v.withdrawn[e.ID] = true
+		}
+	}
+}
+
+func (v *View) addPools(m *api.Model) {
+	v.pools[m.ID] = &Pool{Name: m.ID}
+	if m.Version != "" {
+		v.versionPool(m.ID, m.Version)
+	}
+	for _, adapter := range m.Adapters {
+		name := m.ID + ":" + adapter
+		v.pools[name] = &Pool{Name: name}
+	}
+}
+
+func (v *View) versionPool(model, version string) *Pool {
+	name := model + "@" + version
+	pool := v.pools[name]
+	if pool == nil {
+		pool = &Pool{Name: name}
+		v.pools[name] = pool
+	}
+	return pool
+}
+
+// place puts an endpoint into its pools. It returns false when all that the
+// endpoint serves is withdrawn.
+func (v *View) place(e *api.Endpoint) bool {
+	if e.Service != "" {
+		pool, service := v.servicePools[e.Service], v.services[e.Service]
+		if pool == nil || service.Withdrawn {
+			return false
+		}
+		pool.Endpoints = append(pool.Endpoints, e)
+		return true
+	}
+	placed := false
+	for _, id := range e.Models {
+		if m := v.models[id]; m != nil && v.placeModel(e, m) {
+			placed = true
+		}
+	}
+	return placed
+}
+
+func (v *View) placeModel(e *api.Endpoint, m *api.Model) bool {
+	version := e.Version
+	if version == "" {
+		version = m.Version
+	}
+	if m.Withdrawn || slices.Contains(m.WithdrawnVersions, version) {
+		return false
+	}
+	if version != "" {
+		pool := v.versionPool(m.ID, version)
+		pool.Endpoints = append(pool.Endpoints, e)
+	}
+	// A model without a version of its own takes endpoints of every version.
+	if m.Version != "" && m.Version != version {
+		return true
+	}
+	pool := v.pools[m.ID]
+	pool.Endpoints = append(pool.Endpoints, e)
+	for _, adapter := range m.Adapters {
+		if slices.Contains(e.Adapters, adapter) && !slices.Contains(m.WithdrawnAdapters, adapter) {
+			pool := v.pools[m.ID+":"+adapter]
+			pool.Endpoints = append(pool.Endpoints, e)
+		}
+	}
+	return true
+}
+
+// State returns the state that the view was built from. It must not be modified.
+func (v *View) State() State { return v.state }
+
+// Revision returns the revision of the state.
+func (v *View) Revision() uint64 { return v.state.Revision }
+
+// WorkspaceByKey returns the workspace with an API key that is not withdrawn. The
+// lookup compares digests of the key, so its duration says nothing about how
+// much of a wrong key was right.
+func (v *View) WorkspaceByKey(key string) (*api.Workspace, bool) {
+	return v.WorkspaceByDigest(sha256.Sum256([]byte(key)))
+}
+
+// WorkspaceByDigest returns the workspace whose API key has the SHA-256 digest
+// and that is not withdrawn.
+func (v *View) WorkspaceByDigest(sum [sha256.Size]byte) (*api.Workspace, bool) {
+	w, ok := v.workspaces[sum]
+	return w, ok
+}
+
+// Workspace returns a workspace by id, also when it is withdrawn.
+func (v *View) Workspace(id string) (*api.Workspace, bool) {
+	w, ok := v.byName[id]
+	return w, ok
+}
+
+// Model returns a model by id, also when it is withdrawn.
+func (v *View) Model(id string) (*api.Model, bool) {
+	m, ok := v.models[id]
+	return m, ok
+}
+
+// Service returns a service by id, also when it is withdrawn.
+func (v *View) Service(id string) (*api.Service, bool) {
+	s, ok := v.services[id]
+	return s, ok
+}
+
+// Pool returns the endpoints for model, model:adapter or model@version. The
+// pool of something known that is withdrawn exists and is empty; ok is false
+// for an unknown name.
+func (v *View) Pool(name string) (pool *Pool, ok bool) {
+	pool, ok = v.pools[name]
+	return pool, ok
+}
+
+// ServicePool returns the endpoints of a service.
+func (v *View) ServicePool(service string) (pool *Pool, ok bool) {
+	pool, ok = v.servicePools[service]
+	return pool, ok
+}
+
+// Endpoint returns an endpoint by id, also when it is withdrawn.
+func (v *View) Endpoint(id string) (*api.Endpoint, bool) {
+	e, ok := v.endpoints[id]
+	return e, ok
+}
+
+// EndpointWithdrawn reports whether an endpoint must get no new work, because
+// it, its zone or instance, its service, or all models and versions that it
+// serves are withdrawn. An unknown endpoint counts as withdrawn.
+func (v *View) EndpointWithdrawn(id string) bool {
+	if v.withdrawn[id] {
+		return true
+	}
+	_, ok := v.endpoints[id]
+	return !ok
+}
+
+// Pools returns all pools, models before services, sorted by name.
+func (v *View) Pools() []*Pool {
+	all := sorted(v.pools)
+	return append(all, sorted(v.servicePools)...)
+}
+
+func sorted(pools map[string]*Pool) []*Pool {
+	list := make([]*Pool, 0, len(pools))
+	for _, pool := range pools {
+		list = append(list, pool)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+// Drain returns the time that running work on withdrawn endpoints may take, as
+// the newest note with withdrawals states it.
+func (v *View) Drain() time.Duration {
+	if v.state.DrainSeconds == 0 {
+		return DefaultDrain
+	}
+	return time.Duration(v.state.DrainSeconds) * time.Second
+}
