Add the admission gate and the endpoint states

Cause: the router needs an exact, testable decision on which requests an endpoint receives, over any order of messages and faults.

Change: package admission has the state machine of one endpoint's admission owner (permits, queue, load bound, cold limit and ramp, moved chats) and Set, which holds the gates of a router with one mutex each.

Conclusion: accounting holds against a model over random call orders.

--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,498 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/endpointstate"
+)
+
+// Gate is the state machine of one endpoint's admission owner. It is not safe
+// for concurrent use. Outcomes of queued requests are returned by the calls that
+// follow; a caller delivers every outcome that it gets.
+type Gate struct {
+	config   Config
+	settings Settings
+	lease    Lease
+
+	counter uint32
+	permits map[uint64]permit
+	// lost holds the routers that membership declared dead, with the time.
+	lost    map[string]time.Time
+	queue   queue
+	moved   movedTable
+	service serviceTime
+
+	report report
+	warmth warmth
+
+	pool   PoolLoad
+	poolAt time.Time
+}
+
+type permit struct {
+	router    string
+	workspace string
+	// granted is the zero time for a permit of a former owner.
+	granted time.Time
+	expires time.Time
+}
+
+// report is the newest load report.
+type report struct {
+	known    bool
+	failed   bool
+	load     api.LoadReport
+	measured time.Time
+	// grantedSince counts the unreturned permits that may not be part of the
+	// report's figures because they were granted at cutoff or later.
+	grantedSince int
+	cutoff       time.Time
+}
+
+// NewGate returns a gate without permits. It grants nothing before the first
+// report, unless its settings say that the endpoint has none.
+func NewGate(config Config) *Gate {
+	config = config.withDefaults()
+	return &Gate{
+		config:  config,
+		permits: map[uint64]permit{},
+		lost:    map[string]time.Time{},
+		queue:   newQueue(config.QueueLength),
+		moved:   newMovedTable(config.MovedChats),
+	}
+}
+
+// Request decides on a request. With queued true, the outcome is empty and comes
+// back from a later call.
+func (g *Gate) Request(now time.Time, r Request) (outcome Outcome, queued bool) {
+	if r.ChatKey != 0 {
+		if target := g.moved.lookup(r.ChatKey); target != "" {
+			return Outcome{RequestID: r.ID, Router: r.Router, Redirect: target}, false
+		}
+	}
+	if reason := g.blocked(now); reason != "" {
+		return refuse(r, reason), false
+	}
+	limit, full := g.limit(now)
+	if g.queue.total == 0 && g.Inflight() < limit {
+		return g.grant(now, r, now), false
+	}
+	if reason := g.queueRefusal(now, r, limit, full); reason != "" {
+		return refuse(r, reason), false
+	}
+	g.queue.push(now, r)
+	return Outcome{}, true
+}
+
+// queueRefusal returns why a request cannot be queued. limit and full are the
+// endpoint's limit and the reason that names it.
+func (g *Gate) queueRefusal(now time.Time, r Request, limit int, full api.Refusal) api.Refusal {
+	switch {
+	case r.Deadline.IsZero():
+		return full
+	case !r.Deadline.After(now):
+		return api.RefusalDeadlineExceeded
+	case g.queue.full():
+		return api.RefusalQueueFull
+	case g.queue.shareUsed(r.Workspace):
+		return api.RefusalWorkspaceShare
+	}
+	wait := g.service.wait(g.queue.ahead(r), limit)
+	if now.Add(wait).After(r.Deadline) {
+		return api.RefusalDeadlineUnreachable
+	}
+	return ""
+}
+
+func refuse(r Request, reason api.Refusal) Outcome {
+	return Outcome{RequestID: r.ID, Router: r.Router, Refusal: reason}
+}
+
+func (g *Gate) grant(now time.Time, r Request, received time.Time) Outcome {
+	id := g.nextID()
+	g.permits[id] = permit{
+		router:    r.Router,
+		workspace: r.Workspace,
+		granted:   now,
+		expires:   now.Add(g.config.Hold),
+	}
+	g.report.grantedSince++
+	g.queue.started(r.Workspace)
+	grant := Grant{
+		PermitID: id,
+		StartBy:  now.Sub(received) + g.config.StartBy,
+		Hold:     g.config.Hold,
+		Inflight: g.Inflight(),
+	}
+	if g.cold() {
+		grant.Term = g.lease.Term
+	}
+	return Outcome{RequestID: r.ID, Router: r.Router, Grant: grant}
+}
+
+// nextID skips ids in use, which exist if a former owner had the same nonce.
+func (g *Gate) nextID() uint64 {
+	for {
+		g.counter++
+		id := uint64(g.config.Nonce)<<32 | uint64(g.counter)
+		if _, used := g.permits[id]; !used && id != 0 {
+			return id
+		}
+	}
+}
+
+// Release returns a permit. A permit that is not known is ignored. Permit 0 with
+// a moved chat only records the move.
+func (g *Gate) Release(now time.Time, id uint64, info ReleaseInfo) []Outcome {
+	g.recordMove(info)
+	p, ok := g.permits[id]
+	if !ok {
+		return nil
+	}
+	g.remove(id, p)
+	if !info.Failed {
+		if !p.granted.IsZero() {
+			g.service.add(now.Sub(p.granted))
+		}
+		g.warmth.answered(info.FirstToken)
+		if g.firstTokenSlow(now, info.FirstToken) {
+			g.turnCold(now)
+		}
+	}
+	return g.drain(now)
+}
+
+func (g *Gate) recordMove(info ReleaseInfo) {
+	switch {
+	case info.MovedChat == 0:
+	case info.MovedTo == "" || info.MovedTo == g.config.Endpoint:
+		g.moved.remove(info.MovedChat)
+	default:
+		g.moved.set(info.MovedChat, info.MovedTo)
+	}
+}
+
+func (g *Gate) remove(id uint64, p permit) {
+	delete(g.permits, id)
+	g.queue.finished(p.workspace)
+	if !p.granted.Before(g.report.cutoff) {
+		g.report.grantedSince--
+	}
+}
+
+// Renew extends the hold time of a router's permits. It returns those that are
+// not known, which the router sends again with Adopt.
+func (g *Gate) Renew(now time.Time, router string, permits []uint64) (unknown []uint64) {
+	delete(g.lost, router)
+	for _, id := range permits {
+		p, ok := g.permits[id]
+		if !ok || p.router != router {
+			unknown = append(unknown, id)
+			continue
+		}
+		p.expires = now.Add(g.config.Hold)
+		g.permits[id] = p
+	}
+	return unknown
+}
+
+// Adopt counts the permits that a router holds from a former owner. A permit
+// that is already counted is only renewed. Adopted permits are counted even
+// above the limit, because their work runs.
+func (g *Gate) Adopt(now time.Time, router string, held []api.HeldPermit) {
+	delete(g.lost, router)
+	for _, h := range held {
+		p, known := g.permits[h.Permit]
+		if !known {
+			p = permit{workspace: h.Workspace}
+			g.queue.started(h.Workspace)
+		}
+		p.router = router
+		p.expires = now.Add(g.config.Hold)
+		g.permits[h.Permit] = p
+		if !known && !p.granted.Before(g.report.cutoff) {
+			g.report.grantedSince++
+		}
+	}
+}
+
+// RouterLost says that membership declared a router dead. Its permits are
+// dropped as soon as a report, measured after no work can start on them, shows
+// that their work has ended; otherwise they lapse with their hold time.
+func (g *Gate) RouterLost(now time.Time, router string) {
+	g.lost[router] = now
+}
+
+// dropLost drops the permits of dead routers if the report shows no more work
+// than the other routers have. A router that was declared dead by mistake may
+// still start work for the start-by time.
+func (g *Gate) dropLost() {
+	if len(g.lost) == 0 {
+		return
+	}
+	for _, at := range g.lost {
+		if !g.report.measured.After(at.Add(g.config.StartBy)) {
+			return
+		}
+	}
+	living := 0
+	for _, p := range g.permits {
+		if _, dead := g.lost[p.router]; !dead {
+			living++
+		}
+	}
+	if g.reportedWork() > living {
+		return
+	}
+	for id, p := range g.permits {
+		if _, dead := g.lost[p.router]; dead {
+			g.remove(id, p)
+		}
+	}
+	clear(g.lost)
+}
+
+// Report takes a load report. One that was measured before the newest is
+// ignored.
+func (g *Gate) Report(now time.Time, load api.LoadReport) []Outcome {
+	age := time.Duration(max(0, load.AgeMs)) * time.Millisecond
+	measured := now.Add(-age)
+	if g.report.known && measured.Before(g.report.measured) {
+		return g.drain(now)
+	}
+	previous := g.report
+	g.report.known = true
+	g.report.failed = false
+	g.report.load = load
+	g.report.measured = measured
+	g.recountSince()
+	g.updateWarmth(now, previous)
+	g.recountSince()
+	g.dropLost()
+	return g.drain(now)
+}
+
+// ReportFailed says that the endpoint could not be asked for its load. The
+// endpoint may be restarting, so a cold one gets nothing before its next report.
+func (g *Gate) ReportFailed(now time.Time) []Outcome {
+	g.report.failed = true
+	return g.drain(now)
+}
+
+// recountSince counts the permits that the report may not include. A cold
+// endpoint's limit is exact, so there a permit also counts while its work may
+// have started after the measurement, up to the start-by time later.
+func (g *Gate) recountSince() {
+	g.report.cutoff = g.report.measured
+	if g.cold() && g.report.known {
+		g.report.cutoff = g.report.measured.Add(-g.config.StartBy)
+	}
+	g.report.grantedSince = 0
+	for _, p := range g.permits {
+		if !p.granted.Before(g.report.cutoff) {
+			g.report.grantedSince++
+		}
+	}
+}
+
+// SetPool takes the load of the endpoint's pool.
+func (g *Gate) SetPool(now time.Time, pool PoolLoad) []Outcome {
+	g.pool = pool
+	g.poolAt = now.Add(-pool.Age)
+	return g.drain(now)
+}
+
+// SetLease takes the state of the endpoint's cold lease.
+func (g *Gate) SetLease(now time.Time, lease Lease) []Outcome {
+	g.lease = lease
+	return g.drain(now)
+}
+
+// SetEndpoint takes the endpoint's settings and state. A state that stops work
+// refuses the queued requests at once.
+func (g *Gate) SetEndpoint(now time.Time, settings Settings) []Outcome {
+	wasCold := g.settings.State.NeedsLease()
+	g.settings = settings
+	if isCold := settings.State.NeedsLease(); wasCold != isCold {
+		if wasCold && g.warmth.phase != phaseCold {
+			g.warmth.startRamp(g.report.load.Bearable)
+		}
+		g.recountSince()
+	}
+	return g.drain(now)
+}
+
+// DropMoved forgets the chats that moved to an endpoint that is no longer
+// usable.
+func (g *Gate) DropMoved(endpoint string) {
+	g.moved.removeEndpoint(endpoint)
+}
+
+// Tick drops permits and queued requests whose time has passed. It is called a
+// few times within the start-by time.
+func (g *Gate) Tick(now time.Time) []Outcome {
+	for id, p := range g.permits {
+		if !p.expires.After(now) {
+			g.remove(id, p)
+		}
+	}
+	for router, at := range g.lost {
+		if now.Sub(at) > g.config.Hold {
+			delete(g.lost, router)
+		}
+	}
+	return g.drain(now)
+}
+
+// Cancel removes a queued request, which then has no outcome. It returns false
+// for a request that is not queued.
+func (g *Gate) Cancel(_ time.Time, requestID string) bool {
+	return g.queue.cancel(requestID)
+}
+
+// Close refuses all queued requests because this router is no longer the owner.
+func (g *Gate) Close() []Outcome {
+	return g.flush(nil, api.RefusalNotOwner)
+}
+
+// Inflight returns the endpoint's load: the greater of the permits counted here
+// and the last report with the permits granted since it was measured.
+func (g *Gate) Inflight() int {
+	own := len(g.permits)
+	if !g.report.known {
+		return own
+	}
+	return max(own, g.reportedWork()+g.report.grantedSince)
+}
+
+// reportedWork includes requests that wait at the endpoint, as each of them
+// uses a permit.
+func (g *Gate) reportedWork() int {
+	return g.report.load.Running + g.report.load.Waiting
+}
+
+// Held returns the permits in use, in no particular order.
+func (g *Gate) Held() []Held {
+	held := make([]Held, 0, len(g.permits))
+	for id, p := range g.permits {
+		held = append(held, Held{Permit: id, Workspace: p.workspace, Router: p.router})
+	}
+	return held
+}
+
+// Queued returns the number of waiting requests.
+func (g *Gate) Queued() int {
+	return g.queue.total
+}
+
+// blocked returns why the endpoint gets no work at all, or "".
+func (g *Gate) blocked(now time.Time) api.Refusal {
+	switch g.settings.State {
+	case endpointstate.Withdrawn, endpointstate.Leaving:
+		return api.RefusalEndpointWithdrawn
+	case endpointstate.Down:
+		return api.RefusalEndpointDown
+	}
+	switch {
+	case g.settings.NoReports && !g.report.known:
+		if g.settings.State.NeedsLease() {
+			return api.RefusalEndpointCold
+		}
+		return ""
+	case !g.report.known:
+		return api.RefusalNotReady
+	case g.report.load.Readiness == api.ReadinessLeaving:
+		return api.RefusalEndpointWithdrawn
+	case g.cold():
+		return g.coldBlocked(now)
+	}
+	return ""
+}
+
+// coldBlocked checks the lease against the clock on each decision, so a router
+// that was paused beyond its lease grants nothing. Work that the former holder
+// granted is either in a report measured after GrantsFrom or can no longer start.
+func (g *Gate) coldBlocked(now time.Time) api.Refusal {
+	switch {
+	case !g.lease.Held || !now.Before(g.lease.ValidUntil):
+		return api.RefusalNoLease
+	case now.Before(g.lease.GrantsFrom), g.report.measured.Before(g.lease.GrantsFrom):
+		return api.RefusalLeaseTakeover
+	case g.report.failed, now.Sub(g.report.measured) >= g.config.ReportMaxAge:
+		return api.RefusalEndpointCold
+	case g.report.load.Bearable <= 0:
+		return api.RefusalEndpointCold
+	}
+	return ""
+}
+
+// limit returns how many requests the endpoint may have in flight, and the
+// refusal that names the limit.
+func (g *Gate) limit(now time.Time) (int, api.Refusal) {
+	limit, reason := g.maxInflight(), api.RefusalEndpointFull
+	if bound, ok := g.loadBound(now); ok && bound < limit {
+		limit, reason = bound, api.RefusalLoadMultiple
+	}
+	if warm, ok := g.warmLimit(); ok && warm < limit {
+		limit, reason = warm, api.RefusalEndpointCold
+	}
+	return limit, reason
+}
+
+func (g *Gate) maxInflight() int {
+	configured, reported := g.settings.MaxInflight, g.report.load.MaxRunning
+	switch {
+	case configured <= 0 && reported <= 0:
+		return DefaultMaxInflight
+	case configured <= 0:
+		return reported
+	case reported <= 0:
+		return configured
+	}
+	return min(configured, reported)
+}
+
+// loadBound returns the load bound, and false when the pool's load is not known
+// or too old.
+func (g *Gate) loadBound(now time.Time) (int, bool) {
+	if g.pool.Ready <= 0 || now.Sub(g.poolAt) > g.config.PoolMaxAge {
+		return 0, false
+	}
+	mean := float64(g.pool.Inflight+1) / float64(g.pool.Ready)
+	bound := max(math.Ceil(mean), math.Floor(g.config.LoadMultiple*mean))
+	return int(bound), true
+}
+
+// drain refuses what can no longer be served and serves the queue.
+func (g *Gate) drain(now time.Time) []Outcome {
+	if g.queue.total == 0 {
+		return nil
+	}
+	if reason := g.blocked(now); reason != "" {
+		return g.flush(nil, reason)
+	}
+	late := g.queue.take(func(w *waiting) bool { return !w.request.Deadline.After(now) })
+	var outcomes []Outcome
+	for _, w := range late {
+		outcomes = append(outcomes, refuse(w.request, api.RefusalDeadlineExceeded))
+	}
+	limit, _ := g.limit(now)
+	share := int(math.Ceil(g.config.WorkspaceShare * float64(limit)))
+	for g.Inflight() < limit {
+		w, ok := g.queue.next(share)
+		if !ok {
+			break
+		}
+		outcomes = append(outcomes, g.grant(now, w.request, w.received))
+	}
+	return outcomes
+}
+
+func (g *Gate) flush(outcomes []Outcome, reason api.Refusal) []Outcome {
+	for _, w := range g.queue.take(func(*waiting) bool { return true }) {
+		outcomes = append(outcomes, refuse(w.request, reason))
+	}
+	return outcomes
+}
--- /dev/null
+++ b/admission/gate_test.go
@@ -0,0 +1,445 @@
+package admission
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/endpointstate"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func ready(running int) api.LoadReport {
+	return api.LoadReport{BootID: "b", Readiness: api.ReadinessReady, Running: running}
+}
+
+func coldReport(bearable int) api.LoadReport {
+	return api.LoadReport{BootID: "b", Readiness: api.ReadinessCold, Bearable: bearable}
+}
+
+func warmGate(maxInflight int) *Gate {
+	g := NewGate(Config{Endpoint: "e", Nonce: 1})
+	g.SetEndpoint(start, Settings{MaxInflight: maxInflight})
+	g.Report(start, ready(0))
+	return g
+}
+
+func ask(workspace, id string, wait time.Duration, now time.Time) Request {
+	r := Request{ID: id, Router: "r", Workspace: workspace}
+	if wait > 0 {
+		r.Deadline = now.Add(wait)
+	}
+	return r
+}
+
+// Guards against limits that are off by one, against a mean that is used when it
+// is too old, and against load of other owners that is not counted.
+func TestLimits(t *testing.T) {
+	tests := []struct {
+		name    string
+		pool    PoolLoad
+		running int
+		after   time.Duration
+		granted int
+		refusal api.Refusal
+	}{
+		{"no pool", PoolLoad{}, 0, 0, 8, api.RefusalEndpointFull},
+		{"mean below one", PoolLoad{Inflight: 0, Ready: 4}, 0, 0, 1, api.RefusalLoadMultiple},
+		{"ceiling of mean", PoolLoad{Inflight: 9, Ready: 4}, 0, 0, 3, api.RefusalLoadMultiple},
+		{"floor of multiple", PoolLoad{Inflight: 19, Ready: 4}, 0, 0, 6, api.RefusalLoadMultiple},
+		{"never above max", PoolLoad{Inflight: 99, Ready: 4}, 0, 0, 8, api.RefusalEndpointFull},
+		{"reported load", PoolLoad{Inflight: 19, Ready: 4}, 4, 0, 2, api.RefusalLoadMultiple},
+		{"old pool", PoolLoad{Inflight: 0, Ready: 4}, 0, 4 * time.Second, 8, api.RefusalEndpointFull},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := warmGate(8)
+			g.Report(start, ready(test.running))
+			g.SetPool(start, test.pool)
+			granted := 0
+			for {
+				o, queued := g.Request(at(test.after), ask("w", "q", 0, start))
+				assert.Assert(t, !queued)
+				if !o.Granted() {
+					assert.Equal(t, o.Refusal, test.refusal)
+					break
+				}
+				granted++
+			}
+			assert.Equal(t, granted, test.granted)
+		})
+	}
+}
+
+// Guards against work granted to an endpoint that must not get any, and against
+// queued requests that are left without an answer.
+func TestStatesStopGrantsAndFlush(t *testing.T) {
+	for state, reason := range map[endpointstate.State]api.Refusal{
+		endpointstate.Withdrawn: api.RefusalEndpointWithdrawn,
+		endpointstate.Leaving:   api.RefusalEndpointWithdrawn,
+		endpointstate.Down:      api.RefusalEndpointDown,
+		endpointstate.Cold:      api.RefusalNoLease,
+	} {
+		g := warmGate(1)
+		first, _ := g.Request(start, ask("w", "1", time.Second, start))
+		assert.Assert(t, first.Granted())
+		_, queued := g.Request(start, ask("w", "2", time.Second, start))
+		assert.Assert(t, queued)
+		out := g.SetEndpoint(start, Settings{MaxInflight: 1, State: state})
+		assert.DeepEqual(t, out, []Outcome{{RequestID: "2", Router: "r", Refusal: reason}})
+		assert.Equal(t, len(g.Release(start, first.Grant.PermitID, ReleaseInfo{})), 0)
+		o, _ := g.Request(start, ask("w", "3", time.Second, start))
+		assert.Equal(t, o.Refusal, reason)
+	}
+	o, _ := NewGate(Config{}).Request(start, ask("w", "1", 0, start))
+	assert.Equal(t, o.Refusal, api.RefusalNotReady)
+}
+
+// Guards against a queued request that is served after its deadline, cannot make
+// it, was cancelled, or gets a start-by time that has passed in the queue.
+func TestQueueDeadlines(t *testing.T) {
+	g := warmGate(1)
+	for i := range minServiceSamples {
+		o, _ := g.Request(at(time.Duration(i)*time.Second), ask("w", "s", 0, start))
+		g.Release(at(time.Duration(i+1)*time.Second), o.Grant.PermitID, ReleaseInfo{})
+	}
+	now := at(minServiceSamples * time.Second)
+	running, _ := g.Request(now, ask("w", "1", 0, now))
+	o, _ := g.Request(now, ask("w", "2", 900*time.Millisecond, now))
+	assert.Equal(t, o.Refusal, api.RefusalDeadlineUnreachable)
+	for _, id := range []string{"3", "4", "5"} {
+		_, queued := g.Request(now, ask(id, id, 5*time.Second, now))
+		assert.Assert(t, queued)
+	}
+	assert.Assert(t, g.Cancel(now, "3"))
+	assert.Assert(t, !g.Cancel(now, "3"))
+	out := g.Release(now.Add(2*time.Second), running.Grant.PermitID, ReleaseInfo{})
+	assert.Equal(t, len(out), 1)
+	assert.Equal(t, out[0].RequestID, "4")
+	assert.Equal(t, out[0].Grant.StartBy, 2*time.Second+DefaultStartBy)
+	out = g.Tick(now.Add(5 * time.Second))
+	assert.DeepEqual(t, out, []Outcome{{RequestID: "5", Router: "r", Refusal: api.RefusalDeadlineExceeded}})
+}
+
+// Guards against a workspace that takes the whole queue, and against service out
+// of the order of priority and of least work in service.
+func TestQueueOrderAndShare(t *testing.T) {
+	g := NewGate(Config{Nonce: 1, QueueLength: 8})
+	g.SetEndpoint(start, Settings{MaxInflight: 4})
+	g.Report(start, ready(0))
+	var held []uint64
+	for range 4 {
+		o, _ := g.Request(start, ask("big", "x", 0, start))
+		held = append(held, o.Grant.PermitID)
+	}
+	refused := 0
+	for i := range 6 {
+		o, _ := g.Request(start, ask("big", fmt.Sprint("big", i), time.Minute, start))
+		if o.Refusal == api.RefusalWorkspaceShare {
+			refused++
+		}
+	}
+	assert.Equal(t, refused, 2)
+	_, queued := g.Request(start, ask("small", "small", time.Minute, start))
+	assert.Assert(t, queued)
+	urgent := ask("urgent", "urgent", time.Minute, start)
+	urgent.Priority = 5
+	_, queued = g.Request(start, urgent)
+	assert.Assert(t, queued)
+	var order []string
+	for _, id := range held {
+		for _, o := range g.Release(start, id, ReleaseInfo{}) {
+			order = append(order, o.RequestID)
+		}
+	}
+	assert.DeepEqual(t, order, []string{"urgent", "small", "big0", "big1"})
+}
+
+// Guards against a permit that is counted twice or never freed when ownership
+// moves, routers die or messages are repeated.
+func TestPermitLifetime(t *testing.T) {
+	g := warmGate(8)
+	o, _ := g.Request(start, ask("w", "1", 0, start))
+	own := o.Grant.PermitID
+	foreign := api.HeldPermit{Permit: 7<<32 | 1, Workspace: "w"}
+	for range 2 {
+		g.Adopt(start, "r2", []api.HeldPermit{foreign, {Permit: own, Workspace: "w"}})
+		assert.Equal(t, g.Inflight(), 2)
+	}
+	assert.DeepEqual(t, g.Renew(at(10*time.Second), "r2", []uint64{own, 99}), []uint64{99})
+	g.Release(start, 99, ReleaseInfo{})
+	g.Tick(at(DefaultHold))
+	assert.DeepEqual(t, g.Held(), []Held{{Permit: own, Workspace: "w", Router: "r2"}})
+	g.RouterLost(at(DefaultHold), "r2")
+	g.Report(at(DefaultHold+DefaultStartBy), ready(0))
+	assert.Equal(t, len(g.Held()), 1)
+	g.Report(at(DefaultHold+DefaultStartBy+1), ready(1))
+	assert.Equal(t, len(g.Held()), 1)
+	g.Report(at(DefaultHold+DefaultStartBy+2), ready(0))
+	assert.Equal(t, len(g.Held()), 0)
+	assert.Equal(t, g.Inflight(), 0)
+}
+
+// Guards against an id of a former owner that is given out a second time.
+func TestAdoptedIDIsNotReused(t *testing.T) {
+	g := warmGate(8)
+	g.Adopt(start, "r", []api.HeldPermit{{Permit: 1<<32 | 1, Workspace: "w"}})
+	o, _ := g.Request(start, ask("w", "1", 0, start))
+	assert.Equal(t, o.Grant.PermitID, uint64(1<<32|2))
+}
+
+// Guards against grants at a cold endpoint without lease, before the former
+// holder's permits have lapsed, after a pause, without a fresh report, and above
+// the bearable load.
+func TestColdNeedsLeaseAndFreshReport(t *testing.T) {
+	lease := Lease{Held: true, Term: 3, GrantsFrom: at(time.Second), ValidUntil: at(6 * time.Second)}
+	tests := []struct {
+		name     string
+		lease    Lease
+		reported time.Duration
+		now      time.Duration
+		failed   bool
+		granted  int
+		refusal  api.Refusal
+	}{
+		{"no lease", Lease{}, 2 * time.Second, 2 * time.Second, false, 0, api.RefusalNoLease},
+		{"before GrantsFrom", lease, 0, 999 * time.Millisecond, false, 0, api.RefusalLeaseTakeover},
+		{"report before GrantsFrom", lease, 999 * time.Millisecond, 2 * time.Second, false, 0, api.RefusalLeaseTakeover},
+		{"fresh", lease, 2 * time.Second, 2 * time.Second, false, 2, api.RefusalEndpointCold},
+		{"old report", lease, 2 * time.Second, 4 * time.Second, false, 0, api.RefusalEndpointCold},
+		{"failed report", lease, 2 * time.Second, 2 * time.Second, true, 0, api.RefusalEndpointCold},
+		{"paused", lease, 5 * time.Second, 6 * time.Second, false, 0, api.RefusalNoLease},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewGate(Config{Nonce: 1})
+			g.SetLease(start, test.lease)
+			g.Report(at(test.reported), coldReport(2))
+			if test.failed {
+				g.ReportFailed(at(test.now))
+			}
+			for range test.granted {
+				o, _ := g.Request(at(test.now), ask("w", "1", 0, start))
+				assert.Equal(t, o.Grant.Term, uint64(3))
+			}
+			o, _ := g.Request(at(test.now), ask("w", "1", 0, start))
+			assert.Equal(t, o.Refusal, test.refusal)
+		})
+	}
+}
+
+func fill(t *testing.T, g *Gate, now time.Time) []uint64 {
+	t.Helper()
+	var permits []uint64
+	for {
+		o, _ := g.Request(now, ask("w", "f", 0, now))
+		if !o.Granted() {
+			return permits
+		}
+		permits = append(permits, o.Grant.PermitID)
+	}
+}
+
+// Guards against a full load on an endpoint that has just become ready, and
+// against a ramp that goes on while answers become slower.
+func TestRamp(t *testing.T) {
+	g := NewGate(Config{Nonce: 1})
+	g.SetEndpoint(start, Settings{MaxInflight: 10})
+	g.Report(start, coldReport(2))
+	var limits []int
+	for i, firstToken := range []int{100, 110, 200, 100, 100, 100} {
+		now := at(time.Duration(i+1) * time.Second)
+		g.Report(now, ready(0))
+		permits := fill(t, g, now)
+		limits = append(limits, len(permits))
+		load := ready(len(permits))
+		g.Release(now, permits[0], ReleaseInfo{FirstToken: time.Duration(firstToken) * time.Millisecond})
+		g.Report(now.Add(100*time.Millisecond), load)
+		for _, id := range permits[1:] {
+			g.Release(now.Add(200*time.Millisecond), id, ReleaseInfo{})
+		}
+	}
+	assert.DeepEqual(t, limits, []int{2, 3, 4, 4, 6, 9})
+}
+
+// Guards against an endpoint that turned cold without saying so and keeps its
+// full load.
+func TestSuddenCold(t *testing.T) {
+	slow := ReleaseInfo{FirstToken: 301 * time.Millisecond}
+	fine := ReleaseInfo{FirstToken: 300 * time.Millisecond}
+	run := func(answers ...ReleaseInfo) *Gate {
+		g := warmGate(10)
+		g.SetPool(start, PoolLoad{Inflight: 90, Ready: 9, FirstToken: 100 * time.Millisecond})
+		for _, info := range answers {
+			o, _ := g.Request(start, ask("w", "1", 0, start))
+			g.Release(start, o.Grant.PermitID, info)
+		}
+		return g
+	}
+	assert.Assert(t, !run(slow, slow, slow, slow, fine, slow).Cold())
+	g := run(slow, slow, slow, slow, slow)
+	assert.Assert(t, g.Cold())
+	for i := range readyReportsAfterSudden {
+		assert.Assert(t, g.Cold())
+		g.Report(at(time.Duration(i+1)*time.Second), ready(0))
+	}
+	assert.Assert(t, !g.Cold())
+	assert.Equal(t, len(fill(t, g, at(3*time.Second))), 1)
+
+	g = warmGate(10)
+	restarted := ready(0)
+	restarted.BootID = "c"
+	g.Report(at(time.Second), restarted)
+	assert.Assert(t, g.Cold())
+}
+
+// Guards against a table of moved chats that grows without bound or sends chats
+// to an endpoint that left.
+func TestMovedChats(t *testing.T) {
+	g := NewGate(Config{Endpoint: "e", Nonce: 1, MovedChats: 2})
+	lookup := func(key uint64) string {
+		o, _ := g.Request(start, Request{ChatKey: key})
+		return o.Redirect
+	}
+	g.Release(start, 0, ReleaseInfo{MovedChat: 1, MovedTo: "a"})
+	g.Release(start, 0, ReleaseInfo{MovedChat: 2, MovedTo: "b"})
+	assert.Equal(t, lookup(1), "a")
+	g.Release(start, 0, ReleaseInfo{MovedChat: 3, MovedTo: "a"})
+	assert.Equal(t, lookup(2), "")
+	g.Release(start, 0, ReleaseInfo{MovedChat: 3, MovedTo: "e"})
+	assert.Equal(t, lookup(3), "")
+	g.DropMoved("a")
+	assert.Equal(t, lookup(1), "")
+}
+
+// Guards against any order of calls after which the count differs from the
+// permits outstanding, the limit is passed, or a queued request gets no outcome
+// or two.
+func TestAccountingAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 6).Draw(t, "limit")
+		g := warmGate(limit)
+		now, next := start, 0
+		held, adopted := map[uint64]time.Time{}, map[uint64]time.Time{}
+		open := map[string]bool{}
+		take := func(outcomes []Outcome) {
+			for _, o := range outcomes {
+				assert.Assert(t, open[o.RequestID])
+				delete(open, o.RequestID)
+				if o.Granted() {
+					held[o.Grant.PermitID] = now.Add(DefaultHold)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1, 2:
+				next++
+				workspace := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace")
+				r := ask(workspace, fmt.Sprint(next), time.Duration(rapid.IntRange(0, 4).Draw(t, "wait"))*time.Second, now)
+				r.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+				open[r.ID] = true
+				o, queued := g.Request(now, r)
+				if !queued {
+					take([]Outcome{o})
+				}
+			case 3:
+				if len(held) > 0 {
+					id := slices.Min(slices.Collect(maps.Keys(held)))
+					delete(held, id)
+					take(g.Release(now, id, ReleaseInfo{}))
+				}
+			case 4:
+				next++
+				id := uint64(9)<<32 | uint64(next)
+				adopted[id] = now.Add(DefaultHold)
+				g.Adopt(now, "r", []api.HeldPermit{{Permit: id, Workspace: "a"}})
+			case 5:
+				var ids []uint64
+				for id, expires := range held {
+					if expires.After(now) {
+						ids, held[id] = append(ids, id), now.Add(DefaultHold)
+					}
+				}
+				for _, id := range ids {
+					g.Renew(now, "r", []uint64{id})
+				}
+			case 6:
+				take(g.Report(now, ready(rapid.IntRange(0, len(held)).Draw(t, "running"))))
+			}
+			for _, m := range []map[uint64]time.Time{held, adopted} {
+				for id, expires := range m {
+					if !expires.After(now) {
+						delete(m, id)
+					}
+				}
+			}
+			take(g.Tick(now))
+			assert.Equal(t, len(g.Held()), len(held)+len(adopted))
+			assert.Assert(t, len(held) <= limit)
+			assert.Equal(t, g.Queued(), len(open))
+			assert.Assert(t, g.Queued() == 0 || g.Inflight() >= limit)
+		}
+	})
+}
+
+// Guards against a surging workspace that takes a share of the endpoint from
+// another whose demand is below its own share.
+func TestSurgeKeepsOtherShares(t *testing.T) {
+	served := func(surge int) int {
+		g := warmGate(8)
+		done := map[int][]uint64{}
+		steady := 0
+		take := func(outcomes []Outcome, tick int) {
+			for _, o := range outcomes {
+				if o.Granted() {
+					done[tick+10] = append(done[tick+10], o.Grant.PermitID)
+				}
+				if o.Granted() && o.RequestID == "steady" {
+					steady++
+				}
+			}
+		}
+		for tick := range 2000 {
+			now := at(time.Duration(tick) * 100 * time.Millisecond)
+			for _, id := range done[tick] {
+				take(g.Release(now, id, ReleaseInfo{}), tick)
+			}
+			for range surge {
+				o, _ := g.Request(now, ask("surging", "surging", 2*time.Second, now))
+				take([]Outcome{o}, tick)
+			}
+			if tick%3 == 0 {
+				o, _ := g.Request(now, ask("steady", "steady", 2*time.Second, now))
+				take([]Outcome{o}, tick)
+			}
+			take(g.Tick(now), tick)
+		}
+		return steady
+	}
+	calm, surged := served(1), served(10)
+	t.Logf("steady workspace served: %d calm, %d during a tenfold surge", calm, surged)
+	assert.Assert(t, float64(surged) >= 0.98*float64(calm), "%d of %d", surged, calm)
+}
+
+// Guards against allocations on the path of each request.
+func BenchmarkRequestRelease(b *testing.B) {
+	g := warmGate(64)
+	g.SetPool(start, PoolLoad{Inflight: 320, Ready: 10})
+	workspaces := []string{"a", "b", "c", "d"}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		o, _ := g.Request(start, Request{ID: "id", Router: "r", Workspace: workspaces[i%4]})
+		g.Release(start, o.Grant.PermitID, ReleaseInfo{FirstToken: time.Millisecond})
+	}
+}
--- /dev/null
+++ b/admission/set.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"sync"
+)
+
+// Set holds the gates of one router by endpoint id. It is safe for concurrent
+// use; each gate has its own mutex, and the set's is not held while a gate
+// decides.
+type Set struct {
+	mu    sync.RWMutex
+	gates map[string]*lockedGate
+}
+
+type lockedGate struct {
+	mu     sync.Mutex
+	gate   *Gate
+	closed bool
+}
+
+// NewSet returns an empty set.
+func NewSet() *Set {
+	return &Set{gates: map[string]*lockedGate{}}
+}
+
+// Add creates the gate of an endpoint unless there is one. It returns whether it
+// did. A zero nonce is replaced by a random one.
+func (s *Set) Add(config Config) bool {
+	for config.Nonce == 0 {
+		config.Nonce = rand.Uint32()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.gates[config.Endpoint]; ok {
+		return false
+	}
+	s.gates[config.Endpoint] = &lockedGate{gate: NewGate(config)}
+	return true
+}
+
+// Remove ends a gate. It returns the refusals of its queued requests and the
+// permits in use.
+func (s *Set) Remove(endpoint string) ([]Outcome, []Held) {
+	s.mu.Lock()
+	locked := s.gates[endpoint]
+	delete(s.gates, endpoint)
+	s.mu.Unlock()
+	if locked == nil {
+		return nil, nil
+	}
+	locked.mu.Lock()
+	defer locked.mu.Unlock()
+	locked.closed = true
+	return locked.gate.Close(), locked.gate.Held()
+}
+
+// Do calls f with the endpoint's gate, which f must not keep. It returns false
+// if there is no such gate.
+func (s *Set) Do(endpoint string, f func(*Gate)) bool {
+	s.mu.RLock()
+	locked := s.gates[endpoint]
+	s.mu.RUnlock()
+	return locked != nil && locked.do(f)
+}
+
+func (l *lockedGate) do(f func(*Gate)) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	f(l.gate)
+	return true
+}
+
+// Each calls f with each gate in turn.
+func (s *Set) Each(f func(endpoint string, g *Gate)) {
+	for _, endpoint := range s.Endpoints() {
+		s.Do(endpoint, func(g *Gate) { f(endpoint, g) })
+	}
+}
+
+// Endpoints returns the ids of the endpoints that have a gate.
+func (s *Set) Endpoints() []string {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	endpoints := make([]string, 0, len(s.gates))
+	for endpoint := range s.gates {
+		endpoints = append(endpoints, endpoint)
+	}
+	return endpoints
+}
--- /dev/null
+++ b/endpointstate/state.go
@@ -0,0 +1,54 @@
+// Package endpointstate is the state machine of an endpoint as one router sees
+// it. It does no I/O and reads no clock.
+package endpointstate
+
+import "fmt"
+
+// State is the condition of an endpoint. States are ordered: of two that apply
+// at once, the greater one takes precedence.
+type State int
+
+const (
+	// Ready takes all work.
+	Ready State = iota
+	// Joining is listed and has not reported yet. It takes no work.
+	Joining
+	// Warming takes work only through the holder of its cold lease.
+	Warming
+	// Cold takes work only through the holder of its cold lease.
+	Cold
+	// Suspect takes no new chats; chats that were moved to it stay.
+	Suspect
+	// Down takes no work.
+	Down
+	// Leaving takes no new work; running work finishes.
+	Leaving
+	// Withdrawn is taken out by a release note. It takes no new work; running
+	// work ends at the drain time.
+	Withdrawn
+)
+
+var names = [...]string{"ready", "joining", "warming", "cold", "suspect", "down", "leaving", "withdrawn"}
+
+// String returns the name used in logs and on the operators' listener.
+func (s State) String() string {
+	if s < 0 || int(s) >= len(names) {
+		return fmt.Sprintf("state(%d)", int(s))
+	}
+	return names[s]
+}
+
+// Worst returns the state that takes precedence.
+func Worst(a, b State) State {
+	return max(a, b)
+}
+
+// NeedsLease says whether work is granted only by the cold lease's holder.
+func (s State) NeedsLease() bool {
+	return s == Cold || s == Warming
+}
+
+// StopsWork says whether the endpoint takes no new work at all.
+func (s State) StopsWork() bool {
+	return s == Joining || s >= Down
+}
