--- a/config/config.go
+++ b/config/config.go
@@ -14,10 +14,10 @@
 // Problem is one mistake in a settings file. Line is 0 when the key is absent
 // from the file.
 type Problem struct {
-	File string
-	Line int
-	Key  string
-	Text string
+	File string `json:"file"`
+	Line int    `json:"line"`
+	Key  string `json:"key"`
+	Text string `json:"text"`
 }
 
 func (p Problem) String() string {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -55,10 +55,29 @@
 	return x
 }
 
-// score is the weighted rendezvous score of an endpoint for a key: the highest
-// wins, and an endpoint wins a share of the keys proportional to its weight.
-func score(key uint64, e *Endpoint) float64 {
+// scorer computes rendezvous scores: the highest wins, and an endpoint wins a
+// share of the keys proportional to its weight.
+type scorer struct {
+	key uint64
+	// uniform says that all weights are equal. The hash alone then gives the
+	// same order without a logarithm, which takes most of the time.
+	uniform bool
+}
+
+func newScorer(key uint64, endpoints []Endpoint) scorer {
+	for i := range endpoints {
+		if endpoints[i].Weight != endpoints[0].Weight {
+			return scorer{key: key}
+		}
+	}
+	return scorer{key: key, uniform: true}
+}
+
+func (s scorer) score(e *Endpoint) float64 {
 	// 53 random bits, shifted by one half so that the logarithm is finite.
-	unit := (float64(mix(key, e.hash)>>11) + 0.5) / (1 << 53)
+	unit := (float64(mix(s.key, e.hash)>>11) + 0.5) / (1 << 53)
+	if s.uniform {
+		return unit
+	}
 	return -e.Weight / math.Log(unit)
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -27,7 +27,10 @@
 	for i := range all {
 		all[i] = i
 	}
-	byScore := func(i, j int) bool { return score(key, &endpoints[all[i]]) > score(key, &endpoints[all[j]]) }
+	weighted := scorer{key: key}
+	byScore := func(i, j int) bool {
+		return weighted.score(&endpoints[all[i]]) > weighted.score(&endpoints[all[j]])
+	}
 	sort.SliceStable(all, byScore)
 	zone := endpoints[all[0]].Zone
 	sort.SliceStable(all[1:], func(i, j int) bool {
--- a/placement/rendezvous.go
+++ b/placement/rendezvous.go
@@ -44,14 +44,15 @@
 	if limit <= 0 {
 		return dst
 	}
-	home := homeOf(key, endpoints)
+	scorer := newScorer(key, endpoints)
+	home := homeOf(scorer, endpoints)
 	zone := endpoints[home].Zone
 	var near, far top
 	for i := range endpoints {
 		if i == home {
 			continue
 		}
-		candidate := ranked{index: i, score: score(key, &endpoints[i])}
+		candidate := ranked{index: i, score: scorer.score(&endpoints[i])}
 		if endpoints[i].Zone == zone {
 			near.insert(candidate, limit)
 		} else {
@@ -63,11 +64,11 @@
 	return far.appendTo(dst, limit-1-min(near.count, limit-1))
 }
 
-func homeOf(key uint64, endpoints []Endpoint) int {
+func homeOf(scorer scorer, endpoints []Endpoint) int {
 	home := 0
-	best := score(key, &endpoints[0])
+	best := scorer.score(&endpoints[0])
 	for i := 1; i < len(endpoints); i++ {
-		if s := score(key, &endpoints[i]); s > best {
+		if s := scorer.score(&endpoints[i]); s > best {
 			home, best = i, s
 		}
 	}
--- /dev/null
+++ b/router/chat.go
@@ -0,0 +1,231 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/engine"
+)
+
+// maxDeliveredBytes bounds the answer text that is kept to continue a stream on
+// another endpoint. A longer answer can only be resumed where it runs.
+const maxDeliveredBytes = 1 << 20
+
+// streamIdleTimeout is the longest pause between two events of a stream before
+// it counts as interrupted. The target is 79 ms for 95 in 100 tokens.
+const streamIdleTimeout = 15 * time.Second
+
+// chat is one chat completion on its way through the router.
+type chat struct {
+	work
+	id     string
+	body   []byte
+	stream bool
+	// sent says that a byte of the request may have reached an endpoint.
+	sent     bool
+	attempts int
+}
+
+// serveChat handles POST /v1/chat/completions.
+func (r *Router) serveChat(c echo.Context) error {
+	request, writer := c.Request(), c.Response().Writer
+	ch, err := r.newChat(writer, request)
+	if err != nil {
+		return r.refuse(writer, err)
+	}
+	ctx, cancel := context.WithDeadline(request.Context(), ch.deadline)
+	defer cancel()
+	if ch.stream {
+		return r.streamChat(ctx, writer, ch)
+	}
+	answer, err := r.completeChat(ctx, ch)
+	if err != nil {
+		return r.refuse(writer, err)
+	}
+	writeAnswer(writer, answer, ch.id)
+	return nil
+}
+
+func (r *Router) newChat(writer http.ResponseWriter, request *http.Request) (*chat, error) {
+	workspace, err := r.authenticate(request)
+	if err != nil {
+		return nil, err
+	}
+	body, err := r.readBody(writer, request)
+	if err != nil {
+		return nil, err
+	}
+	parsed, err := parseChatBody(body)
+	if err != nil {
+		return nil, err
+	}
+	deadline, err := requestDeadline(r.now(), request.Header, r.settings.Limits.RequestTimeout.Duration)
+	if err != nil {
+		return nil, err
+	}
+	pool, ok := r.view().Pool(parsed.Model)
+	if !ok {
+		return nil, &refusal{reason: api.RefusalUnknownModel, notRun: true, detail: fmt.Sprintf("no model %q", parsed.Model)}
+	}
+	return &chat{
+		work: work{
+			pool:      pool,
+			key:       chatKey(workspace.ID, request.Header, parsed),
+			workspace: workspace,
+			deadline:  deadline,
+			chat:      true,
+		},
+		id:     r.newRequestID(),
+		body:   body,
+		stream: parsed.Stream,
+	}, nil
+}
+
+func (ch *chat) streamRequest(r *Router, url string) engine.StreamRequest {
+	return engine.StreamRequest{
+		URL:              url,
+		RequestID:        ch.id,
+		Priority:         ch.workspace.Priority,
+		ChatKey:          strconv.FormatUint(ch.key, 16),
+		Body:             ch.body,
+		FirstByteTimeout: r.settings.Limits.FirstByteTimeout.Duration,
+		IdleTimeout:      streamIdleTimeout,
+	}
+}
+
+// completeChat runs a completion that is not streamed. It has no side effect at
+// an endpoint, so that every failure may be retried.
+func (r *Router) completeChat(ctx context.Context, ch *chat) (engine.Answer, error) {
+	r.budget.First(r.now(), ch.workspace.ID)
+	for {
+		found, err := r.dispatch.place(ctx, &ch.work)
+		if err != nil {
+			return engine.Answer{}, ch.finalRefusal(err)
+		}
+		started := r.now()
+		answer, err := r.engine.Completion(ctx, ch.streamRequest(r, found.endpoint.URL))
+		if err == nil && answer.Status >= http.StatusInternalServerError {
+			err = &engine.Error{Kind: engine.ErrStatus, Status: answer.Status, Sent: true}
+		}
+		r.finish(ch, found, err, r.now().Sub(started))
+		if err == nil {
+			return answer, nil
+		}
+		if err := r.mayRetry(ctx, ch, found, err); err != nil {
+			return engine.Answer{}, err
+		}
+	}
+}
+
+// finish returns the permit and tells the home endpoint's owner about a chat
+// that was served elsewhere.
+func (r *Router) finish(ch *chat, at *placed, err error, firstToken time.Duration) {
+	info := api.PermitRelease{Failed: err != nil}
+	if err == nil {
+		info.FirstTokenMs = int(firstToken / time.Millisecond)
+	}
+	r.permits.release(at.permit, info)
+	if err == nil && ch.home != "" && at.endpoint.ID != ch.home {
+		r.permits.recordMove(ch.home, ch.key, at.endpoint.ID)
+	}
+}
+
+// mayRetry waits for the backoff of the next attempt. It returns the refusal to
+// send when there is none.
+func (r *Router) mayRetry(ctx context.Context, ch *chat, at *placed, cause error) error {
+	r.noteFailure(at.endpoint, cause)
+	ch.markFailed(at.endpoint.ID)
+	ch.sent = ch.sent || wasSent(cause)
+	ch.attempts++
+	return r.awaitRetry(ctx, ch.workspace.ID, ch.attempts, ch.deadline, cause, ch.sent)
+}
+
+// awaitRetry takes a retry from the workspace's budget and waits for its
+// backoff.
+func (r *Router) awaitRetry(ctx context.Context, workspace string, attempts int, deadline time.Time, cause error, sent bool) error {
+	fail := func(reason api.Refusal) error {
+		return &refusal{reason: reason, notRun: !sent, detail: "the endpoint failed the request", cause: cause, retryAfter: time.Second}
+	}
+	if ctx.Err() != nil {
+		return fail(api.RefusalDeadlineExceeded)
+	}
+	if attempts >= r.settings.Retry.MaxAttempts {
+		return fail(failureReason(cause))
+	}
+	delay, ok := r.backoff.Delay(r.now(), attempts, deadline)
+	if !ok {
+		return fail(api.RefusalDeadlineExceeded)
+	}
+	if !r.budget.TryRetry(r.now(), workspace) {
+		return fail(api.RefusalRetryBudget)
+	}
+	r.metrics.Retried(retryReason(cause))
+	return sleep(ctx, delay, fail)
+}
+
+func sleep(ctx context.Context, delay time.Duration, fail func(api.Refusal) error) error {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fail(api.RefusalDeadlineExceeded)
+	}
+}
+
+// finalRefusal corrects "not run" when an earlier attempt has sent something.
+func (ch *chat) finalRefusal(err error) error {
+	var refused *refusal
+	if ch.sent && errors.As(err, &refused) {
+		refused.notRun = false
+	}
+	return err
+}
+
+// noteFailure keeps later requests away from an endpoint that can't be reached.
+func (r *Router) noteFailure(e *api.Endpoint, cause error) {
+	if errors.Is(cause, engine.ErrNotStarted) || errors.Is(cause, engine.ErrFirstByteTimeout) {
+		r.dispatch.avoid(e.ID, avoidUnreachable)
+	}
+}
+
+func wasSent(err error) bool {
+	var failure *engine.Error
+	return !errors.As(err, &failure) || failure.Sent
+}
+
+func failureReason(cause error) api.Refusal {
+	switch {
+	case errors.Is(cause, engine.ErrMismatch):
+		return api.RefusalUpstreamMismatch
+	case errors.Is(cause, engine.ErrCut), errors.Is(cause, engine.ErrGap), errors.Is(cause, engine.ErrTooLarge):
+		return api.RefusalUpstreamIncomplete
+	}
+	return api.RefusalUpstreamFailed
+}
+
+func retryReason(cause error) api.RetryReason {
+	switch {
+	case errors.Is(cause, errDrained):
+		return api.RetryReasonEndpointDrained
+	case errors.Is(cause, engine.ErrNotStarted) && !wasSent(cause):
+		return api.RetryReasonConnectFailed
+	case errors.Is(cause, engine.ErrNotStarted), errors.Is(cause, engine.ErrStatus):
+		return api.RetryReasonRefusedByEndpoint
+	case errors.Is(cause, engine.ErrFirstByteTimeout):
+		return api.RetryReasonFirstByteTimeout
+	case errors.Is(cause, engine.ErrMismatch):
+		return api.RetryReasonResponseMismatch
+	case errors.Is(cause, engine.ErrGap):
+		return api.RetryReasonStreamGap
+	}
+	return api.RetryReasonStreamCut
+}
--- /dev/null
+++ b/router/dispatch.go
@@ -0,0 +1,252 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+	"github.com/hornbeamproxy/hornbeamproxy/placement"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+)
+
+const (
+	// maxCandidates is the number of endpoints that one placement asks.
+	maxCandidates = 6
+	// avoidRefused is how long an endpoint is left out after its owner said
+	// that it takes no work, or did not answer.
+	avoidRefused = 500 * time.Millisecond
+	// avoidUnreachable is how long an endpoint is left out after a connection
+	// to it failed.
+	avoidUnreachable = time.Second
+)
+
+// candidatePool is a pool prepared for ranking.
+type candidatePool struct {
+	ranked    []placement.Endpoint
+	endpoints []*api.Endpoint
+}
+
+// candidateIndex holds the prepared pools of one fleet view.
+type candidateIndex struct {
+	view  *fleet.View
+	mu    sync.RWMutex
+	pools map[*fleet.Pool]*candidatePool
+}
+
+func newCandidateIndex(view *fleet.View) *candidateIndex {
+	return &candidateIndex{view: view, pools: map[*fleet.Pool]*candidatePool{}}
+}
+
+// pool prepares a pool at its first use.
+func (x *candidateIndex) pool(p *fleet.Pool) *candidatePool {
+	x.mu.RLock()
+	prepared := x.pools[p]
+	x.mu.RUnlock()
+	if prepared != nil {
+		return prepared
+	}
+	prepared = &candidatePool{endpoints: p.Endpoints}
+	for _, e := range p.Endpoints {
+		prepared.ranked = append(prepared.ranked, placement.NewEndpoint(e.ID, e.Zone, e.Weight))
+	}
+	x.mu.Lock()
+	x.pools[p] = prepared
+	x.mu.Unlock()
+	return prepared
+}
+
+// work is one request on its way to an endpoint.
+type work struct {
+	pool      *fleet.Pool
+	key       uint64
+	workspace *api.Workspace
+	deadline  time.Time
+	// chat says that the key is a chat's, so that moved chats are looked up.
+	chat bool
+	// failed holds the endpoints that have failed this request.
+	failed map[string]bool
+	// home is the id of the first candidate; set by place.
+	home string
+}
+
+func (w *work) markFailed(endpoint string) {
+	if w.failed == nil {
+		w.failed = map[string]bool{}
+	}
+	w.failed[endpoint] = true
+}
+
+// placed is an endpoint that may be called, with the permit for it.
+type placed struct {
+	endpoint *api.Endpoint
+	permit   *permit
+}
+
+// dispatcher finds an endpoint for each request.
+type dispatcher struct {
+	policy    placement.Policy
+	permits   *permitClient
+	metrics   *telemetry.Metrics
+	queueWait time.Duration
+	now       func() time.Time
+	index     atomic.Pointer[candidateIndex]
+	avoided   sync.Map // endpoint id -> time.Time until which it is left out
+}
+
+func (d *dispatcher) avoid(endpoint string, span time.Duration) {
+	d.avoided.Store(endpoint, d.now().Add(span))
+}
+
+func (d *dispatcher) isAvoided(endpoint string) bool {
+	until, ok := d.avoided.Load(endpoint)
+	return ok && d.now().Before(until.(time.Time))
+}
+
+// place returns an endpoint and a permit for it. It asks the candidates in
+// order without waiting and then waits at the one with the least load. The
+// error is a *refusal that says "not run"; the caller corrects that if an
+// earlier attempt has sent something.
+func (d *dispatcher) place(ctx context.Context, w *work) (*placed, error) {
+	candidates := d.candidates(w)
+	if len(candidates) == 0 {
+		return nil, &refusal{reason: api.RefusalNoEndpoint, notRun: true, detail: "no endpoint serves this", retryAfter: time.Second}
+	}
+	var best *api.Endpoint
+	var last *denial
+	for _, e := range candidates {
+		found, denied := d.try(ctx, w, e)
+		if found != nil {
+			return found, nil
+		}
+		if last == nil || (isFull(denied.reason) && (!isFull(last.reason) || denied.inflight < last.inflight)) {
+			best, last = e, denied
+		}
+	}
+	if !isFull(last.reason) {
+		return nil, d.refused(last.reason)
+	}
+	return d.wait(ctx, w, best)
+}
+
+func (d *dispatcher) refused(reason api.Refusal) error {
+	return &refusal{reason: reason, notRun: true, detail: "no endpoint accepts this request now", retryAfter: time.Second}
+}
+
+// candidates returns the endpoints to try. Endpoints to be avoided come last
+// rather than not at all, because the reason may have passed.
+func (d *dispatcher) candidates(w *work) []*api.Endpoint {
+	pool := d.index.Load().pool(w.pool)
+	var buffer [maxCandidates]int
+	ranked := d.policy.Rank(buffer[:0], w.key, pool.ranked, maxCandidates)
+	usable := make([]*api.Endpoint, 0, maxCandidates)
+	var avoided []*api.Endpoint
+	for _, i := range ranked {
+		e := pool.endpoints[i]
+		switch {
+		case w.failed[e.ID]:
+		case d.isAvoided(e.ID):
+			avoided = append(avoided, e)
+		default:
+			usable = append(usable, e)
+		}
+	}
+	if len(ranked) > 0 && w.home == "" {
+		w.home = pool.endpoints[ranked[0]].ID
+	}
+	return append(usable, avoided...)
+}
+
+// try asks for a permit without waiting, and follows a redirect once.
+func (d *dispatcher) try(ctx context.Context, w *work, e *api.Endpoint) (*placed, *denial) {
+	request := d.request(w, e)
+	if w.chat && e.ID == w.home {
+		request.ChatKey = w.key
+	}
+	p, denied := d.acquire(ctx, e, request, 0)
+	if denied != nil && denied.redirect != "" {
+		if found := d.follow(ctx, w, denied.redirect); found != nil {
+			return found, nil
+		}
+		request.ChatKey = 0
+		p, denied = d.acquire(ctx, e, request, 0)
+	}
+	if denied != nil {
+		return nil, denied
+	}
+	return &placed{endpoint: e, permit: p}, nil
+}
+
+// follow asks for a permit at the endpoint that holds the chat's cache.
+func (d *dispatcher) follow(ctx context.Context, w *work, target string) *placed {
+	if w.failed[target] || d.isAvoided(target) {
+		return nil
+	}
+	for _, e := range w.pool.Endpoints {
+		if e.ID != target {
+			continue
+		}
+		if p, _ := d.acquire(ctx, e, d.request(w, e), 0); p != nil {
+			return &placed{endpoint: e, permit: p}
+		}
+		return nil
+	}
+	return nil
+}
+
+func (d *dispatcher) wait(ctx context.Context, w *work, e *api.Endpoint) (*placed, error) {
+	wait := min(d.queueWait, w.deadline.Sub(d.now()))
+	if wait <= 0 {
+		return nil, d.refused(api.RefusalDeadlineUnreachable)
+	}
+	p, denied := d.acquire(ctx, e, d.request(w, e), wait)
+	if denied != nil {
+		return nil, d.refused(denied.reason)
+	}
+	return &placed{endpoint: e, permit: p}, nil
+}
+
+func (d *dispatcher) request(w *work, e *api.Endpoint) api.PermitRequest {
+	return api.PermitRequest{
+		Endpoint:  e.ID,
+		Workspace: w.workspace.ID,
+		Priority:  w.workspace.Priority,
+		Revision:  d.index.Load().view.Revision(),
+	}
+}
+
+func (d *dispatcher) acquire(ctx context.Context, e *api.Endpoint, r api.PermitRequest, wait time.Duration) (*permit, *denial) {
+	p, denied := d.permits.acquire(ctx, r, wait)
+	if denied == nil {
+		return p, nil
+	}
+	if denied.redirect == "" {
+		d.metrics.Refused(denied.reason)
+		if closesEndpoint(denied.reason) {
+			d.avoid(e.ID, avoidRefused)
+		}
+	}
+	return nil, denied
+}
+
+// isFull says that the endpoint may accept the request a little later.
+func isFull(reason api.Refusal) bool {
+	switch reason {
+	case api.RefusalOverloaded, api.RefusalLoadMultiple, api.RefusalEndpointFull,
+		api.RefusalWorkspaceShare, api.RefusalEndpointCold:
+		return true
+	}
+	return false
+}
+
+// closesEndpoint says that asking again at once gives the same answer.
+func closesEndpoint(reason api.Refusal) bool {
+	switch reason {
+	case api.RefusalEndpointDown, api.RefusalEndpointWithdrawn, api.RefusalNoLease,
+		api.RefusalLeaseTakeover, api.RefusalOwnerUnreachable:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/router/owner.go
@@ -0,0 +1,403 @@
+package router
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/admission"
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/endpointstate"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+	"github.com/hornbeamproxy/hornbeamproxy/lease"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+)
+
+// ownerTick is the interval of expiry checks and of new pool figures.
+const ownerTick = 50 * time.Millisecond
+
+// loadReader reads the load report of an endpoint.
+type loadReader interface {
+	Load(ctx context.Context, url string) (api.LoadReport, error)
+}
+
+// poolCounter spreads this router's share of the pools' load and returns the
+// sum over all routers.
+type poolCounter interface {
+	SetPoolCounts(counts []api.PoolCount)
+	PoolLoad(pool string) (inflight, ready int, age time.Duration)
+}
+
+// admissionOwner runs the gates of the endpoints that this router owns.
+type admissionOwner struct {
+	self      string
+	network   Network
+	loads     loadReader
+	pools     poolCounter
+	store     platform.Store
+	settings  *api.Settings
+	logger    *zap.Logger
+	metrics   *telemetry.Metrics
+	now       func() time.Time
+	isolated  func() bool
+	onState   func(e *api.Endpoint, from, to endpointstate.State)
+	gates     *admission.Set
+	waiting   sync.Map // request id -> chan admission.Outcome
+	requestID atomic.Uint64
+
+	mu    sync.Mutex
+	owned map[string]*ownedEndpoint
+}
+
+// ownedEndpoint is what the owner keeps beside the gate.
+type ownedEndpoint struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu       sync.Mutex
+	endpoint *api.Endpoint
+	pool     string
+	machine  *endpointstate.Machine
+	lease    *lease.Manager
+	inflight int
+}
+
+// loadPool names the group of endpoints whose mean load bounds the endpoint's:
+// the replicas of its service, or the engines with the same models.
+func loadPool(e *api.Endpoint) string {
+	if e.Service != "" {
+		return "service/" + e.Service
+	}
+	return strings.Join(e.Models, ",")
+}
+
+// update takes the gates that this router owns now. It is called when the
+// fleet's state or the owners change.
+func (o *admissionOwner) update(ctx context.Context, view *fleet.View) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := view.State()
+	for i := range state.Endpoints {
+		e := &state.Endpoints[i]
+		owned := o.owned[e.ID]
+		mine := o.network.OwnerOf(endpointOwnerName(e.ID)) == o.self
+		switch {
+		case mine && owned == nil:
+			o.take(ctx, e, view)
+		case mine:
+			o.configure(owned, e, view)
+		case owned != nil:
+			o.drop(e.ID, owned)
+		}
+	}
+	for id, owned := range o.owned {
+		if _, ok := view.Endpoint(id); !ok {
+			o.drop(id, owned)
+		}
+	}
+}
+
+func (o *admissionOwner) take(ctx context.Context, e *api.Endpoint, view *fleet.View) {
+	ctx, cancel := context.WithCancel(ctx)
+	owned := &ownedEndpoint{
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		machine: endpointstate.NewMachine(),
+	}
+	o.gates.Add(admission.Config{
+		Endpoint:     e.ID,
+		LoadMultiple: o.settings.Limits.LoadMultiple,
+		QueueLength:  o.settings.Limits.QueueLength,
+	})
+	o.owned[e.ID] = owned
+	o.configure(owned, e, view)
+	go o.watch(ctx, owned)
+}
+
+func (o *admissionOwner) drop(id string, owned *ownedEndpoint) {
+	owned.cancel()
+	delete(o.owned, id)
+	outcomes, _ := o.gates.Remove(id)
+	o.deliver(outcomes)
+}
+
+// configure applies the endpoint's part of the fleet state.
+func (o *admissionOwner) configure(owned *ownedEndpoint, e *api.Endpoint, view *fleet.View) {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	owned.endpoint = e
+	owned.pool = loadPool(e)
+	from := owned.machine.State()
+	owned.machine.SetWithdrawn(o.now(), view.EndpointWithdrawn(e.ID))
+	o.applyState(owned, from)
+}
+
+// applyState gives the gate the endpoint's state. owned.mu is held.
+func (o *admissionOwner) applyState(owned *ownedEndpoint, from endpointstate.State) {
+	e := owned.endpoint
+	state := owned.machine.State()
+	settings := admission.Settings{MaxInflight: e.MaxInflight, State: state, NoReports: e.Service != ""}
+	o.withGate(e.ID, func(g *admission.Gate) []admission.Outcome { return g.SetEndpoint(o.now(), settings) })
+	if state == from {
+		return
+	}
+	o.logger.Info("endpoint state changed", zap.String("endpoint", e.ID), zap.Stringer("from", from), zap.Stringer("to", state))
+	if o.onState != nil {
+		o.onState(e, from, state)
+	}
+}
+
+// withGate calls f with the endpoint's gate and delivers the outcomes.
+func (o *admissionOwner) withGate(endpoint string, f func(*admission.Gate) []admission.Outcome) bool {
+	var outcomes []admission.Outcome
+	ok := o.gates.Do(endpoint, func(g *admission.Gate) { outcomes = f(g) })
+	o.deliver(outcomes)
+	return ok
+}
+
+// deliver passes outcomes to the waiting requests.
+func (o *admissionOwner) deliver(outcomes []admission.Outcome) {
+	for _, outcome := range outcomes {
+		if waiter, ok := o.waiting.LoadAndDelete(outcome.RequestID); ok {
+			waiter.(chan admission.Outcome) <- outcome
+		}
+	}
+}
+
+// watch polls the endpoint's load and keeps its cold lease while it is cold.
+func (o *admissionOwner) watch(ctx context.Context, owned *ownedEndpoint) {
+	defer close(owned.done)
+	defer o.releaseLease(owned)
+	ticker := time.NewTicker(o.settings.Limits.LoadPollInterval.Duration)
+	defer ticker.Stop()
+	for {
+		o.poll(ctx, owned)
+		o.renewLease(ctx, owned)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// poll reads the load report. Plain services publish none; their state follows
+// from the calls.
+func (o *admissionOwner) poll(ctx context.Context, owned *ownedEndpoint) {
+	owned.mu.Lock()
+	e := owned.endpoint
+	owned.mu.Unlock()
+	if e.Service != "" {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+	load, err := o.loads.Load(callCtx, e.URL)
+	cancel()
+	if ctx.Err() != nil {
+		return
+	}
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	from := owned.machine.State()
+	now := o.now()
+	if err != nil {
+		owned.machine.Failed(now)
+		o.withGate(e.ID, func(g *admission.Gate) []admission.Outcome { return g.ReportFailed(now) })
+	} else {
+		owned.machine.Report(now, load)
+		o.withGate(e.ID, func(g *admission.Gate) []admission.Outcome { return g.Report(now, load) })
+	}
+	o.applyState(owned, from)
+}
+
+// loadTimeout bounds one read of a load report.
+const loadTimeout = time.Second
+
+// run checks deadlines and expiry, and exchanges pool figures, until the
+// context ends.
+func (o *admissionOwner) run(ctx context.Context) error {
+	ticker := time.NewTicker(ownerTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			o.tick()
+		}
+	}
+}
+
+func (o *admissionOwner) tick() {
+	owned := o.snapshot()
+	counts := map[string]*api.PoolCount{}
+	for _, at := range owned {
+		o.count(at, counts)
+	}
+	list := make([]api.PoolCount, 0, len(counts))
+	for _, count := range counts {
+		list = append(list, *count)
+	}
+	o.pools.SetPoolCounts(list)
+	for _, at := range owned {
+		o.refresh(at)
+	}
+}
+
+func (o *admissionOwner) snapshot() []*ownedEndpoint {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	list := make([]*ownedEndpoint, 0, len(o.owned))
+	for _, owned := range o.owned {
+		list = append(list, owned)
+	}
+	return list
+}
+
+func (o *admissionOwner) count(owned *ownedEndpoint, counts map[string]*api.PoolCount) {
+	owned.mu.Lock()
+	id, pool, state := owned.endpoint.ID, owned.pool, owned.machine.State()
+	owned.mu.Unlock()
+	if state != endpointstate.Ready && state != endpointstate.Suspect {
+		return
+	}
+	total := counts[pool]
+	if total == nil {
+		total = &api.PoolCount{M: pool}
+		counts[pool] = total
+	}
+	total.N++
+	o.gates.Do(id, func(g *admission.Gate) { total.F += g.Inflight() })
+}
+
+func (o *admissionOwner) refresh(owned *ownedEndpoint) {
+	owned.mu.Lock()
+	id, pool := owned.endpoint.ID, owned.pool
+	owned.mu.Unlock()
+	inflight, ready, age := o.pools.PoolLoad(pool)
+	now := o.now()
+	load := admission.PoolLoad{Inflight: inflight, Ready: ready, Age: age}
+	o.withGate(id, func(g *admission.Gate) []admission.Outcome {
+		return append(g.SetPool(now, load), g.Tick(now)...)
+	})
+}
+
+// HandleRequest decides on a permit, waiting in the queue for as long as the
+// request allows.
+func (o *admissionOwner) HandleRequest(ctx context.Context, from string, r api.PermitRequest) api.PermitReply {
+	if o.isolated() {
+		return refusedReply(api.RefusalIsolated)
+	}
+	now := o.now()
+	request := admission.Request{
+		ID:        strconv.FormatUint(o.requestID.Add(1), 36),
+		Router:    from,
+		Workspace: r.Workspace,
+		Priority:  r.Priority,
+		ChatKey:   r.ChatKey,
+	}
+	var waiter chan admission.Outcome
+	if r.WaitMs > 0 {
+		request.Deadline = now.Add(time.Duration(r.WaitMs) * time.Millisecond)
+		waiter = make(chan admission.Outcome, 1)
+		o.waiting.Store(request.ID, waiter)
+	}
+	var outcome admission.Outcome
+	var queued bool
+	if !o.gates.Do(r.Endpoint, func(g *admission.Gate) { outcome, queued = g.Request(now, request) }) {
+		o.waiting.Delete(request.ID)
+		return refusedReply(api.RefusalNotOwner)
+	}
+	if !queued {
+		o.waiting.Delete(request.ID)
+		return replyOf(outcome)
+	}
+	return o.await(ctx, r.Endpoint, request.ID, waiter)
+}
+
+func (o *admissionOwner) await(ctx context.Context, endpoint, id string, waiter chan admission.Outcome) api.PermitReply {
+	select {
+	case outcome := <-waiter:
+		return replyOf(outcome)
+	case <-ctx.Done():
+	}
+	cancelled := false
+	o.gates.Do(endpoint, func(g *admission.Gate) { cancelled = g.Cancel(o.now(), id) })
+	if cancelled {
+		o.waiting.Delete(id)
+		return refusedReply(api.RefusalDeadlineExceeded)
+	}
+	// The request has left the queue, so its outcome is on its way here.
+	if outcome := <-waiter; outcome.Granted() {
+		o.HandleRelease(api.PermitRelease{Endpoint: endpoint, Permits: []uint64{outcome.Grant.PermitID}})
+	}
+	return refusedReply(api.RefusalDeadlineExceeded)
+}
+
+func refusedReply(reason api.Refusal) api.PermitReply {
+	return api.PermitReply{Refusal: &reason}
+}
+
+func replyOf(outcome admission.Outcome) api.PermitReply {
+	if !outcome.Granted() {
+		reply := api.PermitReply{Redirect: outcome.Redirect}
+		if outcome.Redirect == "" {
+			reply.Refusal = &outcome.Refusal
+		}
+		reply.Inflight = outcome.Grant.Inflight
+		return reply
+	}
+	return api.PermitReply{
+		Permit:    outcome.Grant.PermitID,
+		StartByMs: int(outcome.Grant.StartBy / time.Millisecond),
+		HoldMs:    int(outcome.Grant.Hold / time.Millisecond),
+		Term:      outcome.Grant.Term,
+		Inflight:  outcome.Grant.Inflight,
+	}
+}
+
+// HandleRelease takes returned permits and what was learnt from their work.
+func (o *admissionOwner) HandleRelease(r api.PermitRelease) {
+	info := admission.ReleaseInfo{
+		FirstToken: time.Duration(r.FirstTokenMs) * time.Millisecond,
+		Failed:     r.Failed,
+		MovedChat:  r.MovedChat,
+		MovedTo:    r.MovedTo,
+	}
+	permits := r.Permits
+	if len(permits) == 0 {
+		permits = []uint64{0} // only records a moved chat
+	}
+	now := o.now()
+	for _, id := range permits {
+		o.withGate(r.Endpoint, func(g *admission.Gate) []admission.Outcome { return g.Release(now, id, info) })
+	}
+}
+
+// HandleRenew extends permits and returns those that are not known here.
+func (o *admissionOwner) HandleRenew(from string, r api.PermitRenew) api.PermitRenew {
+	unknown := api.PermitRenew{Endpoint: r.Endpoint, Permits: []uint64{}}
+	now := o.now()
+	o.gates.Do(r.Endpoint, func(g *admission.Gate) {
+		unknown.Permits = append(unknown.Permits, g.Renew(now, from, r.Permits)...)
+	})
+	return unknown
+}
+
+// HandleAdopt counts permits of a former owner.
+func (o *admissionOwner) HandleAdopt(from string, r api.PermitAdopt) {
+	now := o.now()
+	o.gates.Do(r.Endpoint, func(g *admission.Gate) { g.Adopt(now, from, r.Held) })
+}
+
+// routerLost tells the gates that a router is dead.
+func (o *admissionOwner) routerLost(router string) {
+	now := o.now()
+	o.gates.Each(func(_ string, g *admission.Gate) { g.RouterLost(now, router) })
+}
--- /dev/null
+++ b/router/service.go
@@ -0,0 +1,325 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/engine"
+	"github.com/hornbeamproxy/hornbeamproxy/placement"
+)
+
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	// headerReplayed marks an answer that is a recorded outcome.
+	headerReplayed = "Hornbeam-Replayed"
+	// maxKeyBytes bounds an idempotency key, which is stored with each claim.
+	maxKeyBytes = 255
+)
+
+// serviceCall is one call of a plain service on its way through the router.
+type serviceCall struct {
+	work
+	id         string
+	service    string
+	method     string
+	target     string // path and query below the endpoint's base URL
+	header     http.Header
+	body       []byte
+	idempotent bool
+	key        string // idempotency key; empty when the caller sent none
+	sent       bool
+	attempts   int
+}
+
+// forwardedHeaders are the caller's headers that an endpoint gets.
+var forwardedHeaders = []string{"Accept", "Accept-Language", "Content-Type", headerIdempotencyKey}
+
+// serveService handles /services/{service}/*.
+func (r *Router) serveService(c echo.Context) error {
+	request, writer := c.Request(), c.Response().Writer
+	call, err := r.newServiceCall(writer, request, c.Param("service"), c.Param("*"))
+	if err != nil {
+		return r.refuse(writer, err)
+	}
+	ctx := request.Context()
+	if call.key != "" && !call.idempotent {
+		// A keyed call goes on without its caller, so that its outcome is
+		// recorded and a repeat gets it.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, call.deadline)
+	defer cancel()
+	answer, err := r.runService(ctx, writer, call)
+	if err != nil {
+		return r.refuse(writer, err)
+	}
+	writeAnswer(writer, answer, call.id)
+	return nil
+}
+
+func (r *Router) runService(ctx context.Context, writer http.ResponseWriter, call *serviceCall) (engine.Answer, error) {
+	r.budget.First(r.now(), call.workspace.ID)
+	switch {
+	case call.idempotent:
+		return r.callRepeatable(ctx, call)
+	case call.key == "":
+		return r.callOnce(ctx, call)
+	default:
+		return r.callClaimed(ctx, writer, call)
+	}
+}
+
+func (r *Router) newServiceCall(writer http.ResponseWriter, request *http.Request, service, path string) (*serviceCall, error) {
+	workspace, err := r.authenticate(request)
+	if err != nil {
+		return nil, err
+	}
+	view := r.view()
+	definition, ok := view.Service(service)
+	if !ok {
+		return nil, &refusal{reason: api.RefusalUnknownService, notRun: true, detail: fmt.Sprintf("no service %q", service)}
+	}
+	key := request.Header.Get(headerIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		return nil, &refusal{reason: api.RefusalBadRequest, notRun: true, detail: fmt.Sprintf("%s is longer than %d bytes", headerIdempotencyKey, maxKeyBytes)}
+	}
+	body, err := r.readBody(writer, request)
+	if err != nil {
+		return nil, err
+	}
+	deadline, err := requestDeadline(r.now(), request.Header, r.settings.Limits.RequestTimeout.Duration)
+	if err != nil {
+		return nil, err
+	}
+	pool, _ := view.ServicePool(service)
+	id := r.newRequestID()
+	target := "/" + path
+	if request.URL.RawQuery != "" {
+		target += "?" + request.URL.RawQuery
+	}
+	return &serviceCall{
+		work: work{
+			pool:      pool,
+			key:       placement.ChatKey(workspace.ID, id),
+			workspace: workspace,
+			deadline:  deadline,
+		},
+		id:         id,
+		service:    service,
+		method:     request.Method,
+		target:     target,
+		header:     serviceHeader(request.Header, id),
+		body:       body,
+		idempotent: isIdempotent(definition, request.Method, "/"+path),
+		key:        key,
+	}, nil
+}
+
+func serviceHeader(from http.Header, id string) http.Header {
+	header := http.Header{}
+	for _, name := range forwardedHeaders {
+		if value := from.Get(name); value != "" {
+			header.Set(name, value)
+		}
+	}
+	header.Set(headerRequestID, id)
+	return header
+}
+
+// isIdempotent says whether calls of the service may be repeated. A path with a
+// dot segment never matches a prefix, because the service may resolve it to
+// another path.
+func isIdempotent(service *api.Service, method, path string) bool {
+	methods := service.IdempotentMethods
+	if len(methods) == 0 {
+		methods = []string{http.MethodGet, http.MethodHead, http.MethodOptions}
+	}
+	if slices.Contains(methods, method) {
+		return true
+	}
+	if strings.Contains(path, "..") || strings.Contains(path, "//") {
+		return false
+	}
+	for _, prefix := range service.IdempotentPaths {
+		if path == prefix || strings.HasPrefix(path, strings.TrimSuffix(prefix, "/")+"/") {
+			return true
+		}
+	}
+	return false
+}
+
+// bodyDigest identifies what the key was used for.
+func (call *serviceCall) bodyDigest() string {
+	digest := sha256.New()
+	for _, part := range []string{call.method, call.target, call.header.Get("Content-Type")} {
+		digest.Write([]byte(strconv.Itoa(len(part))))
+		digest.Write([]byte{0})
+		digest.Write([]byte(part))
+	}
+	digest.Write(call.body)
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+// callAt makes one call at an endpoint and returns the permit.
+func (r *Router) callAt(ctx context.Context, call *serviceCall, at *placed) (engine.Answer, error) {
+	answer, err := r.engine.Do(ctx, engine.Call{
+		Method:           call.method,
+		URL:              at.endpoint.URL + call.target,
+		Header:           call.header,
+		Body:             call.body,
+		Repeatable:       call.idempotent,
+		FirstByteTimeout: time.Until(call.deadline),
+	})
+	r.permits.release(at.permit, api.PermitRelease{Failed: err != nil})
+	if err != nil {
+		call.sent = call.sent || wasSent(err)
+		call.markFailed(at.endpoint.ID)
+		r.noteFailure(at.endpoint, err)
+		return engine.Answer{}, err
+	}
+	call.sent = true
+	return answer, nil
+}
+
+// callRepeatable retries every failure. An answer with status 502 to 504 counts
+// as one, because other replicas may work.
+func (r *Router) callRepeatable(ctx context.Context, call *serviceCall) (engine.Answer, error) {
+	for {
+		at, err := r.dispatch.place(ctx, &call.work)
+		if err != nil {
+			return engine.Answer{}, call.finalRefusal(err)
+		}
+		answer, err := r.callAt(ctx, call, at)
+		if err == nil && answer.Status >= http.StatusBadGateway && answer.Status <= http.StatusGatewayTimeout {
+			err = &engine.Error{Kind: engine.ErrStatus, Status: answer.Status, Sent: true}
+		}
+		if err == nil {
+			return answer, nil
+		}
+		call.attempts++
+		if err := r.awaitRetry(ctx, call.workspace.ID, call.attempts, call.deadline, err, call.sent); err != nil {
+			return engine.Answer{}, err
+		}
+	}
+}
+
+// callOnce sends a call that may not be repeated. Only a failure that provably
+// came before the call was run is tried at another endpoint.
+func (r *Router) callOnce(ctx context.Context, call *serviceCall) (engine.Answer, error) {
+	for {
+		at, err := r.dispatch.place(ctx, &call.work)
+		if err != nil {
+			return engine.Answer{}, call.finalRefusal(err)
+		}
+		answer, err := r.callAt(ctx, call, at)
+		if err == nil {
+			return answer, nil
+		}
+		if engine.MayHaveRun(err) {
+			return engine.Answer{}, &refusal{
+				reason:     failureReason(err),
+				mayHaveRun: true,
+				detail:     "the call may have run; its outcome is unknown",
+				cause:      err,
+			}
+		}
+		call.attempts++
+		if err := r.awaitRetry(ctx, call.workspace.ID, call.attempts, call.deadline, err, call.sent); err != nil {
+			return engine.Answer{}, err
+		}
+	}
+}
+
+func (call *serviceCall) finalRefusal(err error) error {
+	var refused *refusal
+	if call.sent && errors.As(err, &refused) {
+		refused.notRun = false
+	}
+	return err
+}
+
+// callClaimed makes a call under its idempotency key: the claim is durable
+// before the first byte is sent, and its outcome or release is recorded after.
+func (r *Router) callClaimed(ctx context.Context, writer http.ResponseWriter, call *serviceCall) (engine.Answer, error) {
+	claim := r.claims.newClaim(call)
+	reply, err := r.claims.acquire(ctx, claim)
+	if err != nil {
+		return engine.Answer{}, err
+	}
+	if reply.Result == api.ClaimResultDone {
+		return replay(writer, reply.Outcome)
+	}
+	answer, err := r.callOnce(ctx, call)
+	if err == nil {
+		r.claims.complete(claim, outcomeOf(answer, r.settings.Claims.MaxOutcomeBytes))
+		return answer, nil
+	}
+	return engine.Answer{}, r.settleFailed(ctx, claim, err)
+}
+
+// settleFailed records what a failed call means for its key. "Not run" is said
+// only after the claim's release is durable, so that the caller's next try is
+// not refused because of this one.
+func (r *Router) settleFailed(ctx context.Context, claim *claim, cause error) error {
+	refused := asRefusal(cause)
+	if !refused.mayHaveRun {
+		if r.claims.release(ctx, claim) {
+			return refused
+		}
+		refused.notRun = false
+		refused.detail = "the call was not run, but its key is not released yet"
+		return refused
+	}
+	r.claims.complete(claim, api.ClaimOutcome{Status: 0})
+	return refused
+}
+
+func outcomeOf(answer engine.Answer, maxBytes int) api.ClaimOutcome {
+	outcome := api.ClaimOutcome{Status: answer.Status, ContentType: answer.Header.Get("Content-Type")}
+	if len(answer.Body) > maxBytes {
+		outcome.Truncated = true
+		return outcome
+	}
+	outcome.Body = answer.Body
+	return outcome
+}
+
+// replay returns the recorded outcome of a key.
+func replay(writer http.ResponseWriter, outcome *api.ClaimOutcome) (engine.Answer, error) {
+	if outcome == nil || outcome.Status == 0 {
+		return engine.Answer{}, &refusal{reason: api.RefusalClaimOutcomeUnknown, detail: "the call with this key may have run; its outcome is unknown"}
+	}
+	if outcome.Truncated {
+		detail := fmt.Sprintf("the call with this key ran with status %d; its answer was too large to keep", outcome.Status)
+		return engine.Answer{}, &refusal{reason: api.RefusalClaimOutcomeUnknown, detail: detail}
+	}
+	writer.Header().Set(headerReplayed, "true")
+	header := http.Header{}
+	if outcome.ContentType != "" {
+		header.Set("Content-Type", outcome.ContentType)
+	}
+	return engine.Answer{Status: outcome.Status, Header: header, Body: outcome.Body}, nil
+}
+
+// writeAnswer sends a whole answer.
+func writeAnswer(writer http.ResponseWriter, answer engine.Answer, requestID string) {
+	header := writer.Header()
+	if contentType := answer.Header.Get("Content-Type"); contentType != "" {
+		header.Set("Content-Type", contentType)
+	}
+	header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	header.Set(headerRequestID, requestID)
+	writer.WriteHeader(answer.Status)
+	_, _ = writer.Write(answer.Body) // the caller may have gone away
+}
