Add engine clients for streams and calls, and the engine test double

Cause: the router needs streams that detect crossed, cut and gappy answers, and tests need an engine whose answers are the same on every instance.

Change: package engine opens, resumes, continues and cancels streams and reads whole answers, each with a typed error that says whether the request may have run. standin.Engine generates deterministic answers and has faults that tests set at run time. The schema gains the field prefixes of a cache event, because a full listing did not fit in the single field prefix.

Conclusion: each fault of the double gives the expected error kind, and an answer whose events exceed 1 MB arrives byte-identical.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -31,8 +31,11 @@
 	// Kind corresponds to the JSON schema field "kind".
 	Kind CacheEventKind `json:"kind" toml:"kind" cbor:"kind"`
 
-	// Hex chat key.
-	Prefix string `json:"prefix" toml:"prefix" cbor:"prefix"`
+	// Hex chat key; empty for a snapshot.
+	Prefix string `json:"prefix,omitempty,omitzero" toml:"prefix,omitempty" cbor:"prefix,omitempty"`
+
+	// Hex chat keys of a snapshot: everything that is cached after this event.
+	Prefixes []string `json:"prefixes,omitempty,omitzero" toml:"prefixes,omitempty" cbor:"prefixes,omitempty"`
 
 	// Sequence corresponds to the JSON schema field "sequence".
 	Sequence uint64 `json:"sequence" toml:"sequence" cbor:"sequence"`
--- /dev/null
+++ b/engine/call.go
@@ -0,0 +1,115 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Call is a request whose response is read as a whole.
+type Call struct {
+	Method string
+	// URL is the full target.
+	URL string
+	// Header is sent as it is. The response must echo an X-Request-Id in it.
+	Header http.Header
+	Body   []byte
+	// Repeatable allows the transport to send the request again when a reused
+	// connection fails before the response.
+	Repeatable bool
+	// FirstByteTimeout bounds the wait for the response header; 0 for no bound.
+	FirstByteTimeout time.Duration
+	// MaxBodyBytes bounds the response body; 0 for the client's limit.
+	MaxBodyBytes int64
+}
+
+// Answer is a complete response of any status.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Caller performs calls of plain services and non-streamed completions.
+type Caller interface {
+	// Do returns a complete response. The error of a failed call is an *Error;
+	// MayHaveRun tells whether the endpoint may have run the call.
+	Do(ctx context.Context, call Call) (Answer, error)
+	// Completion runs a non-streamed chat completion.
+	Completion(ctx context.Context, r StreamRequest) (Answer, error)
+}
+
+// errNoLength is the cause of ErrCut for a body that only the end of the
+// connection ends, so that a lost rest would go unnoticed.
+var errNoLength = errors.New("response has neither a length nor chunks")
+
+// Do implements Caller.
+func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a, err := newAttempt(ctx, call.Method, call.URL, call.Body, call.Repeatable)
+	if err != nil {
+		return Answer{}, &Error{Kind: ErrNotStarted, Cause: err}
+	}
+	if call.Header != nil {
+		a.request.Header = call.Header.Clone()
+	}
+	stop := afterTimeout(call.FirstByteTimeout, func() { cancel(ErrFirstByteTimeout) })
+	response, err := c.send(a)
+	stop()
+	if err != nil {
+		return Answer{}, err
+	}
+	defer response.Body.Close()
+	limit := call.MaxBodyBytes
+	setDefault(&limit, c.options.MaxBodyBytes)
+	return readAnswer(ctx, response, call.Method, limit)
+}
+
+func readAnswer(ctx context.Context, response *http.Response, method string, limit int64) (Answer, error) {
+	answer := Answer{Status: response.StatusCode, Header: response.Header}
+	if method == http.MethodHead {
+		return answer, nil
+	}
+	if !delimited(response) {
+		return Answer{}, &Error{Kind: ErrCut, Cause: errNoLength, Sent: true}
+	}
+	if response.ContentLength > limit {
+		return Answer{}, &Error{Kind: ErrTooLarge, Sent: true}
+	}
+	// The transport reports io.ErrUnexpectedEOF for a body that is shorter than its
+	// length or whose last chunk is missing.
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return Answer{}, failed(ctx, true, err)
+	}
+	if int64(len(body)) > limit {
+		return Answer{}, &Error{Kind: ErrTooLarge, Sent: true}
+	}
+	answer.Body = body
+	return answer, nil
+}
+
+func delimited(response *http.Response) bool {
+	if response.ContentLength >= 0 {
+		return true
+	}
+	encodings := response.TransferEncoding
+	return len(encodings) > 0 && encodings[len(encodings)-1] == "chunked"
+}
+
+// Completion implements Caller.
+func (c *Client) Completion(ctx context.Context, r StreamRequest) (Answer, error) {
+	header := http.Header{}
+	setStreamHeader(header, r, nil)
+	header.Set("Accept", "application/json")
+	return c.Do(ctx, Call{
+		Method:           http.MethodPost,
+		URL:              r.URL + "/v1/chat/completions",
+		Header:           header,
+		Body:             r.Body,
+		FirstByteTimeout: r.FirstByteTimeout,
+	})
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,173 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Names of headers that endpoints and routers exchange.
+const (
+	HeaderRequestID   = "X-Request-Id"
+	HeaderPriority    = "X-Priority"
+	HeaderChatKey     = "X-Chat-Key"
+	HeaderNotRun      = "X-Not-Run"
+	HeaderResumeAfter = "X-Resume-After"
+)
+
+// Options are the limits of a Client. Zero fields take the defaults.
+type Options struct {
+	// DialTimeout bounds connecting to an endpoint. Default 1s.
+	DialTimeout time.Duration
+	// IdleConnTimeout closes connections that are not in use. It should be shorter
+	// than the endpoints' own limit, because a request that meets the endpoint's
+	// close has an unknown outcome. Default 30s.
+	IdleConnTimeout time.Duration
+	// MaxIdlePerEndpoint bounds the connections kept per endpoint. Default 16.
+	MaxIdlePerEndpoint int
+	// MaxIdle bounds the connections kept in all. Default 512.
+	MaxIdle int
+	// MaxEventBytes bounds one event of a stream. Default 1 MiB.
+	MaxEventBytes int
+	// MaxBodyBytes bounds one whole response body. Default 8 MiB.
+	MaxBodyBytes int64
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.DialTimeout, time.Second)
+	setDefault(&o.IdleConnTimeout, 30*time.Second)
+	setDefault(&o.MaxIdlePerEndpoint, 16)
+	setDefault(&o.MaxIdle, 512)
+	setDefault(&o.MaxEventBytes, 1<<20)
+	setDefault(&o.MaxBodyBytes, 8<<20)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Client calls endpoints over one shared transport. It is safe for concurrent use
+// and implements Streamer and Caller.
+type Client struct {
+	options   Options
+	transport *http.Transport
+}
+
+// New returns a client. The caller closes it.
+func New(options Options) *Client {
+	options = options.withDefaults()
+	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAlive: 15 * time.Second}
+	return &Client{
+		options: options,
+		transport: &http.Transport{
+			// Settings name endpoints by address, so proxies of the environment
+			// must not apply.
+			Proxy:                  nil,
+			DialContext:            dialer.DialContext,
+			MaxIdleConns:           options.MaxIdle,
+			MaxIdleConnsPerHost:    options.MaxIdlePerEndpoint,
+			IdleConnTimeout:        options.IdleConnTimeout,
+			TLSHandshakeTimeout:    options.DialTimeout,
+			MaxResponseHeaderBytes: 32 << 10,
+			// Transparent decompression would hide the length of the body.
+			DisableCompression: true,
+		},
+	}
+}
+
+// Close closes the idle connections. Calls in progress are not affected.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// onceBody is a request body that the transport can't send a second time.
+//
+// http.Transport replays a request on a new connection when a reused connection
+// fails before the response. It does so for GET, HEAD, OPTIONS and TRACE and for
+// requests with an Idempotency-Key header, if the body is empty or GetBody is set.
+// A body of this type is neither nil nor http.NoBody, and newRequest leaves GetBody
+// unset, which rules out every replay.
+type onceBody struct{ bytes.Reader }
+
+func (*onceBody) Close() error { return nil }
+
+// attempt is one request and what is known about its transmission.
+type attempt struct {
+	request *http.Request
+	// connected is set when the transport has handed the request a connection.
+	// From then on bytes may have been sent: WroteHeaders is not called before the
+	// headers have passed the transport's buffer, of which parts are flushed
+	// earlier, so its absence proves nothing.
+	connected atomic.Bool
+}
+
+func newAttempt(ctx context.Context, method, url string, body []byte, repeatable bool) (*attempt, error) {
+	a := &attempt{}
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
+	}
+	request, err := newRequest(httptrace.WithClientTrace(ctx, trace), method, url, body, repeatable)
+	a.request = request
+	return a, err
+}
+
+func newRequest(ctx context.Context, method, url string, body []byte, repeatable bool) (*http.Request, error) {
+	if repeatable {
+		return http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	}
+	once := &onceBody{}
+	once.Reset(body)
+	request, err := http.NewRequestWithContext(ctx, method, url, once)
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil
+	request.ContentLength = int64(len(body))
+	return request, nil
+}
+
+// send performs the request without following redirects, which could run a
+// request twice. It checks the echoed request id if the request carries one.
+func (c *Client) send(a *attempt) (*http.Response, error) {
+	ctx := a.request.Context()
+	response, err := c.transport.RoundTrip(a.request)
+	if err != nil {
+		return nil, failed(ctx, a.connected.Load(), err)
+	}
+	id := a.request.Header.Get(HeaderRequestID)
+	if id != "" && response.Header.Get(HeaderRequestID) != id {
+		response.Body.Close()
+		return nil, &Error{Kind: ErrMismatch, Sent: true}
+	}
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) == "true" {
+		return nil, statusError(response, ErrNotStarted)
+	}
+	return response, nil
+}
+
+// statusError consumes the response and closes its body.
+func statusError(response *http.Response, kind error) *Error {
+	defer response.Body.Close()
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
+	return &Error{
+		Kind:   kind,
+		Status: response.StatusCode,
+		Header: response.Header,
+		Body:   body,
+		Sent:   true,
+	}
+}
+
+func setPriority(header http.Header, priority int) {
+	header.Set(HeaderPriority, strconv.Itoa(priority))
+}
--- /dev/null
+++ b/engine/errors.go
@@ -0,0 +1,91 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// Kinds of failure. Each error of this package that concerns a call is an *Error
+// that wraps one of them.
+var (
+	// ErrNotStarted means that the endpoint provably did not run the request: no
+	// connection was made, or the endpoint said so.
+	ErrNotStarted = errors.New("request not started")
+	// ErrMismatch means that the response belongs to another request.
+	ErrMismatch = errors.New("response of another request")
+	// ErrGap means that an event id is missing, malformed or not the next one.
+	ErrGap = errors.New("event id is not the next one")
+	// ErrCut means that the response ended before its end marker or length.
+	ErrCut = errors.New("response incomplete")
+	// ErrStatus means that the endpoint answered with an unexpected status.
+	ErrStatus = errors.New("unexpected status")
+	// ErrTooLarge means that the response exceeds the client's bound.
+	ErrTooLarge = errors.New("response too large")
+	// ErrFirstByteTimeout means that no response header arrived in time.
+	ErrFirstByteTimeout = errors.New("no response header in time")
+	// ErrIdleTimeout means that the time between two events was too long. An
+	// *Error with this cause has the kind ErrCut.
+	ErrIdleTimeout = errors.New("no event in time")
+	// ErrInvalidBody means that the caller's body is not a JSON object.
+	ErrInvalidBody = errors.New("body is not a JSON object")
+)
+
+// maxErrorBody bounds the part of an unexpected response that an Error keeps.
+const maxErrorBody = 16 << 10
+
+// Error describes a failed call.
+type Error struct {
+	Kind error
+	// Cause is the underlying error; nil when Kind says everything.
+	Cause error
+	// Status is the HTTP status; 0 when no response header was accepted.
+	Status int
+	// Header and Body hold an unexpected response; the body is cut after 16 KiB.
+	Header http.Header
+	Body   []byte
+	// Sent reports whether a byte of the request may have reached the endpoint.
+	// It stays true for a refusal that the endpoint marked as not run.
+	Sent bool
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := "endpoint: " + e.Kind.Error()
+	if e.Status != 0 {
+		text = fmt.Sprintf("%s (status %d)", text, e.Status)
+	}
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the kind and the cause.
+func (e *Error) Unwrap() []error {
+	if e.Cause == nil {
+		return []error{e.Kind}
+	}
+	return []error{e.Kind, e.Cause}
+}
+
+// MayHaveRun reports whether the endpoint may have run the failed request. It is
+// true for errors of other packages, since nothing is known about them.
+func MayHaveRun(err error) bool {
+	return err != nil && !errors.Is(err, ErrNotStarted)
+}
+
+// failed builds the error of a call that ended without a usable response.
+func failed(ctx context.Context, sent bool, cause error) *Error {
+	if reason := context.Cause(ctx); reason != nil {
+		cause = reason
+	}
+	if !sent {
+		return &Error{Kind: ErrNotStarted, Cause: cause}
+	}
+	if errors.Is(cause, ErrFirstByteTimeout) {
+		return &Error{Kind: ErrFirstByteTimeout, Sent: true}
+	}
+	return &Error{Kind: ErrCut, Cause: cause, Sent: true}
+}
--- /dev/null
+++ b/engine/stream_test.go
@@ -0,0 +1,285 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+// Guards against goroutines that outlive closed streams, clients and servers.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func newClient(t testing.TB) *Client {
+	client := New(Options{})
+	t.Cleanup(client.Close)
+	return client
+}
+
+func newEngine(t testing.TB, config standin.EngineConfig) (*standin.Engine, string) {
+	config.Models = []string{"m"}
+	double := standin.NewEngine(config)
+	server := httptest.NewServer(double)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		double.Close()
+	})
+	return double, server.URL
+}
+
+func chatRequest(url, id string, tokens int) StreamRequest {
+	body := fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":%d,"stream":true}`, tokens)
+	return StreamRequest{
+		URL: url, RequestID: id, ChatKey: "ab", Body: []byte(body),
+		FirstByteTimeout: 200 * time.Millisecond,
+		IdleTimeout:      200 * time.Millisecond,
+	}
+}
+
+// readText reads a stream until an error; io.EOF marks a complete answer.
+func readText(s *Stream) (*Delivered, error) {
+	text := NewDelivered(1 << 24)
+	for {
+		event, err := s.Next()
+		if err != nil {
+			return text, err
+		}
+		if !event.Done {
+			text.Add(event.Data)
+		}
+	}
+}
+
+func answerOf(t *testing.T, r StreamRequest) string {
+	want, err := standin.Answer(r.Body)
+	assert.NilError(t, err)
+	return want
+}
+
+func textOf(t *testing.T, d *Delivered) string {
+	text, ok := d.Text()
+	assert.Assert(t, ok)
+	return text
+}
+
+// Guards against lost, repeated or altered bytes in an answer of more than 1 MB
+// that arrives in reads that don't match the events.
+func TestStreamIsByteIdentical(t *testing.T) {
+	_, url := newEngine(t, standin.EngineConfig{})
+	request := chatRequest(url, "large", 10_000)
+	stream, err := newClient(t).Stream(context.Background(), request)
+	assert.NilError(t, err)
+	defer stream.Close()
+	text, size, last := NewDelivered(1<<20), 0, Event{}
+	for !last.Done {
+		last, err = stream.Next()
+		assert.NilError(t, err)
+		size += len(last.Data)
+		if !last.Done {
+			text.Add(last.Data)
+		}
+	}
+	assert.Assert(t, size > 1<<20, "%d", size)
+	assert.Assert(t, textOf(t, text) == answerOf(t, request))
+	assert.Equal(t, last.ID, 10_002)
+	_, err = stream.Next()
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a fault of an endpoint that passes for a complete answer or that
+// is reported as another kind, which would permit or forbid the wrong retry.
+func TestStreamFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults standin.EngineFaults
+		want   error
+	}{
+		{"cut", standin.EngineFaults{CutAfter: 3}, ErrCut},
+		{"no end marker", standin.EngineFaults{NoEnd: true}, ErrCut},
+		{"crossed", standin.EngineFaults{Crossed: true}, ErrMismatch},
+		{"duplicate event", standin.EngineFaults{DuplicateAt: 4}, ErrGap},
+		{"missing event", standin.EngineFaults{MissingAt: 4}, ErrGap},
+		{"missing event before the end marker", standin.EngineFaults{MissingAt: 11}, ErrGap},
+		{"refused", standin.EngineFaults{RefuseNotRun: true}, ErrNotStarted},
+		{"hang", standin.EngineFaults{Hang: true}, ErrFirstByteTimeout},
+		{"late", standin.EngineFaults{LateBy: time.Second}, ErrFirstByteTimeout},
+		{"closed", standin.EngineFaults{Close: true}, ErrCut},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			double, url := newEngine(t, standin.EngineConfig{})
+			double.SetFaults(c.faults)
+			stream, err := newClient(t).Stream(context.Background(), chatRequest(url, "r1", 10))
+			if err == nil {
+				defer stream.Close()
+				_, err = readText(stream)
+			}
+			assert.ErrorIs(t, err, c.want)
+			assert.Equal(t, MayHaveRun(err), !errors.Is(c.want, ErrNotStarted))
+			assert.Equal(t, MayHaveRun(err), double.Counters().Started == 1)
+		})
+	}
+}
+
+// Guards against a slow engine that holds a stream beyond the idle timeout, and
+// against an idle timeout that counts the time of a slow caller.
+func TestStreamIdleTimeout(t *testing.T) {
+	_, url := newEngine(t, standin.EngineConfig{TokenInterval: 40 * time.Millisecond})
+	request := chatRequest(url, "slow", 3)
+	request.IdleTimeout = 10 * time.Millisecond
+	stream, err := newClient(t).Stream(context.Background(), request)
+	assert.NilError(t, err)
+	defer stream.Close()
+	_, err = readText(stream)
+	assert.ErrorIs(t, err, ErrIdleTimeout)
+	assert.ErrorIs(t, err, ErrCut)
+
+	_, url = newEngine(t, standin.EngineConfig{})
+	patient, err := newClient(t).Stream(context.Background(), chatRequest(url, "slow-caller", 3))
+	assert.NilError(t, err)
+	defer patient.Close()
+	_, err = patient.Next()
+	assert.NilError(t, err)
+	time.Sleep(300 * time.Millisecond)
+	_, err = readText(patient)
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against an endpoint that is unreachable being treated as one that may
+// have run the request.
+func TestStreamFailedDialIsNotStarted(t *testing.T) {
+	server := httptest.NewServer(nil)
+	server.Close()
+	_, err := newClient(t).Stream(context.Background(), chatRequest(server.URL, "r1", 3))
+	assert.ErrorIs(t, err, ErrNotStarted)
+	assert.Assert(t, !MayHaveRun(err))
+}
+
+// Guards against repeated or lost text when an answer is resumed on its own
+// endpoint and continued on another.
+func TestResumeAndContinue(t *testing.T) {
+	client, ctx := newClient(t), context.Background()
+	first, firstURL := newEngine(t, standin.EngineConfig{ID: "a"})
+	_, secondURL := newEngine(t, standin.EngineConfig{ID: "b"})
+	first.SetFaults(standin.EngineFaults{CutAfter: 40})
+	request := chatRequest(firstURL, "r1", 100)
+	text := NewDelivered(1 << 20)
+	last := 0
+	open := []func() (*Stream, error){
+		func() (*Stream, error) { return client.Stream(ctx, request) },
+		func() (*Stream, error) { return client.Resume(ctx, request, last) },
+		func() (*Stream, error) {
+			request.URL = secondURL
+			return client.Continue(ctx, request, last, textOf(t, text))
+		},
+	}
+	for i, f := range open {
+		stream, err := f()
+		assert.NilError(t, err)
+		part, err := readText(stream)
+		text.text.WriteString(textOf(t, part))
+		last = stream.Last()
+		stream.Close()
+		assert.Equal(t, errors.Is(err, io.EOF), i == 2, "%v", err)
+	}
+	assert.Equal(t, last, 102)
+	assert.Equal(t, textOf(t, text), answerOf(t, request))
+}
+
+// Guards against work that runs on after its caller has gone.
+func TestCancel(t *testing.T) {
+	client, ctx := newClient(t), context.Background()
+	config := standin.EngineConfig{TokenInterval: 10 * time.Millisecond, KeepFor: 20 * time.Millisecond}
+	double, url := newEngine(t, config)
+	for i, cancel := range []bool{true, false} {
+		id := fmt.Sprint("r", i)
+		stream, err := client.Stream(ctx, chatRequest(url, id, 10_000))
+		assert.NilError(t, err)
+		_, err = stream.Next()
+		assert.NilError(t, err)
+		if cancel {
+			assert.NilError(t, client.Cancel(ctx, url, id))
+		}
+		stream.Close()
+		deadline := time.Now().Add(5 * time.Second)
+		for double.Counters().Cancelled != i+1 && time.Now().Before(deadline) {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, double.Counters().Cancelled, i+1)
+	}
+	assert.Equal(t, double.Running(), 0)
+	assert.NilError(t, client.Cancel(ctx, url, "unknown"))
+}
+
+// Guards against unbounded memory for a long answer and against continuing an
+// answer that plain text can't represent.
+func TestDeliveredLimits(t *testing.T) {
+	for _, data := range []string{
+		`{"choices":[{"delta":{"content":"12345"}}]}`,
+		`{"choices":[{"delta":{"tool_calls":[]}}]}`,
+		`{"choices":[{"index":1,"delta":{"content":"1"}}]}`,
+		`not json`,
+	} {
+		d := NewDelivered(4)
+		d.Add([]byte(data))
+		_, ok := d.Text()
+		assert.Assert(t, !ok, data)
+	}
+}
+
+// Guards against a decoder that panics, returns ids that don't rise by one, or
+// returns more data than its bound, on any input.
+func FuzzDecoder(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: [DONE]\r\n\r\n"))
+	f.Add([]byte(": c\n\nid:1\ndata:\ndata\n\nid: 3\ndata: x\n\n"))
+	f.Add([]byte("data: " + strings.Repeat("x", 9000) + "\nid: 1\n\n"))
+	f.Fuzz(func(t *testing.T, input []byte) {
+		const maxBytes = 10_000
+		decoder := NewDecoder(bytes.NewReader(input), 0, maxBytes)
+		for want := 1; ; want++ {
+			event, err := decoder.Next()
+			if err != nil {
+				known := errors.Is(err, io.EOF) || errors.Is(err, ErrCut) ||
+					errors.Is(err, ErrGap) || errors.Is(err, ErrTooLarge)
+				assert.Assert(t, known, "%v", err)
+				return
+			}
+			assert.Equal(t, event.ID, want)
+			assert.Assert(t, len(event.Data) <= maxBytes)
+		}
+	})
+}
+
+// Guards against allocations per event in the path of every token.
+func BenchmarkDecoder(b *testing.B) {
+	const events = 1000
+	var input bytes.Buffer
+	for i := 1; i <= events; i++ {
+		fmt.Fprintf(&input, "id: %d\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\" word\"},\"finish_reason\":null}]}\n\n", i)
+	}
+	reader := bytes.NewReader(input.Bytes())
+	b.ReportAllocs()
+	for b.Loop() {
+		reader.Reset(input.Bytes())
+		decoder := NewDecoder(reader, 0, 1<<20)
+		for range events {
+			if _, err := decoder.Next(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*events), "ns/event")
+}
