--- a/engine/client.go
+++ b/engine/client.go
@@ -96,7 +96,8 @@
 // fails before the response. It does so for GET, HEAD, OPTIONS and TRACE and for
 // requests with an Idempotency-Key header, if the body is empty or GetBody is set.
 // A body of this type is neither nil nor http.NoBody, and newRequest leaves GetBody
-// unset, which rules out every replay.
+// unset, which rules out every replay. An empty body of a POST is sent as an empty
+// chunked body for this reason.
 type onceBody struct{ bytes.Reader }
 
 func (*onceBody) Close() error { return nil }
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,250 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// ServiceFaults are faults of a Service; the zero value has none.
+type ServiceFaults struct {
+	// Times is the number of calls affected; 0 means all.
+	Times int
+	// LoseAnswer runs the call and closes the connection without an answer.
+	LoseAnswer bool
+	// CutBody runs the call and closes the connection in the middle of the body.
+	CutBody bool
+	// Unbounded runs the call and ends the body only with the connection.
+	Unbounded bool
+	// Crossed runs the call and answers with the request id of another one.
+	Crossed bool
+	// SlowBy runs the call and delays the answer.
+	SlowBy time.Duration
+	// CloseBeforeReading closes the connection without running the call.
+	CloseBeforeReading bool
+	// RefuseNotRun refuses the call with X-Not-Run.
+	RefuseNotRun bool
+}
+
+// ServiceRun is one call that a Service carried out.
+type ServiceRun struct {
+	At                     time.Time
+	RequestID, Key         string
+	Method, Path, Priority string
+	Body                   []byte
+}
+
+// Service is a test double of a plain service. It answers GET /stock/{item} and
+// POST /holds, and runs any other call without effect. It deliberately carries out
+// repeated keys again, so that tests can count the runs.
+type Service struct {
+	mux *http.ServeMux
+
+	mu     sync.Mutex
+	faults ServiceFaults
+	stock  map[string]int
+	runs   []ServiceRun
+}
+
+// NewService returns a service with the given stock.
+func NewService(stock map[string]int) *Service {
+	s := &Service{mux: http.NewServeMux(), stock: map[string]int{}}
+	for item, quantity := range stock {
+		s.stock[item] = quantity
+	}
+	s.mux.HandleFunc("GET /stock/{item}", s.serveStock)
+	s.mux.HandleFunc("POST /holds", s.serveHold)
+	s.mux.HandleFunc("/", s.serveOther)
+	return s
+}
+
+// SetFaults replaces the faults.
+func (s *Service) SetFaults(faults ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Runs returns all runs, oldest first.
+func (s *Service) Runs() []ServiceRun {
+	return s.runsWith(func(ServiceRun) bool { return true })
+}
+
+// RunsOfKey returns the runs with an Idempotency-Key.
+func (s *Service) RunsOfKey(key string) []ServiceRun {
+	return s.runsWith(func(r ServiceRun) bool { return r.Key == key })
+}
+
+// RunsOfRequest returns the runs with an X-Request-Id.
+func (s *Service) RunsOfRequest(id string) []ServiceRun {
+	return s.runsWith(func(r ServiceRun) bool { return r.RequestID == id })
+}
+
+func (s *Service) runsWith(match func(ServiceRun) bool) []ServiceRun {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []ServiceRun
+	for _, r := range s.runs {
+		if match(r) {
+			found = append(found, r)
+		}
+	}
+	return slices.Clip(found)
+}
+
+// Stock returns the quantity left of an item.
+func (s *Service) Stock(item string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stock[item]
+}
+
+func (s *Service) takeFaults() ServiceFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	faults := s.faults
+	if faults.Times == 1 {
+		s.faults = ServiceFaults{}
+	} else if faults.Times > 1 {
+		s.faults.Times--
+	}
+	return faults
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	faults := s.takeFaults()
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	if faults.CloseBeforeReading {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.RefuseNotRun {
+		w.Header().Set("X-Not-Run", "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.record(r, body)
+	answer := &bufferedAnswer{header: w.Header(), status: http.StatusOK}
+	s.mux.ServeHTTP(answer, r)
+	if faults.Crossed {
+		w.Header().Set("X-Request-Id", "crossed-"+id)
+	}
+	sleepFor(r.Context(), faults.SlowBy)
+	answer.writeTo(w, faults)
+}
+
+func (s *Service) record(r *http.Request, body []byte) {
+	run := ServiceRun{
+		At:        time.Now(),
+		RequestID: r.Header.Get("X-Request-Id"),
+		Key:       r.Header.Get("Idempotency-Key"),
+		Method:    r.Method,
+		Path:      r.URL.Path,
+		Priority:  r.Header.Get("X-Priority"),
+		Body:      body,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs = append(s.runs, run)
+	// The handlers read the body from the record.
+	r.Body = io.NopCloser(bytes.NewReader(body))
+}
+
+// bufferedAnswer holds a response until the faults are applied.
+type bufferedAnswer struct {
+	header http.Header
+	status int
+	body   []byte
+}
+
+func (a *bufferedAnswer) Header() http.Header { return a.header }
+
+func (a *bufferedAnswer) WriteHeader(status int) { a.status = status }
+
+func (a *bufferedAnswer) Write(p []byte) (int, error) {
+	a.body = append(a.body, p...)
+	return len(p), nil
+}
+
+func (a *bufferedAnswer) writeTo(w http.ResponseWriter, faults ServiceFaults) {
+	if faults.LoseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.Unbounded {
+		// The server neither adds a length nor chunks.
+		w.Header().Del("Content-Length")
+		w.Header().Set("Transfer-Encoding", "identity")
+		w.WriteHeader(a.status)
+		_, _ = w.Write(a.body)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	if faults.CutBody {
+		_, _ = w.Write(a.body[:len(a.body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(a.body)
+}
+
+// StockAnswer is the body of GET /stock/{item}.
+type StockAnswer struct {
+	Item      string `json:"item"`
+	Available int    `json:"available"`
+}
+
+// HoldRequest is the body of POST /holds.
+type HoldRequest struct {
+	Item     string `json:"item"`
+	Quantity int    `json:"quantity"`
+}
+
+// HoldAnswer is the response of POST /holds; the status is 409 if the stock is too
+// small.
+type HoldAnswer struct {
+	Held bool `json:"held"`
+	Left int  `json:"left"`
+}
+
+func (s *Service) serveStock(w http.ResponseWriter, r *http.Request) {
+	item := r.PathValue("item")
+	writeEngineJSON(w, http.StatusOK, StockAnswer{item, s.Stock(item)})
+}
+
+func (s *Service) serveHold(w http.ResponseWriter, r *http.Request) {
+	var hold HoldRequest
+	if err := json.NewDecoder(r.Body).Decode(&hold); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	held := s.stock[hold.Item] >= hold.Quantity
+	if held {
+		s.stock[hold.Item] -= hold.Quantity
+	}
+	left := s.stock[hold.Item]
+	s.mu.Unlock()
+	status := http.StatusCreated
+	if !held {
+		status = http.StatusConflict
+	}
+	writeEngineJSON(w, status, HoldAnswer{held, left})
+}
+
+func (s *Service) serveOther(w http.ResponseWriter, r *http.Request) {
+	writeEngineJSON(w, http.StatusOK, struct {
+		Method string `json:"method"`
+		Path   string `json:"path"`
+	}{r.Method, r.URL.Path})
+}
