Add load, cache event, order and KV clients and the cache view

Cause: admission owners need load reports and knowledge of cached chats that stays correct when events are late or lost.

Change: Client implements Reporter, Orderer and Cacher; KV cache is streamed between endpoints at a rate limit.

Conclusion: the view agrees with a plain replay of the events under fuzzing and with the engine double when events are lost. The loss of the newest event shows only with the next event.

--- a/engine/client.go
+++ b/engine/client.go
@@ -57,12 +57,20 @@
 }
 
 // Client calls endpoints over one shared transport. It is safe for concurrent use
-// and implements Streamer and Caller.
+// and implements Streamer, Caller, Reporter, Orderer and Cacher.
 type Client struct {
 	options   Options
 	transport *http.Transport
 }
 
+var (
+	_ Streamer = (*Client)(nil)
+	_ Caller   = (*Client)(nil)
+	_ Reporter = (*Client)(nil)
+	_ Orderer  = (*Client)(nil)
+	_ Cacher   = (*Client)(nil)
+)
+
 // New returns a client. The caller closes it.
 func New(options Options) *Client {
 	options = options.withDefaults()
--- /dev/null
+++ b/engine/control_test.go
@@ -0,0 +1,197 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+func runChat(t *testing.T, client *Client, url, id, chatKey string) {
+	request := chatRequest(url, id, 4)
+	request.ChatKey = chatKey
+	stream, err := client.Stream(context.Background(), request)
+	assert.NilError(t, err)
+	defer stream.Close()
+	_, err = readText(stream)
+	assert.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a load report that hides its age or the coldness of an engine,
+// and against a cold engine's overload going uncounted.
+func TestLoadReport(t *testing.T) {
+	client, ctx := newClient(t), context.Background()
+	double, url := newEngine(t, standin.EngineConfig{ID: "e", LoadLag: 40 * time.Millisecond})
+	double.Restart(1)
+	report, err := client.Load(ctx, url)
+	assert.NilError(t, err)
+	assert.Equal(t, report.Readiness, api.ReadinessReady)
+	assert.Equal(t, report.AgeMs, 40)
+	time.Sleep(50 * time.Millisecond)
+	report, err = client.Load(ctx, url)
+	assert.NilError(t, err)
+	assert.Equal(t, report.Readiness, api.ReadinessCold)
+	assert.Equal(t, report.Bearable, 1)
+	assert.Equal(t, report.BootID, "e-1")
+
+	double.SetReadiness(api.ReadinessCold, 0)
+	_, err = client.Stream(ctx, chatRequest(url, "r1", 1))
+	assert.ErrorIs(t, err, ErrStatus)
+	assert.Equal(t, double.Counters().Overloaded, 1)
+	assert.Equal(t, double.Starts()[0].Limit, 0)
+}
+
+// Guards against an order with an old fencing number that passes for accepted, and
+// against an order that is carried out twice.
+func TestOrder(t *testing.T) {
+	client, ctx := newClient(t), context.Background()
+	for _, checks := range []bool{true, false} {
+		double, url := newEngine(t, standin.EngineConfig{ChecksFencing: checks})
+		order := api.Order{ID: "o1", Kind: api.OrderKindLoadModel, Model: "n", FencingNumber: 5}
+		for range 2 {
+			result, err := client.Order(ctx, url, order)
+			assert.NilError(t, err)
+			assert.Assert(t, result.Accepted)
+		}
+		assert.Equal(t, len(double.Orders()), 1)
+		old := api.Order{ID: "o2", Kind: api.OrderKindUnloadModel, Model: "n", FencingNumber: 4}
+		result, err := client.Order(ctx, url, old)
+		assert.NilError(t, err)
+		assert.Equal(t, result.Accepted, !checks)
+		assert.Equal(t, result.FencingNumber, uint64(5))
+	}
+}
+
+// Guards against a moved cache that isn't used, one that is sent faster than the
+// limit, and a cut export that is stored.
+func TestMoveKV(t *testing.T) {
+	client, ctx := newClient(t), context.Background()
+	config := standin.EngineConfig{KVBytesPerToken: 4096}
+	_, from := newEngine(t, config)
+	target, to := newEngine(t, config)
+	runChat(t, client, from, "r1", "ab")
+	kv, err := client.ExportKV(ctx, from, "ab")
+	assert.NilError(t, err)
+	defer kv.Close()
+	const burst = 1 << 10
+	const wantTime = 50 * time.Millisecond
+	perSecond := float64(kv.Size-burst) / wantTime.Seconds()
+	start := time.Now()
+	err = client.ImportKV(ctx, to, "ab", kv, rate.NewLimiter(rate.Limit(perSecond), burst))
+	assert.NilError(t, err)
+	elapsed := time.Since(start)
+	assert.Assert(t, elapsed >= wantTime-time.Millisecond, "%v", elapsed)
+	runChat(t, client, to, "r2", "ab")
+	counters := target.Counters()
+	assert.Assert(t, counters.PromptTokens > 0)
+	assert.Equal(t, counters.CachedTokens, counters.PromptTokens)
+
+	cut, err := client.ExportKV(ctx, from, "ab")
+	assert.NilError(t, err)
+	cut.Close()
+	assert.Assert(t, client.ImportKV(ctx, to, "cd", cut, nil) != nil)
+	_, err = client.ExportKV(ctx, to, "cd")
+	assert.ErrorIs(t, err, ErrStatus)
+}
+
+// Guards against a view that contradicts the engine's cache when events are late
+// and lost. The comparison needs a view that has seen the newest event: the loss of
+// the newest one shows only with the next, like any delay.
+func TestCacheViewFollowsEngine(t *testing.T) {
+	client, ctx := newClient(t), context.Background()
+	double, url := newEngine(t, standin.EngineConfig{
+		CacheTokens: 60,
+		Events:      standin.EventConfig{LoseEvery: 9, SnapshotEvery: 7},
+	})
+	view := NewCacheView(100)
+	known, unknown := 0, 0
+	for i := range 40 {
+		runChat(t, client, url, fmt.Sprint("r", i), fmt.Sprintf("%02x", i%12))
+		events, err := client.CacheEvents(ctx, url, view.Last())
+		assert.NilError(t, err)
+		view.Apply(events)
+		if !view.Known() {
+			unknown++
+			continue
+		}
+		known++
+	}
+	assert.Assert(t, known > 0 && unknown > 0, "%d %d", known, unknown)
+	for !view.Known() || view.Last() != double.CacheSequence() {
+		runChat(t, client, url, fmt.Sprint("s", view.Last()), "00")
+		events, err := client.CacheEvents(ctx, url, view.Last())
+		assert.NilError(t, err)
+		view.Apply(events)
+	}
+	assert.Assert(t, view.Len() > 0)
+	for i := range 12 {
+		prefix := fmt.Sprintf("%02x", i)
+		kv, err := client.ExportKV(ctx, url, prefix)
+		assert.Equal(t, err == nil, view.Contains(prefix), prefix)
+		if err == nil {
+			kv.Close()
+		}
+	}
+}
+
+// Guards against a view that grows beyond its bound, knows something after a gap,
+// or differs from a plain replay of the events since the last snapshot.
+func FuzzCacheView(f *testing.F) {
+	f.Add([]byte{0x20, 0x01, 0x12, 0x02, 0x41, 0x22, 0x03})
+	f.Add([]byte{0x20, 0x01, 0x02, 0x03, 0x04, 0x05})
+	f.Fuzz(func(t *testing.T, input []byte) {
+		const maxChats = 4
+		kinds := []api.CacheEventKind{api.CacheEventKindStored, api.CacheEventKindEvicted, api.CacheEventKindSnapshot, "other"}
+		view := NewCacheView(maxChats)
+		model, known := map[string]bool{}, false
+		sequence := uint64(0)
+		for _, b := range input {
+			// Bits 0 to 3 give the chat, 4 and 5 the kind, 6 and 7 the step.
+			step := []int{1, 0, 2, -1}[b>>6]
+			if step < 0 && sequence == 0 {
+				step = 0
+			}
+			before := view.Last()
+			sequence += uint64(step)
+			event := api.CacheEvent{Sequence: sequence, Kind: kinds[b>>4&3], Prefix: string('a' + rune(b&15))}
+			if event.Kind == api.CacheEventKindSnapshot {
+				event.Prefixes = []string{event.Prefix, "z"}
+			}
+			view.Apply([]api.CacheEvent{event})
+			if sequence > before {
+				known = replay(model, known && sequence == before+1, event, maxChats)
+			}
+			assert.Equal(t, view.Known(), known)
+			assert.Assert(t, view.Len() <= maxChats)
+			for r := 'a'; r <= 'z'; r++ {
+				assert.Equal(t, view.Contains(string(r)), known && model[string(r)])
+			}
+		}
+	})
+}
+
+// replay applies an event to a plain set and returns whether the set is known.
+func replay(model map[string]bool, known bool, event api.CacheEvent, maxChats int) bool {
+	switch event.Kind {
+	case api.CacheEventKindSnapshot:
+		clear(model)
+		for _, prefix := range event.Prefixes {
+			model[prefix] = true
+		}
+		known = true
+	case api.CacheEventKindStored:
+		model[event.Prefix] = true
+	case api.CacheEventKindEvicted:
+		delete(model, event.Prefix)
+	default:
+		known = false
+	}
+	return known && len(model) <= maxChats
+}
--- a/standin/enginestate.go
+++ b/standin/enginestate.go
@@ -222,6 +222,14 @@
 	_, _ = w.Write(body)
 }
 
+// CacheSequence returns the sequence number of the newest cache event, published
+// or lost.
+func (e *Engine) CacheSequence() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.sequence
+}
+
 func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
