--- a/engine/call_test.go
+++ b/engine/call_test.go
@@ -84,6 +84,19 @@
 	assert.ErrorIs(t, err, ErrTooLarge)
 }
 
+// Guards against a chunked body without its last chunk passing for a whole one.
+func TestDoRequiresLastChunk(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("part"))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	_, err := newClient(t).Do(context.Background(), Call{Method: http.MethodGet, URL: server.URL})
+	assert.ErrorIs(t, err, ErrCut)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
 // Guards against a non-streamed completion that differs from the streamed one.
 func TestCompletion(t *testing.T) {
 	_, url := newEngine(t, standin.EngineConfig{})
--- a/engine/client.go
+++ b/engine/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -25,6 +26,8 @@
 type Options struct {
 	// DialTimeout bounds connecting to an endpoint. Default 1s.
 	DialTimeout time.Duration
+	// TLS is used for https URLs; nil means the system's roots.
+	TLS *tls.Config
 	// IdleConnTimeout closes connections that are not in use. It should be shorter
 	// than the endpoints' own limit, because a request that meets the endpoint's
 	// close has an unknown outcome. Default 30s.
@@ -80,8 +83,13 @@
 		transport: &http.Transport{
 			// Settings name endpoints by address, so proxies of the environment
 			// must not apply.
-			Proxy:                  nil,
-			DialContext:            dialer.DialContext,
+			Proxy:           nil,
+			DialContext:     dialer.DialContext,
+			TLSClientConfig: options.TLS,
+			// A custom dialer without ForceAttemptHTTP2 keeps the transport at
+			// HTTP/1.1. The HTTP/2 transport repeats requests by rules of its own,
+			// which newRequest doesn't cover.
+			ForceAttemptHTTP2:      false,
 			MaxIdleConns:           options.MaxIdle,
 			MaxIdleConnsPerHost:    options.MaxIdlePerEndpoint,
 			IdleConnTimeout:        options.IdleConnTimeout,
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -192,7 +192,7 @@
 func (s *Stream) Next() (Event, error) {
 	event, err := s.decoder.Next()
 	s.disarm()
-	if err == nil || errors.Is(err, io.EOF) && !errors.Is(err, ErrCut) && s.decoder.done {
+	if err == nil || errors.Is(err, io.EOF) {
 		return event, err
 	}
 	return Event{}, s.fail(err)
