Add leases kept in the object API

Cause: grants at a cold endpoint and orders to endpoints need at most one router at a time, also while writes are lost and routers are paused.

Change: package lease has Elector, the state machine of one router that wants a lease, and Manager, which runs electors against a platform.Store. Gate.Report now states that a report's age includes the time since it was asked for.

Unproved: an endpoint that turns cold while another owner, which has not seen it yet, still grants as for a warm one.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -255,7 +255,8 @@
 }
 
 // Report takes a load report. One that was measured before the newest is
-// ignored.
+// ignored. load.AgeMs includes the time since the report was asked for, rounded
+// up: work that started after the measurement must not seem to be part of it.
 func (g *Gate) Report(now time.Time, load api.LoadReport) []Outcome {
 	age := time.Duration(max(0, load.AgeMs)) * time.Millisecond
 	measured := now.Add(-age)
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,105 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+// Guards against two routers that hold the lease at once, a term that two
+// routers have, and a lease that nobody gets after the faults have ended. Routers
+// are paused, calls are slow or fail, answers of writes are lost, and writes take
+// effect after their caller gave up.
+func TestAtMostOneHolder(t *testing.T) {
+	changes, runs := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, rapid.IntRange(2, 4).Draw(t, "routers"), Config{})
+		holderOf := map[uint64]*simRouter{}
+		for range 600 {
+			s.step()
+			holders := s.holders()
+			assert.Assert(t, len(holders) <= 1, "%d holders at %s", len(holders), s.now)
+			for _, r := range holders {
+				term := r.elector.Lease().Term
+				assert.Assert(t, holderOf[term] == nil || holderOf[term] == r, "term %d held twice", term)
+				holderOf[term] = r
+			}
+			if s.chance(5) {
+				r := s.routers[s.rand.IntN(len(s.routers))]
+				r.elector.SetWanted(!r.elector.wanted)
+			}
+		}
+		s.faults = false
+		s.routers[0].elector.SetWanted(true)
+		for range 500 {
+			s.step()
+		}
+		assert.Equal(t, len(s.holders()), 1)
+		runs++
+		changes += len(holderOf)
+	})
+	t.Logf("%d terms in %d runs of 60 s with faults", changes, runs)
+}
+
+func acquired(t *testing.T, e *Elector, now time.Time) {
+	t.Helper()
+	assert.Equal(t, e.Next(now).Kind, Read)
+	e.ReadDone(now, api.LeaseRecord{}, 0)
+	assert.Equal(t, e.Next(now).Kind, Write)
+	e.WriteDone(now.Add(time.Second), Written, 1)
+}
+
+// Guards against validity that is counted from the answer of a write, against a
+// grant right after a change of holder, and against a paused holder that still
+// counts as valid.
+func TestHolderTimes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := NewElector(Config{Router: "a", GrantDelay: 2 * time.Second})
+	e.SetWanted(true)
+	acquired(t, e, now)
+	assert.DeepEqual(t, e.Lease(), Lease{
+		Held: true, Term: 1, ValidUntil: now.Add(DefaultLifetime), GrantsFrom: now.Add(2 * time.Second),
+	})
+	assert.Assert(t, e.Lease().Valid(now.Add(DefaultLifetime-1)))
+	assert.Assert(t, !e.Lease().Valid(now.Add(DefaultLifetime)))
+	assert.Equal(t, e.Next(now.Add(2*time.Second-1)).Kind, Wait)
+	renewal := e.Next(now.Add(2 * time.Second))
+	assert.DeepEqual(t, renewal.Record, api.LeaseRecord{Holder: "a", Term: 1, Renewal: 2})
+	e.WriteDone(now.Add(3*time.Second), Unknown, 0)
+	assert.Assert(t, e.Lease().Valid(now.Add(DefaultLifetime-1)))
+	assert.Equal(t, e.Next(now.Add(3*time.Second)).Kind, Wait)
+	assert.Equal(t, e.Next(now.Add(4*time.Second)).Kind, Read)
+	e.ReadDone(now.Add(4*time.Second), renewal.Record, 2)
+	assert.Equal(t, e.Lease().ValidUntil, now.Add(2*time.Second+DefaultLifetime))
+}
+
+// Guards against a takeover from a holder whose renewals are still seen, or
+// before lifetime and margin have passed, and against a restarted router that
+// takes its predecessor's record for its own.
+func TestTakeoverWaits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := NewElector(Config{Router: "a"})
+	e.SetWanted(true)
+	wait := DefaultLifetime + DefaultMargin
+	read := func(at time.Time, renewal, version uint64) {
+		assert.Equal(t, e.Next(at).Kind, Read)
+		e.ReadDone(at, api.LeaseRecord{Holder: "a", Term: 4, Renewal: renewal}, version)
+		assert.Assert(t, !e.Lease().Held)
+	}
+	read(now, 1, 7)
+	now = now.Add(wait - 1)
+	read(now, 2, 8)
+	for range 3 {
+		now = now.Add(DefaultLifetime / renewalsPerLifetime)
+		read(now, 2, 8)
+	}
+	assert.Equal(t, e.Next(now.Add(DefaultMargin-1)).Kind, Wait)
+	write := e.Next(now.Add(DefaultMargin))
+	assert.Equal(t, write.Kind, Write)
+	assert.Equal(t, write.IfVersion, uint64(8))
+	assert.Equal(t, write.Record.Term, uint64(5))
+}
--- /dev/null
+++ b/lease/manager.go
@@ -0,0 +1,255 @@
+package lease
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+// ControlKey is the object of the lease on orders to endpoints.
+const ControlKey = "leases/control"
+
+// ColdKey returns the object of the lease on a cold endpoint.
+func ColdKey(endpoint string) string {
+	return "leases/cold/" + endpoint
+}
+
+// DefaultCallTimeout bounds one call to the object API. It is shorter than the
+// time between renewals at the default lifetime, so a call that hangs does not
+// use up the lease.
+const DefaultCallTimeout = 1500 * time.Millisecond
+
+// Manager holds the leases that one router wants. It is safe for concurrent use.
+type Manager struct {
+	store    platform.Store
+	config   Config
+	onChange func(key string, l Lease)
+	onError  func(key string, err error)
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu     sync.Mutex
+	closed bool
+	loops  map[string]*loop
+}
+
+// NewManager returns a manager without leases. onChange is called after each
+// change of a lease, and always before the write that releases it, so that a
+// holder stops using it first. onError is called after each failed call. Both
+// are called from the manager's goroutines, may be nil and must not call Close.
+func NewManager(store platform.Store, config Config, onChange func(string, Lease), onError func(string, error)) *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
+	if onChange == nil {
+		onChange = func(string, Lease) {}
+	}
+	if onError == nil {
+		onError = func(string, error) {}
+	}
+	return &Manager{
+		store:    store,
+		config:   config.withDefaults(),
+		onChange: onChange,
+		onError:  onError,
+		ctx:      ctx,
+		cancel:   cancel,
+		loops:    map[string]*loop{},
+	}
+}
+
+// loop runs the elector of one lease.
+type loop struct {
+	manager *Manager
+	key     string
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	elector *Elector
+}
+
+// Acquire starts to acquire the lease and keeps it renewed until Release.
+func (m *Manager) Acquire(key string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return
+	}
+	if l, ok := m.loops[key]; ok {
+		l.setWanted(true)
+		return
+	}
+	config := m.config
+	// The upper half is left for renewals to count without overflow.
+	config.Nonce = rand.Uint64() >> 1
+	l := &loop{manager: m, key: key, wake: make(chan struct{}, 1), elector: NewElector(config)}
+	l.elector.SetWanted(true)
+	m.loops[key] = l
+	m.wg.Go(l.run)
+}
+
+// Release gives the lease up. It is not valid after this call; the object is
+// updated in the background.
+func (m *Manager) Release(key string) {
+	m.mu.Lock()
+	l := m.loops[key]
+	m.mu.Unlock()
+	if l != nil {
+		l.setWanted(false)
+	}
+}
+
+// Lease returns the lease's state; a key that is not acquired is not held.
+func (m *Manager) Lease(key string) Lease {
+	m.mu.Lock()
+	l := m.loops[key]
+	m.mu.Unlock()
+	if l == nil {
+		return Lease{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.elector.Lease()
+}
+
+// Close releases all leases and waits for the calls to end, at most until ctx is
+// done. It returns ctx's error if releases were cut short.
+func (m *Manager) Close(ctx context.Context) error {
+	m.mu.Lock()
+	m.closed = true
+	for _, l := range m.loops {
+		l.setWanted(false)
+	}
+	m.mu.Unlock()
+	stop := context.AfterFunc(ctx, m.cancel)
+	m.wg.Wait()
+	m.cancel()
+	if !stop() {
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (l *loop) setWanted(wanted bool) {
+	l.mu.Lock()
+	l.elector.SetWanted(wanted)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *loop) run() {
+	var last Lease
+	for l.manager.ctx.Err() == nil {
+		action, lease := l.next()
+		if lease != last {
+			last = lease
+			l.manager.onChange(l.key, lease)
+		}
+		switch action.Kind {
+		case Wait:
+			l.wait(time.Until(action.At))
+		case Read:
+			l.read()
+		case Write:
+			l.write(action)
+		case Stop:
+			if l.end() {
+				return
+			}
+		}
+	}
+}
+
+func (l *loop) next() (Action, Lease) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	action := l.elector.Next(time.Now())
+	return action, l.elector.Lease()
+}
+
+// end removes the loop unless the lease is wanted again.
+func (l *loop) end() bool {
+	l.manager.mu.Lock()
+	defer l.manager.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.elector.wanted {
+		return false
+	}
+	delete(l.manager.loops, l.key)
+	return true
+}
+
+func (l *loop) wait(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.wake:
+	case <-l.manager.ctx.Done():
+	}
+}
+
+func (l *loop) read() {
+	ctx, cancel := context.WithTimeout(l.manager.ctx, DefaultCallTimeout)
+	defer cancel()
+	object, err := l.manager.store.Get(ctx, l.key)
+	var record api.LeaseRecord
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		object.Version, err = 0, nil
+	case err == nil:
+		err = cbor.Unmarshal(object.Value, &record)
+	}
+	if err != nil {
+		l.manager.onError(l.key, fmt.Errorf("lease: read %s: %w", l.key, err))
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.elector.ReadFailed(time.Now())
+		return
+	}
+	l.elector.ReadDone(time.Now(), record, object.Version)
+}
+
+func (l *loop) write(action Action) {
+	ctx, cancel := context.WithTimeout(l.manager.ctx, DefaultCallTimeout)
+	defer cancel()
+	var version uint64
+	value, err := cbor.Marshal(action.Record)
+	if err == nil {
+		version, err = l.manager.store.Put(ctx, l.key, value, action.IfVersion)
+	}
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		l.manager.onError(l.key, fmt.Errorf("lease: write %s: %w", l.key, err))
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.elector.WriteDone(time.Now(), writeResult(err), version)
+}
+
+// writeResult treats an error that the store's interface does not name as an
+// unknown outcome.
+func writeResult(err error) WriteResult {
+	switch {
+	case err == nil:
+		return Written
+	case errors.Is(err, platform.ErrConflict):
+		return Conflict
+	case errors.Is(err, platform.ErrUnavailable):
+		return NoEffect
+	}
+	return Unknown
+}
--- /dev/null
+++ b/lease/manager_test.go
@@ -0,0 +1,94 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+// outageStore fails all calls while down is set.
+type outageStore struct {
+	platform.Store
+	mu   sync.Mutex
+	down bool
+}
+
+func (s *outageStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *outageStore) failing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+func (s *outageStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	if s.failing() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *outageStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	if s.failing() {
+		return 0, platform.ErrUnavailable
+	}
+	return s.Store.Put(ctx, key, value, ifVersion)
+}
+
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 1000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("timed out: %s", what)
+}
+
+// Guards against a lease that is not renewed, outlives an outage of the object
+// API, or is not passed on when it is released, and against leaked goroutines.
+func TestManager(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	key := ColdKey("e")
+	store := &outageStore{Store: platform.NewMemory()}
+	config := Config{Lifetime: 300 * time.Millisecond, Margin: 50 * time.Millisecond, GrantDelay: time.Millisecond}
+	manager := func(router string) *Manager {
+		config.Router = router
+		return NewManager(store, config, nil, nil)
+	}
+	a, b := manager("a"), manager("b")
+	valid := func(m *Manager) bool { return m.Lease(key).Valid(time.Now()) }
+
+	a.Acquire(key)
+	waitFor(t, "a acquires", func() bool { return valid(a) })
+	b.Acquire(key)
+	time.Sleep(2 * config.Lifetime)
+	assert.Assert(t, valid(a))
+	assert.Assert(t, !valid(b))
+	assert.Equal(t, a.Lease(key).Term, uint64(1))
+
+	store.setDown(true)
+	waitFor(t, "lease lapses", func() bool { return !valid(a) })
+	store.setDown(false)
+	waitFor(t, "one acquires", func() bool { return valid(a) || valid(b) })
+
+	a.Release(key)
+	assert.Assert(t, !valid(a))
+	waitFor(t, "b acquires", func() bool { return valid(b) })
+	assert.NilError(t, a.Close(context.Background()))
+	store.setDown(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, b.Close(ctx), context.DeadlineExceeded)
+}
--- /dev/null
+++ b/lease/sim_test.go
@@ -0,0 +1,179 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+const simStep = 100 * time.Millisecond
+
+// simStore is one object whose calls take effect and answer at drawn times.
+type simStore struct {
+	version uint64
+	record  api.LeaseRecord
+}
+
+// simCall is an open call. It takes effect at applyAt, which is after answerAt
+// for a write that lands after its caller gave up.
+type simCall struct {
+	router            *simRouter
+	action            Action
+	applyAt, answerAt time.Duration
+	answered, applied bool
+	result            WriteResult
+	version           uint64
+	record            api.LeaseRecord
+}
+
+// simRouter has a clock with its own offset and rate.
+type simRouter struct {
+	elector     *Elector
+	open        bool
+	pausedUntil time.Duration
+	offset      time.Duration
+	rate        float64
+}
+
+func (r *simRouter) clock(now time.Duration) time.Time {
+	return time.Unix(0, 0).Add(r.offset + time.Duration(float64(now)*r.rate))
+}
+
+// sim draws from its own generator, because rapid prefers small values and
+// would make rare faults frequent.
+type sim struct {
+	t       *rapid.T
+	rand    *rand.Rand
+	now     time.Duration
+	faults  bool
+	store   simStore
+	routers []*simRouter
+	calls   []*simCall
+}
+
+func newSim(t *rapid.T, routers int, config Config) *sim {
+	seed := rapid.Uint64().Draw(t, "seed")
+	s := &sim{t: t, rand: rand.New(rand.NewPCG(seed, 0)), faults: true}
+	for i := range routers {
+		config.Router = string(rune('a' + i))
+		config.Nonce = uint64(i) * 1_000_000
+		r := &simRouter{elector: NewElector(config)}
+		// One percent is ten times the drift of a bad quartz clock.
+		r.rate = 1 + float64(s.rand.IntN(21)-10)/1000
+		r.offset = s.draw(1000 * time.Second)
+		r.elector.SetWanted(true)
+		s.routers = append(s.routers, r)
+	}
+	return s
+}
+
+func (s *sim) chance(perMille int) bool {
+	return s.faults && s.rand.IntN(1000) < perMille
+}
+
+func (s *sim) draw(most time.Duration) time.Duration {
+	return time.Duration(s.rand.IntN(int(most/simStep)+1)) * simStep
+}
+
+// step moves time on, lets calls take effect and answer, and lets each router
+// that is not paused make its next call.
+func (s *sim) step() {
+	s.now += simStep
+	for _, c := range s.calls {
+		s.advance(c)
+	}
+	s.calls = removeDone(s.calls)
+	for _, r := range s.routers {
+		if s.chance(4) {
+			r.pausedUntil = s.now + s.draw(12*time.Second)
+		}
+		if !r.open && r.pausedUntil <= s.now {
+			s.send(r)
+		}
+	}
+}
+
+func (s *sim) send(r *simRouter) {
+	action := r.elector.Next(r.clock(s.now))
+	if action.Kind != Read && action.Kind != Write {
+		return
+	}
+	c := &simCall{router: r, action: action}
+	c.applyAt = s.now + simStep
+	c.answerAt = c.applyAt + simStep
+	switch {
+	case s.chance(80):
+		c.applyAt += s.draw(10 * time.Second)
+		c.answerAt = c.applyAt + s.draw(time.Second)
+	case action.Kind == Write && s.chance(100):
+		c.result = Unknown
+		c.applyAt += s.draw(10 * time.Second)
+		c.answerAt += s.draw(2 * time.Second)
+	case s.chance(100):
+		c.result = NoEffect
+	}
+	r.open = true
+	s.calls = append(s.calls, c)
+}
+
+func (s *sim) advance(c *simCall) {
+	if !c.applied && c.applyAt <= s.now {
+		c.applied = true
+		s.apply(c)
+	}
+	if !c.answered && c.answerAt <= s.now && c.router.pausedUntil <= s.now {
+		c.answered = true
+		s.answer(c)
+	}
+}
+
+func (s *sim) apply(c *simCall) {
+	c.version, c.record = s.store.version, s.store.record
+	if c.action.Kind == Read || c.result == NoEffect {
+		return
+	}
+	if c.action.IfVersion != s.store.version {
+		if c.result == Written {
+			c.result = Conflict
+		}
+		return
+	}
+	s.store = simStore{version: s.store.version + 1, record: c.action.Record}
+	c.version = s.store.version
+}
+
+func (s *sim) answer(c *simCall) {
+	r, now := c.router, c.router.clock(s.now)
+	r.open = false
+	switch {
+	case c.action.Kind == Write:
+		r.elector.WriteDone(now, c.result, c.version)
+	case c.result == NoEffect:
+		r.elector.ReadFailed(now)
+	default:
+		r.elector.ReadDone(now, c.record, c.version)
+	}
+}
+
+func removeDone(calls []*simCall) []*simCall {
+	var open []*simCall
+	for _, c := range calls {
+		if !c.applied || !c.answered {
+			open = append(open, c)
+		}
+	}
+	return open
+}
+
+func (s *sim) holders() []*simRouter {
+	var holders []*simRouter
+	for _, r := range s.routers {
+		if r.elector.Lease().Valid(r.clock(s.now)) {
+			holders = append(holders, r)
+		}
+	}
+	return holders
+}
