--- a/admission/gate.go
+++ b/admission/gate.go
@@ -314,9 +314,9 @@
 // SetEndpoint takes the endpoint's settings and state. A state that stops work
 // refuses the queued requests at once.
 func (g *Gate) SetEndpoint(now time.Time, settings Settings) []Outcome {
-	wasCold := g.settings.State.NeedsLease()
+	wasCold := g.settings.cold()
 	g.settings = settings
-	if isCold := settings.State.NeedsLease(); wasCold != isCold {
+	if isCold := settings.cold(); wasCold != isCold {
 		if wasCold && g.warmth.phase != phaseCold {
 			g.warmth.startRamp(g.report.load.Bearable)
 		}
@@ -398,7 +398,7 @@
 	}
 	switch {
 	case g.settings.NoReports && !g.report.known:
-		if g.settings.State.NeedsLease() {
+		if g.settings.cold() {
 			return api.RefusalEndpointCold
 		}
 		return ""
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -100,7 +100,11 @@
 		o, _ := g.Request(start, ask("w", "3", time.Second, start))
 		assert.Equal(t, o.Refusal, reason)
 	}
-	o, _ := NewGate(Config{}).Request(start, ask("w", "1", 0, start))
+	g := warmGate(1)
+	g.SetEndpoint(start, Settings{MaxInflight: 1, State: endpointstate.Suspect, NeedsLease: true})
+	o, _ := g.Request(start, ask("w", "1", 0, start))
+	assert.Equal(t, o.Refusal, api.RefusalNoLease)
+	o, _ = NewGate(Config{}).Request(start, ask("w", "1", 0, start))
 	assert.Equal(t, o.Refusal, api.RefusalNotReady)
 }
 
--- a/admission/types.go
+++ b/admission/types.go
@@ -160,11 +160,18 @@
 	MaxInflight int
 	// State is the endpoint's state as the router sees it.
 	State endpointstate.State
+	// NeedsLease says that the endpoint is cold or warming, which a state such
+	// as Suspect hides.
+	NeedsLease bool
 	// NoReports says that the endpoint publishes no load report, as plain
 	// services do. It then needs no first report to receive work.
 	NoReports bool
 }
 
+func (s Settings) cold() bool {
+	return s.NeedsLease || s.State.NeedsLease()
+}
+
 // Held is a permit in use.
 type Held struct {
 	Permit    uint64
--- a/admission/warmth.go
+++ b/admission/warmth.go
@@ -105,7 +105,7 @@
 
 // cold says whether grants need the cold lease.
 func (g *Gate) cold() bool {
-	return g.warmth.phase == phaseCold || g.settings.State.NeedsLease()
+	return g.warmth.phase == phaseCold || g.settings.cold()
 }
 
 // Cold says whether the endpoint is cold or warming as this gate sees it, so
--- a/endpointstate/state.go
+++ b/endpointstate/state.go
@@ -52,3 +52,9 @@
 func (s State) StopsWork() bool {
 	return s == Joining || s >= Down
 }
+
+// TakesNewChats says whether chats may be placed at the endpoint that it did not
+// serve before.
+func (s State) TakesNewChats() bool {
+	return !s.StopsWork() && s != Suspect
+}
