--- a/admission/gate.go
+++ b/admission/gate.go
@@ -255,7 +255,8 @@
 }
 
 // Report takes a load report. One that was measured before the newest is
-// ignored.
+// ignored. load.AgeMs includes the time since the report was asked for, rounded
+// up: work that started after the measurement must not seem to be part of it.
 func (g *Gate) Report(now time.Time, load api.LoadReport) []Outcome {
 	age := time.Duration(max(0, load.AgeMs)) * time.Millisecond
 	measured := now.Add(-age)
@@ -313,9 +314,9 @@
 // SetEndpoint takes the endpoint's settings and state. A state that stops work
 // refuses the queued requests at once.
 func (g *Gate) SetEndpoint(now time.Time, settings Settings) []Outcome {
-	wasCold := g.settings.State.NeedsLease()
+	wasCold := g.settings.cold()
 	g.settings = settings
-	if isCold := settings.State.NeedsLease(); wasCold != isCold {
+	if isCold := settings.cold(); wasCold != isCold {
 		if wasCold && g.warmth.phase != phaseCold {
 			g.warmth.startRamp(g.report.load.Bearable)
 		}
@@ -397,7 +398,7 @@
 	}
 	switch {
 	case g.settings.NoReports && !g.report.known:
-		if g.settings.State.NeedsLease() {
+		if g.settings.cold() {
 			return api.RefusalEndpointCold
 		}
 		return ""
