--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -57,6 +57,9 @@
 	// Ids of the last 64 committed batches, oldest first.
 	Batches []string `json:"batches" toml:"batches" cbor:"batches"`
 
+	// Number of the next segment; numbers are never used again.
+	NextSegment uint64 `json:"next_segment" toml:"next_segment" cbor:"next_segment"`
+
 	// Records not yet sealed; a later record of a key replaces an earlier one.
 	Records []ClaimRecord `json:"records" toml:"records" cbor:"records"`
 
@@ -102,6 +105,9 @@
 }
 
 type ClaimReply struct {
+	// With unavailable: the attempt is known not to be recorded and needs no release.
+	NotClaimed bool `json:"not_claimed,omitempty,omitzero" toml:"not_claimed,omitempty" cbor:"not_claimed,omitempty"`
+
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *ClaimOutcome `json:"outcome,omitempty,omitzero" toml:"outcome,omitempty" cbor:"outcome,omitempty"`
 
@@ -143,11 +149,11 @@
 }
 
 type ClaimSegmentRef struct {
-	// Key corresponds to the JSON schema field "key".
-	Key string `json:"key" toml:"key" cbor:"key"`
-
 	// NewestUnixMs corresponds to the JSON schema field "newest_unix_ms".
 	NewestUnixMs int `json:"newest_unix_ms" toml:"newest_unix_ms" cbor:"newest_unix_ms"`
+
+	// The segment is object claims/<shard>/seg-<number>.
+	Number uint64 `json:"number" toml:"number" cbor:"number"`
 }
 
 type ClaimSettings struct {
@@ -181,12 +187,18 @@
 	// Attempt corresponds to the JSON schema field "attempt".
 	Attempt string `json:"attempt" toml:"attempt" cbor:"attempt"`
 
+	// Recorded when the claim itself is no longer kept.
+	BodyDigest string `json:"body_digest,omitempty,omitzero" toml:"body_digest,omitempty" cbor:"body_digest,omitempty"`
+
 	// Key corresponds to the JSON schema field "key".
 	Key string `json:"key" toml:"key" cbor:"key"`
 
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *ClaimOutcome `json:"outcome,omitempty,omitzero" toml:"outcome,omitempty" cbor:"outcome,omitempty"`
 
+	// Router that ran or released the attempt.
+	Router string `json:"router,omitempty,omitzero" toml:"router,omitempty" cbor:"router,omitempty"`
+
 	// Shard corresponds to the JSON schema field "shard".
 	Shard int `json:"shard" toml:"shard" cbor:"shard"`
 
--- /dev/null
+++ b/claims/codec.go
@@ -0,0 +1,111 @@
+package claims
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+// ErrCorrupt says that a stored journal object cannot be used.
+var ErrCorrupt = errors.New("claims: corrupt journal object")
+
+var decoding = mustDecMode()
+
+// mustDecMode refuses repeated map keys, because the first and the last value
+// of a repeated field would give different records.
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:   cbor.DupMapKeyEnforcedAPF,
+		IndefLength: cbor.IndefLengthForbidden,
+		TagsMd:      cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func encode(value any) ([]byte, error) {
+	data, err := cbor.Marshal(value)
+	if err != nil {
+		return nil, fmt.Errorf("claims: encode: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeHead parses and checks the value of a head object. Every failure wraps
+// ErrCorrupt.
+func DecodeHead(data []byte) (api.ClaimHead, error) {
+	var head api.ClaimHead
+	if err := requireFields(data, "batches", "records", "segments", "next_segment"); err != nil {
+		return api.ClaimHead{}, err
+	}
+	if err := decoding.Unmarshal(data, &head); err != nil {
+		return api.ClaimHead{}, fmt.Errorf("%w: head: %w", ErrCorrupt, err)
+	}
+	for i, segment := range head.Segments {
+		if segment.Number >= head.NextSegment || i > 0 && segment.Number <= head.Segments[i-1].Number {
+			return api.ClaimHead{}, fmt.Errorf("%w: segment numbers out of order", ErrCorrupt)
+		}
+	}
+	if err := checkRecords(head.Records); err != nil {
+		return api.ClaimHead{}, err
+	}
+	return head, nil
+}
+
+// DecodeSegment parses and checks the value of a segment object. Every failure
+// wraps ErrCorrupt.
+func DecodeSegment(data []byte) (api.ClaimSegment, error) {
+	var segment api.ClaimSegment
+	if err := requireFields(data, "records"); err != nil {
+		return api.ClaimSegment{}, err
+	}
+	if err := decoding.Unmarshal(data, &segment); err != nil {
+		return api.ClaimSegment{}, fmt.Errorf("%w: segment: %w", ErrCorrupt, err)
+	}
+	if err := checkRecords(segment.Records); err != nil {
+		return api.ClaimSegment{}, err
+	}
+	return segment, nil
+}
+
+// requireFields refuses objects that lack a list, which would otherwise decode
+// as an empty journal and allow every claim.
+func requireFields(data []byte, names ...string) error {
+	var fields map[string]cbor.RawMessage
+	if err := decoding.Unmarshal(data, &fields); err != nil {
+		return fmt.Errorf("%w: %w", ErrCorrupt, err)
+	}
+	for _, name := range names {
+		const cborNull = 0xf6
+		raw, ok := fields[name]
+		if !ok || len(raw) == 0 || raw[0] == cborNull {
+			return fmt.Errorf("%w: field %s is missing", ErrCorrupt, name)
+		}
+	}
+	if len(fields) != len(names) {
+		return fmt.Errorf("%w: unknown fields", ErrCorrupt)
+	}
+	return nil
+}
+
+var states = []api.ClaimState{api.ClaimStateClaimed, api.ClaimStateDone, api.ClaimStateReleased}
+
+func checkRecords(records []api.ClaimRecord) error {
+	for _, record := range records {
+		switch {
+		case record.Key == "" || record.Attempt == "":
+			return fmt.Errorf("%w: record without key or attempt", ErrCorrupt)
+		case !slices.Contains(states, record.State):
+			return fmt.Errorf("%w: record state %q", ErrCorrupt, record.State)
+		case (record.State == api.ClaimStateDone) != (record.Outcome != nil):
+			return fmt.Errorf("%w: outcome does not fit state %q", ErrCorrupt, record.State)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/claims/shard_test.go
@@ -0,0 +1,518 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+func testConfig(owner string) Config {
+	return Config{
+		Owner: owner, CommitInterval: 50 * time.Millisecond, Retention: 24 * time.Hour,
+		UnknownAfter: time.Minute, MaxQueue: 8, MaxOutcomeBytes: 1024,
+	}
+}
+
+// attempt is one call of a router in the simulation.
+type attempt struct {
+	request   api.ClaimRequest
+	state     string // pending, running, done or abandoned
+	sent      int
+	unclaimed int // replies that say "not claimed"
+}
+
+type simOwner struct {
+	shard   *Shard
+	action  Action // in flight
+	event   Event  // result that was not delivered yet
+	done    bool   // the call has been made
+	replyTo map[uint64]*attempt
+}
+
+// simulation runs several owners of one shard against one store, with lost
+// answers, delayed writes, stale reads, crashes and routers that give up.
+type simulation struct {
+	t        *rapid.T
+	now      time.Time
+	store    *platform.Memory
+	owners   []*simOwner
+	starts   int
+	ids      uint64
+	attempts []*attempt
+	delayed  []Action
+	history  map[string][]platform.Object
+	previous api.ClaimHead
+	model    map[string]api.ClaimRecord // the plain map that the journal must equal
+	claimed  map[string]bool            // attempts that were ever recorded as claimed
+	runs     map[string]*attempt
+}
+
+func (w *simulation) start(i int) {
+	w.starts++
+	shard := NewShard(testConfig(fmt.Sprintf("o%d", w.starts)))
+	shard.sealBytes, shard.batchBytes = 250, 400
+	shard.SetDead(func(router string) bool { return router == "dead" })
+	w.owners[i] = &simOwner{shard: shard, replyTo: map[uint64]*attempt{}}
+}
+
+// apply makes a write and checks each new head against the plain map.
+func (w *simulation) apply(a Action) (uint64, error) {
+	ctx := context.Background()
+	if a.Kind == ActionDelete {
+		return 0, w.store.Delete(ctx, a.Key, a.IfVersion)
+	}
+	version, err := w.store.Put(ctx, a.Key, a.Value, a.IfVersion)
+	if err != nil {
+		return 0, err
+	}
+	w.history[a.Key] = append(w.history[a.Key], platform.Object{Key: a.Key, Version: version, Value: a.Value})
+	if a.Key == "claims/0/head" {
+		w.checkHead(a.Value)
+	}
+	return version, nil
+}
+
+func (w *simulation) checkHead(value []byte) {
+	head, err := DecodeHead(value)
+	assert.NilError(w.t, err)
+	kept := w.previous.Records
+	if head.NextSegment != w.previous.NextSegment {
+		ref := head.Segments[len(head.Segments)-1]
+		object, err := w.store.Get(context.Background(), fmt.Sprintf("claims/0/seg-%d", ref.Number))
+		assert.NilError(w.t, err, "head refers to a segment that was not written")
+		segment, err := DecodeSegment(object.Value)
+		assert.NilError(w.t, err)
+		count := len(segment.Records)
+		assert.Assert(w.t, reflect.DeepEqual(segment.Records, kept[:count]), "sealed records differ")
+		kept = kept[count:]
+	}
+	assert.Assert(w.t, len(head.Records) >= len(kept))
+	for i := range kept {
+		assert.Assert(w.t, reflect.DeepEqual(kept[i], head.Records[i]), "record lost or changed")
+	}
+	for _, record := range head.Records[len(kept):] {
+		w.checkRecord(record)
+	}
+	w.previous = head
+}
+
+func (w *simulation) checkRecord(record api.ClaimRecord) {
+	old, exists := w.model[record.Key]
+	switch record.State {
+	case api.ClaimStateClaimed:
+		assert.Assert(w.t, !exists || old.State == api.ClaimStateReleased && old.Attempt != record.Attempt,
+			"claim of %s after %+v", record.Attempt, old)
+		w.claimed[record.Attempt] = true
+	case api.ClaimStateDone:
+		assert.Assert(w.t, old.State == api.ClaimStateClaimed && old.Attempt == record.Attempt,
+			"outcome of %s after %+v", record.Attempt, old)
+	case api.ClaimStateReleased:
+		assert.Assert(w.t, !exists || old.State == api.ClaimStateReleased || old.Attempt == record.Attempt,
+			"release of %s after %+v", record.Attempt, old)
+		assert.Assert(w.t, old.State != api.ClaimStateDone)
+	}
+	w.model[record.Key] = record
+}
+
+func (w *simulation) read(a Action) Event {
+	versions := w.history[a.Key]
+	if len(versions) > 1 && rapid.IntRange(0, 9).Draw(w.t, "stale") == 0 {
+		return Event{Object: versions[rapid.IntRange(0, len(versions)-1).Draw(w.t, "version")]}
+	}
+	object, err := w.store.Get(context.Background(), a.Key)
+	return Event{Object: object, Err: err}
+}
+
+// call makes the call in flight of an owner, or part of it.
+func (w *simulation) call(o *simOwner) {
+	o.done = true
+	fault := rapid.SampledFrom([]string{"", "", "", "", "lost", "delayed", "never", "unavailable"}).Draw(w.t, "fault")
+	switch {
+	case fault == "unavailable":
+		o.event = Event{Err: platform.ErrUnavailable}
+	case o.action.Kind == ActionGet:
+		o.event = w.read(o.action)
+	case fault == "lost":
+		_, _ = w.apply(o.action)
+		o.event = Event{Err: platform.ErrAmbiguous}
+	case fault == "delayed":
+		w.delayed = append(w.delayed, o.action)
+		o.event = Event{Err: platform.ErrAmbiguous}
+	case fault == "never":
+		o.event = Event{Err: platform.ErrAmbiguous}
+	default:
+		version, err := w.apply(o.action)
+		o.event = Event{Version: version, Err: err}
+	}
+}
+
+func (w *simulation) ready(o *simOwner) {
+	action := o.shard.Ready(w.now)
+	for _, reply := range action.Replies {
+		w.reply(o, reply)
+	}
+	if action.Kind != ActionNone {
+		o.action, o.done = action, false
+	}
+}
+
+func (w *simulation) reply(o *simOwner, reply Reply) {
+	a := o.replyTo[reply.ID]
+	delete(o.replyTo, reply.ID)
+	if a == nil {
+		return
+	}
+	if reply.Reply.Result == api.ClaimResultUnavailable && reply.Reply.NotClaimed {
+		a.unclaimed++
+	}
+	if rapid.IntRange(0, 9).Draw(w.t, "reply lost") == 0 {
+		return
+	}
+	key := a.request.Key
+	switch reply.Reply.Result {
+	case api.ClaimResultGranted:
+		assert.Assert(w.t, w.claimed[a.request.Attempt], "grant of %s is not durable", a.request.Attempt)
+		if a.state != "pending" {
+			return
+		}
+		assert.Assert(w.t, w.runs[key] == nil, "second run of %s", key)
+		a.state = "running"
+		w.runs[key] = a
+	case api.ClaimResultDone:
+		run := w.runs[key]
+		assert.Assert(w.t, run != nil)
+		assert.Equal(w.t, string(reply.Reply.Outcome.Body), run.request.Attempt)
+	}
+}
+
+func (w *simulation) send(o *simOwner, a *attempt) {
+	w.ids++
+	switch a.state {
+	case "pending", "running":
+		o.replyTo[w.ids] = a
+		a.sent++
+		o.shard.Claim(w.ids, a.request)
+	case "done":
+		o.shard.Update(w.ids, api.ClaimUpdate{
+			Key: a.request.Key, Attempt: a.request.Attempt, State: api.ClaimStateDone,
+			Outcome: &api.ClaimOutcome{Status: 200, Body: []byte(a.request.Attempt)},
+		})
+	case "abandoned":
+		o.shard.Update(w.ids, api.ClaimUpdate{Key: a.request.Key, Attempt: a.request.Attempt, State: api.ClaimStateReleased})
+	}
+}
+
+func (w *simulation) act() {
+	o := w.owners[rapid.IntRange(0, len(w.owners)-1).Draw(w.t, "owner")]
+	switch rapid.IntRange(0, 15).Draw(w.t, "act") {
+	case 0, 1:
+		name := fmt.Sprintf("a%d", len(w.attempts))
+		a := &attempt{state: "pending", request: api.ClaimRequest{
+			Key:     rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(w.t, "key"),
+			Attempt: name, Router: rapid.SampledFrom([]string{"r1", "r2", "dead"}).Draw(w.t, "router"), BodyDigest: "d",
+		}}
+		w.attempts = append(w.attempts, a)
+		w.send(o, a)
+	case 2, 3, 4:
+		if len(w.attempts) > 0 {
+			w.send(o, rapid.SampledFrom(w.attempts).Draw(w.t, "attempt"))
+		}
+	case 5, 6:
+		for _, a := range w.attempts {
+			if a.state == "running" {
+				a.state = "done"
+				break
+			}
+		}
+	case 7:
+		if len(w.attempts) > 0 {
+			a := rapid.SampledFrom(w.attempts).Draw(w.t, "abandon")
+			if a.state == "pending" {
+				a.state = "abandoned"
+			}
+		}
+	case 8:
+		w.now = w.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(w.t, "ms")) * time.Millisecond)
+	case 9:
+		if len(w.delayed) > 0 {
+			i := rapid.IntRange(0, len(w.delayed)-1).Draw(w.t, "delayed")
+			_, _ = w.apply(w.delayed[i])
+			w.delayed = slices.Delete(w.delayed, i, i+1)
+		}
+	case 10:
+		if rapid.IntRange(0, 3).Draw(w.t, "crash") == 0 {
+			i := slices.Index(w.owners, o)
+			if o.action.Kind == ActionPut && !o.done {
+				w.delayed = append(w.delayed, o.action)
+			}
+			w.start(i)
+		}
+	default:
+		w.advance(o)
+	}
+}
+
+// advance takes the next step of an owner: ask, call or deliver.
+func (w *simulation) advance(o *simOwner) {
+	switch {
+	case o.action.Kind == ActionNone:
+		w.now = w.now.Add(20 * time.Millisecond)
+		w.ready(o)
+	case !o.done:
+		w.call(o)
+	default:
+		event := o.event
+		o.action = Action{}
+		o.shard.Step(w.now, event)
+		w.ready(o)
+	}
+}
+
+// Guards against a second run of a key, a grant that is not durable, a changed
+// outcome and a false "not claimed", with several owners of one shard under
+// lost answers, delayed writes, stale reads and crashes.
+func TestShardDifferential(t *testing.T) {
+	var grants, outcomes, segments int
+	rapid.Check(t, func(t *rapid.T) {
+		w := &simulation{
+			t: t, now: time.Unix(1e9, 0), store: platform.NewMemory(),
+			owners:  make([]*simOwner, rapid.IntRange(2, 3).Draw(t, "owners")),
+			history: map[string][]platform.Object{}, model: map[string]api.ClaimRecord{},
+			claimed: map[string]bool{}, runs: map[string]*attempt{},
+		}
+		for i := range w.owners {
+			w.start(i)
+		}
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			w.act()
+		}
+		for _, action := range w.delayed {
+			_, _ = w.apply(action)
+		}
+		for _, a := range w.attempts {
+			if a.sent > 0 && a.sent == a.unclaimed {
+				assert.Assert(t, !w.claimed[a.request.Attempt], "%s was reported as not claimed", a.request.Attempt)
+			}
+		}
+		grants += len(w.runs)
+		segments += int(w.previous.NextSegment)
+		for _, record := range w.model {
+			if record.State == api.ClaimStateDone {
+				outcomes++
+			}
+		}
+	})
+	t.Logf("%d runs, %d outcomes, %d segments", grants, outcomes, segments)
+	assert.Assert(t, grants > 0 && outcomes > 0 && segments > 0, "the simulation did not reach all states")
+}
+
+// drive runs one shard against a store without faults until it is idle.
+func drive(s *Shard, store platform.Store, now time.Time) map[uint64]api.ClaimReply {
+	ctx := context.Background()
+	replies := map[uint64]api.ClaimReply{}
+	for {
+		action := s.Ready(now)
+		for _, reply := range action.Replies {
+			replies[reply.ID] = reply.Reply
+		}
+		var event Event
+		switch action.Kind {
+		case ActionGet:
+			event.Object, event.Err = store.Get(ctx, action.Key)
+		case ActionPut:
+			event.Version, event.Err = store.Put(ctx, action.Key, action.Value, action.IfVersion)
+		case ActionDelete:
+			event.Err = store.Delete(ctx, action.Key, action.IfVersion)
+		default:
+			if action.Wake.IsZero() {
+				return replies
+			}
+			now = action.Wake
+			continue
+		}
+		s.Step(now, event)
+	}
+}
+
+func claimOf(key, attempt string) api.ClaimRequest {
+	return api.ClaimRequest{Key: key, Attempt: attempt, Router: "r1", BodyDigest: "d"}
+}
+
+// Guards against a corrupt head or segment that is read as an empty journal, so
+// that a key is granted again.
+func TestCorruptJournalGrantsNothing(t *testing.T) {
+	ctx := context.Background()
+	for _, key := range []string{"claims/0/head", "claims/0/seg-0"} {
+		for _, value := range [][]byte{{}, {0xa0}, {0xf6}, []byte("x")} {
+			store := platform.NewMemory()
+			first := NewShard(testConfig("o1"))
+			first.sealBytes = 50
+			first.Claim(1, claimOf("k1", "a1"))
+			drive(first, store, time.Unix(1e9, 0))
+			first.Claim(2, claimOf("k2", "a2"))
+			drive(first, store, time.Unix(1e9+1, 0))
+			object, err := store.Get(ctx, key)
+			assert.NilError(t, err)
+			_, err = store.Put(ctx, key, value, object.Version)
+			assert.NilError(t, err)
+			second := NewShard(testConfig("o2"))
+			second.Claim(1, claimOf("k1", "a3"))
+			replies := drive(second, store, time.Unix(1e9+2, 0))
+			assert.Equal(t, replies[1].Result, api.ClaimResultUnavailable)
+		}
+	}
+}
+
+// Guards against wrong answers to a repeated key.
+func TestAnswersToRepeatedKeys(t *testing.T) {
+	store := platform.NewMemory()
+	now := time.Unix(1e9, 0)
+	s := NewShard(testConfig("o1"))
+	expect := func(request api.ClaimRequest, want api.ClaimResult) {
+		t.Helper()
+		s.Claim(1, request)
+		assert.Equal(t, drive(s, store, now)[1].Result, want)
+	}
+	expect(claimOf("k", "a1"), api.ClaimResultGranted)
+	expect(claimOf("k", "a1"), api.ClaimResultGranted)
+	expect(claimOf("k", "a2"), api.ClaimResultInProgress)
+	other := claimOf("k", "a2")
+	other.BodyDigest = "e"
+	expect(other, api.ClaimResultBodyMismatch)
+	s.SetDead(func(router string) bool { return router == "r1" })
+	expect(claimOf("k", "a2"), api.ClaimResultOutcomeUnknown)
+	s.SetDead(func(string) bool { return false })
+	now = now.Add(2 * time.Minute)
+	expect(claimOf("k", "a2"), api.ClaimResultOutcomeUnknown)
+	s.Update(2, api.ClaimUpdate{Key: "k", Attempt: "a1", State: api.ClaimStateReleased})
+	assert.Equal(t, drive(s, store, now)[2].Result, api.ClaimResultDone)
+	expect(claimOf("k", "a1"), api.ClaimResultUnavailable)
+	expect(claimOf("k", "a2"), api.ClaimResultGranted)
+}
+
+// Guards against a head above its bound, keys lost in sealed segments, and
+// segments that outlive the retention.
+func TestSealingAndRetention(t *testing.T) {
+	ctx := context.Background()
+	store := platform.NewMemory()
+	now := time.Unix(1e9, 0)
+	s := NewShard(testConfig("o1"))
+	for i := range 400 {
+		key := fmt.Sprintf("k%d", i)
+		s.Claim(1, claimOf(key, "a1"))
+		assert.Equal(t, drive(s, store, now)[1].Result, api.ClaimResultGranted)
+		s.Update(2, api.ClaimUpdate{
+			Key: key, Attempt: "a1", State: api.ClaimStateDone,
+			Outcome: &api.ClaimOutcome{Status: 200, Body: make([]byte, 1000)},
+		})
+		drive(s, store, now)
+		object, err := store.Get(ctx, "claims/0/head")
+		assert.NilError(t, err)
+		assert.Assert(t, len(object.Value) <= 128<<10)
+	}
+	fresh := NewShard(testConfig("o2"))
+	fresh.Claim(1, claimOf("k0", "a2"))
+	reply := drive(fresh, store, now)[1]
+	assert.Equal(t, reply.Result, api.ClaimResultDone)
+	assert.Equal(t, len(reply.Outcome.Body), 1000)
+	now = now.Add(25 * time.Hour)
+	fresh.Claim(1, claimOf("new", "a1"))
+	assert.Equal(t, drive(fresh, store, now)[1].Result, api.ClaimResultGranted)
+	left, err := store.List(ctx, "claims/0/seg-")
+	assert.NilError(t, err)
+	assert.Assert(t, len(left) <= 1, "%d segments left", len(left))
+}
+
+// Guards against an unbounded queue.
+func TestFullQueueRefuses(t *testing.T) {
+	s := NewShard(testConfig("o1"))
+	for i := range 9 {
+		s.Claim(uint64(i), claimOf("k", fmt.Sprint(i)))
+	}
+	action := s.Ready(time.Unix(1e9, 0))
+	assert.Equal(t, len(action.Replies), 1)
+	assert.DeepEqual(t, action.Replies[0].Reply, api.ClaimReply{Result: api.ClaimResultUnavailable, NotClaimed: true})
+}
+
+// Guards against stored bytes that crash the decoder or decode to a head that
+// the state machine relies on to be valid.
+func FuzzDecodeHead(f *testing.F) {
+	value, err := encode(api.ClaimHead{Batches: []string{"b"}, Records: []api.ClaimRecord{}, Segments: []api.ClaimSegmentRef{}})
+	assert.NilError(f, err)
+	f.Add(value)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		head, err := DecodeHead(data)
+		if err != nil {
+			assert.Assert(t, errors.Is(err, ErrCorrupt))
+			return
+		}
+		assert.Assert(t, head.Records != nil && head.Segments != nil && head.Batches != nil)
+		for _, record := range head.Records {
+			assert.Assert(t, record.Key != "" && (record.State != api.ClaimStateDone || record.Outcome != nil))
+		}
+	})
+}
+
+// Guards against stored bytes that crash the decoder of segments.
+func FuzzDecodeSegment(f *testing.F) {
+	value, err := encode(api.ClaimSegment{Records: []api.ClaimRecord{{Key: "k", Attempt: "a", State: api.ClaimStateReleased}}})
+	assert.NilError(f, err)
+	f.Add(value)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		segment, err := DecodeSegment(data)
+		assert.Assert(t, err == nil && segment.Records != nil || errors.Is(err, ErrCorrupt))
+	})
+}
+
+// Guards against records that are dropped from the head because a segment with
+// the expected number exists but holds other records.
+func TestForeignSegmentIsPassedOver(t *testing.T) {
+	ctx := context.Background()
+	store := platform.NewMemory()
+	foreign, err := encode(api.ClaimSegment{Records: []api.ClaimRecord{{Key: "x", Attempt: "x", State: api.ClaimStateReleased}}})
+	assert.NilError(t, err)
+	_, err = store.Put(ctx, "claims/0/seg-0", foreign, 0)
+	assert.NilError(t, err)
+	s := NewShard(testConfig("o1"))
+	s.sealBytes = 50
+	for i, key := range []string{"k1", "k2", "k1"} {
+		s.Claim(1, claimOf(key, fmt.Sprint(i)))
+		want := api.ClaimResultGranted
+		if i == 2 {
+			want = api.ClaimResultInProgress
+		}
+		assert.Equal(t, drive(s, store, time.Unix(1e9+int64(i), 0))[1].Result, want)
+	}
+}
+
+// Guards against a head that was deleted or is read as absent, after which every
+// key would be granted again by an owner that has seen it.
+func TestVanishedHeadGrantsNothing(t *testing.T) {
+	ctx := context.Background()
+	store := platform.NewMemory()
+	s := NewShard(testConfig("o1"))
+	s.Claim(1, claimOf("k1", "a1"))
+	drive(s, store, time.Unix(1e9, 0))
+	object, err := store.Get(ctx, "claims/0/head")
+	assert.NilError(t, err)
+	assert.NilError(t, store.Delete(ctx, object.Key, object.Version))
+	for i := range 3 {
+		s.Claim(2, claimOf("k2", "a2"))
+		reply := drive(s, store, time.Unix(1e9+int64(i), 0))[2]
+		assert.Assert(t, reply.Result != api.ClaimResultGranted)
+		if reply.Result == api.ClaimResultUnavailable {
+			return
+		}
+	}
+	t.Fatal("the claim was not refused")
+}
