claims: add Owner, the shell around the shards of one router

Shard needs someone to make its calls. Owner keeps one runner per shard with a goroutine only while the shard has work, gives each call to the object API a timeout, and answers callers at their deadline. An operation that is withdrawn before it was written is reported as not claimed, so it needs no release. Losing a shard only frees memory, because safety rests on conditional updates.

--- /dev/null
+++ b/claims/owner.go
@@ -0,0 +1,306 @@
+package claims
+
+import (
+	"context"
+	"crypto/rand"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+// maxReplyWait bounds how long a caller without a deadline waits.
+const maxReplyWait = 10 * time.Second
+
+// ShardOf returns the shard of a key, from 0 to shards-1. It returns 0 if
+// shards is not positive.
+func ShardOf(key string, shards int) int {
+	if shards <= 0 {
+		return 0
+	}
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(key))
+	return int(hash.Sum64() % uint64(shards))
+}
+
+// Clock is the source of time of an Owner.
+type Clock interface {
+	Now() time.Time
+	// After is as time.After.
+	After(d time.Duration) <-chan time.Time
+}
+
+// SystemClock is the clock of the machine.
+type SystemClock struct{}
+
+// Now implements Clock.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// After implements Clock.
+func (SystemClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// OwnerConfig holds the settings of an Owner.
+type OwnerConfig struct {
+	Router          string
+	CommitInterval  time.Duration
+	Retention       time.Duration
+	UnknownAfter    time.Duration
+	MaxQueue        int // operations that wait per shard
+	MaxOutcomeBytes int
+	// CallTimeout bounds each call to the object API.
+	CallTimeout time.Duration
+}
+
+// DefaultOwnerConfig returns the defaults of the settings.
+func DefaultOwnerConfig(router string) OwnerConfig {
+	return OwnerConfig{
+		Router:          router,
+		CommitInterval:  50 * time.Millisecond,
+		Retention:       24 * time.Hour,
+		UnknownAfter:    10 * time.Minute,
+		MaxQueue:        1024,
+		MaxOutcomeBytes: 16 << 10,
+		CallTimeout:     2 * time.Second,
+	}
+}
+
+// Owner runs the shards that this router owns. It needs no proof of ownership:
+// two owners of one shard only cost each other conflicts. It is safe for
+// concurrent use.
+type Owner struct {
+	cfg   OwnerConfig
+	store platform.Store
+	clock Clock
+	start string
+	dead  atomic.Pointer[map[string]bool]
+
+	mu     sync.Mutex
+	closed bool
+	shards map[int]*runner
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+}
+
+// runner holds one shard. Its goroutine runs only while the shard has work.
+type runner struct {
+	mu      sync.Mutex
+	shard   *Shard
+	running bool
+	nextID  uint64
+	waiting map[uint64]chan api.ClaimReply
+	wake    chan struct{} // capacity 1
+}
+
+// NewOwner returns an Owner without shards. Close ends its work.
+func NewOwner(cfg OwnerConfig, store platform.Store, clock Clock) *Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Owner{
+		cfg:    cfg,
+		store:  store,
+		clock:  clock,
+		start:  rand.Text(),
+		shards: map[int]*runner{},
+		ctx:    ctx,
+		cancel: cancel,
+	}
+}
+
+// SetDead replaces the set of routers that are known to be dead. Claims of
+// their attempts are answered with outcome_unknown.
+func (o *Owner) SetDead(routers []string) {
+	dead := make(map[string]bool, len(routers))
+	for _, router := range routers {
+		dead[router] = true
+	}
+	o.dead.Store(&dead)
+}
+
+func (o *Owner) isDead(router string) bool {
+	dead := o.dead.Load()
+	return dead != nil && (*dead)[router]
+}
+
+// SetOwned frees the memory of idle shards that are not in the list. A shard
+// that has work is freed by a later call.
+func (o *Owner) SetOwned(shards []int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for number, r := range o.shards {
+		if slices.Contains(shards, number) {
+			continue
+		}
+		r.mu.Lock()
+		idle := !r.running && len(r.waiting) == 0
+		r.mu.Unlock()
+		if idle {
+			delete(o.shards, number)
+		}
+	}
+}
+
+// Handle claims a key. It returns unavailable when ctx ends first.
+func (o *Owner) Handle(ctx context.Context, request api.ClaimRequest) api.ClaimReply {
+	return o.run(ctx, request.Shard, func(s *Shard, id uint64) { s.Claim(id, request) })
+}
+
+// HandleUpdate completes or releases a claim. The result is done after the
+// commit, in_progress if another attempt holds the key, and unavailable if the
+// update has to be sent again.
+func (o *Owner) HandleUpdate(ctx context.Context, update api.ClaimUpdate) api.ClaimReply {
+	return o.run(ctx, update.Shard, func(s *Shard, id uint64) { s.Update(id, update) })
+}
+
+// Close stops all work. Operations in progress are answered with unavailable.
+func (o *Owner) Close() {
+	o.mu.Lock()
+	o.closed = true
+	o.mu.Unlock()
+	o.cancel()
+	o.work.Wait()
+}
+
+func (o *Owner) run(ctx context.Context, number int, enqueue func(*Shard, uint64)) api.ClaimReply {
+	ctx, cancel := context.WithTimeout(ctx, maxReplyWait)
+	defer cancel()
+	r, id, reply := o.submit(number, enqueue)
+	if r == nil {
+		return api.ClaimReply{Result: api.ClaimResultUnavailable, NotClaimed: true}
+	}
+	select {
+	case answer := <-reply:
+		return answer
+	case <-ctx.Done():
+	case <-o.ctx.Done():
+	}
+	return r.abandon(id, reply)
+}
+
+// submit queues an operation. It holds the lock of the owner, so that the shard
+// is not freed in between.
+func (o *Owner) submit(number int, enqueue func(*Shard, uint64)) (*runner, uint64, chan api.ClaimReply) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return nil, 0, nil
+	}
+	r := o.shards[number]
+	if r == nil {
+		r = o.newRunner(number)
+		o.shards[number] = r
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nextID++
+	reply := make(chan api.ClaimReply, 1)
+	r.waiting[r.nextID] = reply
+	enqueue(r.shard, r.nextID)
+	if !r.running {
+		r.running = true
+		o.work.Go(func() { o.drive(r) })
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+	return r, r.nextID, reply
+}
+
+func (o *Owner) newRunner(number int) *runner {
+	shard := NewShard(Config{
+		Shard:           number,
+		Owner:           o.cfg.Router + "-" + o.start,
+		CommitInterval:  o.cfg.CommitInterval,
+		Retention:       o.cfg.Retention,
+		UnknownAfter:    o.cfg.UnknownAfter,
+		MaxQueue:        o.cfg.MaxQueue,
+		MaxOutcomeBytes: o.cfg.MaxOutcomeBytes,
+	})
+	shard.SetDead(o.isDead)
+	return &runner{shard: shard, waiting: map[uint64]chan api.ClaimReply{}, wake: make(chan struct{}, 1)}
+}
+
+// abandon withdraws an operation whose caller no longer waits.
+func (r *runner) abandon(id uint64, reply chan api.ClaimReply) api.ClaimReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case answer := <-reply:
+		return answer
+	default:
+	}
+	delete(r.waiting, id)
+	return api.ClaimReply{Result: api.ClaimResultUnavailable, NotClaimed: r.shard.Cancel(id)}
+}
+
+// drive makes the calls that the shard asks for until it is idle.
+func (o *Owner) drive(r *runner) {
+	for {
+		action, idle := r.ready(o.clock.Now())
+		switch {
+		case idle:
+			return
+		case action.Kind != ActionNone:
+			event := o.call(action)
+			r.step(o.clock.Now(), event)
+		case !o.sleep(r, action.Wake):
+			return
+		}
+	}
+}
+
+// ready asks the shard for its next action and sends its replies. It marks the
+// runner as stopped under the same lock when the shard has no work.
+func (r *runner) ready(now time.Time) (Action, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	action := r.shard.Ready(now)
+	for _, reply := range action.Replies {
+		if waiting, ok := r.waiting[reply.ID]; ok {
+			waiting <- reply.Reply
+			delete(r.waiting, reply.ID)
+		}
+	}
+	idle := action.Kind == ActionNone && action.Wake.IsZero()
+	if idle {
+		r.running = false
+	}
+	return action, idle
+}
+
+func (r *runner) step(now time.Time, event Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shard.Step(now, event)
+}
+
+// sleep waits for new operations or until wake. It returns false when the owner
+// is closed.
+func (o *Owner) sleep(r *runner, wake time.Time) bool {
+	select {
+	case <-r.wake:
+	case <-o.clock.After(wake.Sub(o.clock.Now())):
+	case <-o.ctx.Done():
+		return false
+	}
+	return true
+}
+
+func (o *Owner) call(action Action) Event {
+	ctx, cancel := context.WithTimeout(o.ctx, o.cfg.CallTimeout)
+	defer cancel()
+	var event Event
+	switch action.Kind {
+	case ActionGet:
+		event.Object, event.Err = o.store.Get(ctx, action.Key)
+	case ActionPut:
+		event.Version, event.Err = o.store.Put(ctx, action.Key, action.Value, action.IfVersion)
+	case ActionDelete:
+		event.Err = o.store.Delete(ctx, action.Key, action.IfVersion)
+	}
+	return event
+}
--- /dev/null
+++ b/claims/owner_test.go
@@ -0,0 +1,71 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+func testOwner(store platform.Store) *Owner {
+	cfg := DefaultOwnerConfig("r1")
+	cfg.CommitInterval = time.Millisecond
+	return NewOwner(cfg, store, SystemClock{})
+}
+
+// Guards against two grants of one key by concurrent callers of two owners, and
+// against goroutines that outlive their work.
+func TestOwnersGrantOnce(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	store := platform.NewMemory()
+	owners := []*Owner{testOwner(store), testOwner(store)}
+	var granted atomic.Int32
+	var callers sync.WaitGroup
+	for i := range 64 {
+		callers.Go(func() {
+			request := claimOf(fmt.Sprintf("k%d", i%8), fmt.Sprintf("a%d", i))
+			for range 100 {
+				reply := owners[i%2].Handle(context.Background(), request)
+				if reply.Result == api.ClaimResultGranted {
+					granted.Add(1)
+				}
+				if reply.Result != api.ClaimResultUnavailable {
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
+	assert.Equal(t, granted.Load(), int32(8))
+	owners[0].SetOwned(nil)
+	owners[0].Close()
+	owners[1].Close()
+}
+
+// blockedStore holds every call until its context ends.
+type blockedStore struct{ platform.Store }
+
+func (blockedStore) Get(ctx context.Context, _ string) (platform.Object, error) {
+	<-ctx.Done()
+	return platform.Object{}, platform.ErrUnavailable
+}
+
+// Guards against callers that wait beyond their deadline while the object API
+// does not answer.
+func TestHandleReturnsAtDeadline(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	owner := testOwner(blockedStore{platform.NewMemory()})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	reply := owner.Handle(ctx, claimOf("k", "a"))
+	assert.DeepEqual(t, reply, api.ClaimReply{Result: api.ClaimResultUnavailable, NotClaimed: true})
+	owner.Close()
+}
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -492,10 +492,10 @@
 		s.sealCount = len(s.head.Records)
 		s.sealNewest = newestTime(s.head.Records)
 		s.sealVersion = event.Version
-	case errors.Is(event.Err, platform.ErrConflict), errors.Is(event.Err, platform.ErrAmbiguous):
-		s.verifySeal = true
-	default:
+	case errors.Is(event.Err, platform.ErrUnavailable), errors.Is(event.Err, platform.ErrTooLarge):
 		s.fail(now)
+	default:
+		s.verifySeal = true
 	}
 }
 
@@ -578,7 +578,8 @@
 }
 
 func (s *Shard) stepDelete(now time.Time, event Event) {
-	if errors.Is(event.Err, platform.ErrUnavailable) || errors.Is(event.Err, platform.ErrAmbiguous) {
+	gone := event.Err == nil || errors.Is(event.Err, platform.ErrNotFound) || errors.Is(event.Err, platform.ErrConflict)
+	if !gone {
 		s.delay(now)
 		return
 	}
