claims: add Attempts, the router's table of its own attempts

Attempts keeps each attempt as pending, running or waiting to be reported. A grant counts only for a pending attempt; a grant after the release was acknowledged is released again. Completions and releases are repeated with jittered backoff until an owner has committed them. The number of attempts and the bytes of held outcomes are bounded; when the table is full, new keyed calls are refused before a claim is sent.

--- /dev/null
+++ b/claims/attempts_test.go
@@ -0,0 +1,115 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+)
+
+// Guards against an attempt that runs twice or after its caller was told "not
+// run", and against an unacknowledged release that is forgotten.
+func TestAttemptRunsOnceAndNotAfterAbandon(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	table := NewAttempts(DefaultAttemptsConfig("r1"))
+	run, _ := table.Begin(0, "k", "d")
+	assert.Assert(t, table.Granted(now, run))
+	assert.Assert(t, !table.Granted(now, run))
+	assert.Assert(t, !table.Abandon(now, run.Attempt))
+	late, _ := table.Begin(0, "k", "d")
+	assert.Assert(t, table.Abandon(now, late.Attempt))
+	assert.Assert(t, !table.Granted(now, late))
+	due := table.Due(now, 10)
+	assert.Equal(t, len(due), 1)
+	assert.Equal(t, len(table.Due(now, 10)), 0)
+	table.Acknowledge(now, due[0], api.ClaimReply{Result: api.ClaimResultUnavailable})
+	now = now.Add(firstReportDelay)
+	due = table.Due(now, 10)
+	assert.Equal(t, due[0].State, api.ClaimStateReleased)
+	table.Acknowledge(now, due[0], api.ClaimReply{Result: api.ClaimResultDone})
+	assert.Assert(t, !table.Granted(now, late))
+	assert.Equal(t, len(table.Due(now, 10)), 1, "a grant after the release is released again")
+}
+
+// Guards against a table or held bodies that grow without bound in an outage.
+func TestAttemptsAreBounded(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	table := NewAttempts(AttemptsConfig{Router: "r1", MaxAttempts: 2, MaxOutcomeBytes: 8, MaxHeldBytes: 8})
+	for i := range 2 {
+		request, ok := table.Begin(0, "k", "d")
+		assert.Assert(t, ok)
+		assert.Assert(t, table.Granted(now, request))
+		table.Complete(now, request.Attempt, &api.ClaimOutcome{Status: 200, Body: make([]byte, 8)})
+		assert.Equal(t, table.held, 8, "attempt %d", i)
+	}
+	_, ok := table.Begin(0, "k", "d")
+	assert.Assert(t, !ok)
+	for _, update := range table.Due(now, 10) {
+		table.Acknowledge(now, update, api.ClaimReply{Result: api.ClaimResultDone})
+	}
+	assert.Equal(t, table.held, 0)
+}
+
+// Guards against a second run of a key, or an outcome that is never recorded,
+// through client and wire while answers are lost and calls are rate limited.
+func TestClaimsOverFaultyPlatform(t *testing.T) {
+	stand := standin.NewPlatform("secret")
+	server := httptest.NewServer(stand)
+	defer server.Close()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	stand.SetFaults(standin.PlatformFaults{LoseProbability: 0.2, Seed: 1, WritesPerSecond: 300})
+	cfg := platform.DefaultClientConfig(server.URL, "secret")
+	owners := make([]*Owner, 2)
+	for i := range owners {
+		owners[i] = testOwner(platform.NewClient(cfg, transport, telemetry.NewMetrics()))
+		defer owners[i].Close()
+	}
+	table := NewAttempts(DefaultAttemptsConfig("r1"))
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go Report(ctx, table, SystemClock{}, func(ctx context.Context, update api.ClaimUpdate) api.ClaimReply {
+		return owners[0].HandleUpdate(ctx, update)
+	})
+	const keys = 10
+	var runs [keys]atomic.Int32
+	var callers sync.WaitGroup
+	for i := range 8 * keys {
+		callers.Go(func() {
+			key := fmt.Sprintf("k%d", i%keys)
+			for range 200 {
+				request, ok := table.Begin(0, key, "d")
+				assert.Check(t, ok)
+				reply := owners[i%2].Handle(ctx, request)
+				now := time.Now()
+				switch {
+				case reply.Result != api.ClaimResultGranted:
+					table.Refused(now, request.Attempt, reply)
+				case table.Granted(now, request):
+					runs[i%keys].Add(1)
+					table.Complete(now, request.Attempt, &api.ClaimOutcome{Status: 200})
+				}
+				if reply.Result == api.ClaimResultDone {
+					return
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			t.Errorf("no outcome of %s", key)
+		})
+	}
+	callers.Wait()
+	for i := range runs {
+		assert.Equal(t, runs[i].Load(), int32(1), "runs of k%d", i)
+	}
+}
