--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -64,6 +64,9 @@
 	// Ids of the last 64 committed batches, oldest first.
 	Batches []string `json:"batches" toml:"batches" cbor:"batches"`
 
+	// Number of the next segment; numbers are never used again.
+	NextSegment uint64 `json:"next_segment" toml:"next_segment" cbor:"next_segment"`
+
 	// Records not yet sealed; a later record of a key replaces an earlier one.
 	Records []ClaimRecord `json:"records" toml:"records" cbor:"records"`
 
@@ -109,6 +112,9 @@
 }
 
 type ClaimReply struct {
+	// With unavailable: the attempt is known not to be recorded and needs no release.
+	NotClaimed bool `json:"not_claimed,omitempty,omitzero" toml:"not_claimed,omitempty" cbor:"not_claimed,omitempty"`
+
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *ClaimOutcome `json:"outcome,omitempty,omitzero" toml:"outcome,omitempty" cbor:"outcome,omitempty"`
 
@@ -150,11 +156,11 @@
 }
 
 type ClaimSegmentRef struct {
-	// Key corresponds to the JSON schema field "key".
-	Key string `json:"key" toml:"key" cbor:"key"`
-
 	// NewestUnixMs corresponds to the JSON schema field "newest_unix_ms".
 	NewestUnixMs int `json:"newest_unix_ms" toml:"newest_unix_ms" cbor:"newest_unix_ms"`
+
+	// The segment is object claims/<shard>/seg-<number>.
+	Number uint64 `json:"number" toml:"number" cbor:"number"`
 }
 
 type ClaimSettings struct {
@@ -188,12 +194,18 @@
 	// Attempt corresponds to the JSON schema field "attempt".
 	Attempt string `json:"attempt" toml:"attempt" cbor:"attempt"`
 
+	// Recorded when the claim itself is no longer kept.
+	BodyDigest string `json:"body_digest,omitempty,omitzero" toml:"body_digest,omitempty" cbor:"body_digest,omitempty"`
+
 	// Key corresponds to the JSON schema field "key".
 	Key string `json:"key" toml:"key" cbor:"key"`
 
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *ClaimOutcome `json:"outcome,omitempty,omitzero" toml:"outcome,omitempty" cbor:"outcome,omitempty"`
 
+	// Router that ran or released the attempt.
+	Router string `json:"router,omitempty,omitzero" toml:"router,omitempty" cbor:"router,omitempty"`
+
 	// Shard corresponds to the JSON schema field "shard".
 	Shard int `json:"shard" toml:"shard" cbor:"shard"`
 
@@ -251,6 +263,9 @@
 	// Load corresponds to the JSON schema field "load".
 	Load *LoadReport `json:"load,omitempty,omitzero" toml:"load,omitempty" cbor:"load,omitempty"`
 
+	// Objects corresponds to the JSON schema field "objects".
+	Objects *ObjectList `json:"objects,omitempty,omitzero" toml:"objects,omitempty" cbor:"objects,omitempty"`
+
 	// Order corresponds to the JSON schema field "order".
 	Order *Order `json:"order,omitempty,omitzero" toml:"order,omitempty" cbor:"order,omitempty"`
 
@@ -570,6 +585,15 @@
 	After uint64 `json:"after" toml:"after" cbor:"after"`
 }
 
+// Body of GET /v1/objects and of GET /v1/watch.
+type ObjectList struct {
+	// Objects corresponds to the JSON schema field "objects".
+	Objects []StoredObject `json:"objects" toml:"objects" cbor:"objects"`
+
+	// Value of since for the next watch.
+	Version uint64 `json:"version" toml:"version" cbor:"version"`
+}
+
 // Body of POST /orders.
 type Order struct {
 	// Adapter corresponds to the JSON schema field "adapter".
@@ -1060,6 +1084,20 @@
 	Router RouterSettings `json:"router" toml:"router" cbor:"router"`
 }
 
+type StoredObject struct {
+	// Deleted corresponds to the JSON schema field "deleted".
+	Deleted bool `json:"deleted,omitempty,omitzero" toml:"deleted,omitempty" cbor:"deleted,omitempty"`
+
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key" toml:"key" cbor:"key"`
+
+	// Value corresponds to the JSON schema field "value".
+	Value []byte `json:"value,omitempty,omitzero" toml:"value,omitempty" cbor:"value,omitempty"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version" toml:"version" cbor:"version"`
+}
+
 type Workspace struct {
 	// ID corresponds to the JSON schema field "id".
 	ID string `json:"id" toml:"id" cbor:"id"`
