notes: parse release notes and accept them by conditional update

Cause: operators race, write answers are lost, and writes take effect late. A repeated note that a later one has undone is refused with SupersededError instead of being reported as accepted, because a second withdrawal of a zone with the same text would otherwise have no effect. The head keeps at most 64 KiB of notes; others keep title and author only.

--- a/fleet/problems.go
+++ b/fleet/problems.go
@@ -7,6 +7,8 @@
 
 // Problem is one fault in a release note.
 type Problem struct {
+	// Line is the line of the note's file; 0 when it is not known.
+	Line int `json:"line,omitempty"`
 	// Path names the faulty part, such as added.endpoints[2].url.
 	Path string `json:"path"`
 	// Text says what is wrong with it.
@@ -15,10 +17,14 @@
 
 // String returns the problem on one line.
 func (p Problem) String() string {
-	if p.Path == "" {
-		return p.Text
+	text := p.Text
+	if p.Path != "" {
+		text = p.Path + ": " + text
 	}
-	return p.Path + ": " + p.Text
+	if p.Line > 0 {
+		text = fmt.Sprintf("line %d: %s", p.Line, text)
+	}
+	return text
 }
 
 // Problems is the error of a note that cannot be accepted. It lists all faults,
--- /dev/null
+++ b/notes/acceptor_test.go
@@ -0,0 +1,197 @@
+package notes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+func addZone(id string) api.Note {
+	return api.Note{Title: "Add " + id, Author: "operator", Added: &api.NoteParts{Zones: []api.Zone{{ID: id}}}}
+}
+
+func withdrawZone(id string) api.Note {
+	return api.Note{Title: "Withdraw " + id, Withdrawn: &api.NoteWithdrawals{Zones: []string{id}}}
+}
+
+func testAcceptor(store platform.Store) *Acceptor {
+	return NewAcceptor(AcceptorOptions{
+		Store: store,
+		Now:   func() time.Time { return time.UnixMilli(1) },
+		Sleep: func(ctx context.Context, _ time.Duration) error { return ctx.Err() },
+	})
+}
+
+type outcome struct {
+	note   api.Note
+	result Result
+	err    error
+}
+
+// Guards against two notes with one revision, a head whose state is missing or
+// not that of its notes, an accepted note that is reported as refused, and a
+// refused one that takes effect later. Operators race over a store that loses,
+// delays and repeats.
+func TestAcceptorRaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := newScheduledStore()
+		acceptor := testAcceptor(store)
+		outcomes := make([][]outcome, rapid.IntRange(2, 4).Draw(t, "operators"))
+		var operators []func()
+		for i := range outcomes {
+			count := rapid.IntRange(1, 3).Draw(t, "notes")
+			zones := rapid.SliceOfN(rapid.IntRange(0, 5), count, count).Draw(t, "zones")
+			operators = append(operators, func() {
+				for _, zone := range zones {
+					note := addZone(fmt.Sprintf("zone-%d", zone))
+					result, err := acceptor.Accept(context.Background(), note)
+					outcomes[i] = append(outcomes[i], outcome{note, result, err})
+				}
+			})
+		}
+		store.drive(t, operators)
+		committed := checkSequence(t, store)
+		for _, list := range outcomes {
+			for _, o := range list {
+				checkOutcome(t, o, committed)
+			}
+		}
+	})
+}
+
+// checkSequence follows all values that the head had and returns the note of
+// each revision.
+func checkSequence(t *rapid.T, store *scheduledStore) []api.AcceptedNote {
+	var committed []api.AcceptedNote
+	state := fleet.State{}
+	for i, object := range store.history[HeadKey] {
+		head, err := decodeHead(object.Value)
+		assert.NilError(t, err)
+		assert.Equal(t, head.Revision, uint64(i+1))
+		newest := head.Recent[len(head.Recent)-1]
+		state, err = step(state, newest)
+		assert.NilError(t, err)
+		committed = append(committed, newest)
+		assert.DeepEqual(t, head.Recent, committed)
+		stored := store.history[stateKey(head.Revision, head.NoteID)]
+		assert.Assert(t, len(stored) > 0 && stored[0].Version < object.Version, "head before its state")
+		_, err = decodeState(stored[0].Value, head.Digest)
+		assert.NilError(t, err)
+	}
+	if len(committed) > 0 {
+		newest := committed[len(committed)-1]
+		_, err := store.memory.Get(context.Background(), stateKey(newest.Revision, newest.ID))
+		assert.NilError(t, err, "the state of the head was removed")
+	}
+	return committed
+}
+
+func checkOutcome(t *rapid.T, o outcome, committed []api.AcceptedNote) {
+	id, err := fleet.NoteID(o.note)
+	assert.NilError(t, err)
+	own, found := findNote(committed, id, 0)
+	var lost *LostRaceError
+	var problems fleet.Problems
+	switch {
+	case o.err == nil:
+		assert.Assert(t, found, "accepted, but not in the sequence")
+		assert.Equal(t, o.result.Revision, own.Revision)
+		assert.Equal(t, o.result.Digest, own.Digest)
+	case errors.As(o.err, &lost):
+		assert.Assert(t, len(lost.Winners) > 0)
+		for _, winner := range lost.Winners {
+			assert.DeepEqual(t, winner, committed[winner.Revision-1])
+			assert.Assert(t, winner.ID != id)
+		}
+	case errors.As(o.err, &problems):
+		t.Fatalf("a note without faults was refused: %v", o.err)
+	default:
+		// Another operator may have accepted the same note, so its presence
+		// proves nothing here.
+		assert.Assert(t, errors.Is(o.err, ErrUnavailable) || errors.Is(o.err, ErrOutcomeUnknown), "%v", o.err)
+	}
+}
+
+// Guards against a note that is accepted after its operator was told that it
+// lost or failed. All notes differ, so that each has one operator.
+func TestAcceptorRefusedNoteNeverLands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := newScheduledStore()
+		acceptor := testAcceptor(store)
+		outcomes := make([]outcome, rapid.IntRange(2, 5).Draw(t, "operators"))
+		var operators []func()
+		for i := range outcomes {
+			operators = append(operators, func() {
+				note := addZone(fmt.Sprintf("zone-%d", i))
+				result, err := acceptor.Accept(context.Background(), note)
+				outcomes[i] = outcome{note, result, err}
+			})
+		}
+		store.drive(t, operators)
+		committed := checkSequence(t, store)
+		for _, o := range outcomes {
+			if o.err == nil || errors.Is(o.err, ErrOutcomeUnknown) {
+				continue
+			}
+			id, err := fleet.NoteID(o.note)
+			assert.NilError(t, err)
+			_, found := findNote(committed, id, 0)
+			assert.Assert(t, !found, "reported %v, but accepted", o.err)
+		}
+	})
+}
+
+// Guards against a repeated withdrawal that is taken for the earlier one and
+// has no effect, and against a second acceptance of a note in force.
+func TestAcceptTwice(t *testing.T) {
+	ctx := context.Background()
+	acceptor := testAcceptor(platform.NewMemory())
+	accept := func(note api.Note) (Result, error) { return acceptor.Accept(ctx, note) }
+	_, err := accept(addZone("a"))
+	assert.NilError(t, err)
+	first, err := accept(withdrawZone("a"))
+	assert.NilError(t, err)
+	again, err := accept(withdrawZone("a"))
+	assert.NilError(t, err)
+	assert.Assert(t, again.Already)
+	assert.Equal(t, again.Revision, first.Revision)
+	_, err = accept(api.Note{Title: "Return a", Changed: &api.NoteParts{Zones: []api.Zone{{ID: "a"}}}})
+	assert.NilError(t, err)
+	_, err = accept(withdrawZone("a"))
+	var superseded *SupersededError
+	assert.Assert(t, errors.As(err, &superseded))
+	assert.Equal(t, superseded.Accepted.Revision, first.Revision)
+}
+
+// Guards against a head that outgrows its bound or drops the ids by which lost
+// answers are resolved, and against state objects that pile up.
+func TestHeadAndStatesStayBounded(t *testing.T) {
+	ctx := context.Background()
+	store := platform.NewMemory()
+	acceptor := testAcceptor(store)
+	for i := range 2 * maxRecent {
+		note := addZone(fmt.Sprintf("zone-%d", i))
+		for j := range 200 {
+			note.Added.Zones = append(note.Added.Zones, api.Zone{ID: fmt.Sprintf("zone-%d-%d", i, j)})
+		}
+		_, err := acceptor.Accept(ctx, note)
+		assert.NilError(t, err)
+	}
+	object, head, err := readHead(ctx, store)
+	assert.NilError(t, err)
+	assert.Equal(t, len(head.Recent), maxRecent)
+	assert.Assert(t, head.Recent[0].Trimmed && !head.Recent[maxRecent-1].Trimmed)
+	assert.Assert(t, len(object.Value) < maxRecentBytes+maxRecent*1024, "%d bytes", len(object.Value))
+	states, err := store.List(ctx, statePrefix)
+	assert.NilError(t, err)
+	assert.Equal(t, len(states), keptStates)
+}
--- /dev/null
+++ b/notes/parse.go
@@ -0,0 +1,119 @@
+package notes
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+
+	toml "github.com/pelletier/go-toml/v2"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+)
+
+const (
+	// MaxNoteBytes bounds a note's file. The import of 3,200 workspaces and 600
+	// endpoints takes about 600 KB of TOML.
+	MaxNoteBytes = 2 << 20
+	// maxTypeProblems bounds the wrong types that are reported at once, because
+	// each needs another pass over the file.
+	maxTypeProblems = 50
+)
+
+// wrongType matches a message of the decoder that names Go types, which mean
+// nothing to an operator.
+var wrongType = regexp.MustCompile(`cannot decode TOML (.+) into struct field \S+ of type (\S+)`)
+
+// ParseTOML reads a note strictly: unknown keys are errors. The error is of type
+// fleet.Problems and lists all unknown keys and wrong types with their lines. A
+// syntax error is reported alone.
+func ParseTOML(data []byte) (api.Note, error) {
+	if len(data) > MaxNoteBytes {
+		return api.Note{}, fleet.Problems{{Text: fmt.Sprintf("the note has %d bytes, at most %d are allowed", len(data), MaxNoteBytes)}}
+	}
+	if problem, bad := syntaxProblem(data); bad {
+		return api.Note{}, fleet.Problems{problem}
+	}
+	note, problems := decodeAll(bytes.Clone(data))
+	if len(problems) > 0 {
+		slices.SortStableFunc(problems, func(a, b fleet.Problem) int { return a.Line - b.Line })
+		return api.Note{}, problems
+	}
+	return note, nil
+}
+
+func syntaxProblem(data []byte) (fleet.Problem, bool) {
+	var document map[string]any
+	err := toml.Unmarshal(data, &document)
+	if err == nil {
+		return fleet.Problem{}, false
+	}
+	return decodeProblem(err), true
+}
+
+// decodeAll decodes a note that has no syntax error. The decoder stops at the
+// first wrong type, so that line is blanked in data and the decoding repeated.
+func decodeAll(data []byte) (api.Note, fleet.Problems) {
+	var problems fleet.Problems
+	for range maxTypeProblems {
+		var note api.Note
+		err := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields().Decode(&note)
+		if err == nil {
+			return note, problems
+		}
+		var unknown *toml.StrictMissingError
+		if errors.As(err, &unknown) {
+			return note, append(problems, unknownKeys(unknown)...)
+		}
+		problem := decodeProblem(err)
+		problems = append(problems, problem)
+		blankLine(data, problem.Line)
+		if _, bad := syntaxProblem(data); bad {
+			break // the value spans lines, so the rest cannot be read without it
+		}
+	}
+	return api.Note{}, problems
+}
+
+func unknownKeys(unknown *toml.StrictMissingError) fleet.Problems {
+	var problems fleet.Problems
+	for i := range unknown.Errors {
+		line, _ := unknown.Errors[i].Position()
+		path := strings.Join(unknown.Errors[i].Key(), ".")
+		problems = append(problems, fleet.Problem{Line: line, Path: path, Text: "unknown key"})
+	}
+	return problems
+}
+
+func decodeProblem(err error) fleet.Problem {
+	var decode *toml.DecodeError
+	if !errors.As(err, &decode) {
+		return fleet.Problem{Text: err.Error()}
+	}
+	line, _ := decode.Position()
+	text := strings.TrimPrefix(decode.Error(), "toml: ")
+	text = wrongType.ReplaceAllString(text, "must be of type $2, is a TOML $1")
+	return fleet.Problem{Line: line, Path: strings.Join(decode.Key(), "."), Text: text}
+}
+
+// blankLine turns line number n, counted from 1, into a comment.
+func blankLine(data []byte, n int) {
+	start := 0
+	for line := 1; line < n; line++ {
+		next := bytes.IndexByte(data[start:], '\n')
+		if next < 0 {
+			return
+		}
+		start += next + 1
+	}
+	end := bytes.IndexByte(data[start:], '\n')
+	if end < 0 {
+		end = len(data) - start
+	}
+	for i := start; i < start+end; i++ {
+		data[i] = '#'
+	}
+}
--- /dev/null
+++ b/notes/plan.go
@@ -0,0 +1,203 @@
+package notes
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+)
+
+const (
+	// HeadKey is the key of the head object.
+	HeadKey = "notes/head"
+	// statePrefix is followed by <revision>-<note id>.
+	statePrefix = "notes/state/"
+	// maxRecent is the number of notes that the head keeps.
+	maxRecent = 32
+	// maxRecentBytes bounds the notes in the head, because each of 350 routers
+	// reads the head after each of 440 notes a day: 64 KiB make 0.3 KB/s of the
+	// 4 KB/s that a router may spend on control.
+	maxRecentBytes = 64 << 10
+	// keptStates is the number of committed states that are kept. A router that
+	// has read the head may still be about to read the state of that revision.
+	keptStates = 4
+)
+
+var (
+	errGap     = errors.New("notes: the notes do not follow the applied revision")
+	errTrimmed = errors.New("notes: a note is kept without its parts")
+	errDigest  = errors.New("notes: the state does not have the digest of its note")
+)
+
+// stateKey returns the key of the state object of a revision.
+func stateKey(revision uint64, noteID string) string {
+	return statePrefix + strconv.FormatUint(revision, 10) + "-" + noteID
+}
+
+// splitStateKey is the inverse of stateKey.
+func splitStateKey(key string) (revision uint64, noteID string, ok bool) {
+	name, ok := strings.CutPrefix(key, statePrefix)
+	if !ok {
+		return 0, "", false
+	}
+	number, noteID, ok := strings.Cut(name, "-")
+	if !ok {
+		return 0, "", false
+	}
+	revision, err := strconv.ParseUint(number, 10, 64)
+	return revision, noteID, err == nil
+}
+
+// commit is what accepting a note writes.
+type commit struct {
+	accepted  api.AcceptedNote
+	state     fleet.State
+	stateKey  string
+	stateData []byte
+	headData  []byte
+}
+
+// planCommit computes the objects that accept a note after head, whose state is
+// given. The error is of type fleet.Problems when the note is at fault.
+func planCommit(head api.NoteHead, state fleet.State, note api.Note, now time.Time) (commit, error) {
+	next, err := fleet.Apply(state, note)
+	if err != nil {
+		return commit{}, err
+	}
+	data, digest, err := fleet.Encode(next)
+	if err != nil {
+		return commit{}, err
+	}
+	accepted := api.AcceptedNote{
+		Revision:       next.Revision,
+		ID:             next.NoteID,
+		AcceptedUnixMs: int(now.UnixMilli()),
+		Note:           note,
+		Digest:         digest,
+	}
+	newHead := api.NoteHead{
+		Revision: next.Revision,
+		NoteID:   next.NoteID,
+		Digest:   digest,
+		Recent:   appendRecent(head.Recent, accepted),
+	}
+	headData, err := fleet.Marshal(newHead)
+	if err != nil {
+		return commit{}, err
+	}
+	key := stateKey(next.Revision, next.NoteID)
+	return commit{accepted: accepted, state: next, stateKey: key, stateData: data, headData: headData}, nil
+}
+
+// appendRecent returns the last notes with one more. Notes that do not fit into
+// maxRecentBytes, counted from the newest, are trimmed to title and author.
+func appendRecent(recent []api.AcceptedNote, more ...api.AcceptedNote) []api.AcceptedNote {
+	next := slices.Concat(recent, more)
+	next = next[max(0, len(next)-maxRecent):]
+	left := maxRecentBytes
+	for i := len(next) - 1; i >= 0; i-- {
+		size := encodedSize(next[i])
+		if size > left {
+			next[i].Note = api.Note{Title: next[i].Note.Title, Author: next[i].Note.Author}
+			next[i].Trimmed = true
+			continue
+		}
+		left -= size
+	}
+	return next
+}
+
+func encodedSize(note api.AcceptedNote) int {
+	data, err := fleet.Marshal(note)
+	if err != nil {
+		return maxRecentBytes + 1
+	}
+	return len(data)
+}
+
+// findNote returns the newest note with an id and a revision above after.
+func findNote(recent []api.AcceptedNote, id string, after uint64) (api.AcceptedNote, bool) {
+	for i := len(recent) - 1; i >= 0; i-- {
+		if recent[i].ID == id && recent[i].Revision > after {
+			return recent[i], true
+		}
+	}
+	return api.AcceptedNote{}, false
+}
+
+// since returns the notes with revisions above after.
+func since(recent []api.AcceptedNote, after uint64) []api.AcceptedNote {
+	for i := range recent {
+		if recent[i].Revision > after {
+			return recent[i:]
+		}
+	}
+	return nil
+}
+
+// step applies one note and checks the digest of its result.
+func step(state fleet.State, note api.AcceptedNote) (fleet.State, error) {
+	if note.Revision != state.Revision+1 {
+		return state, errGap
+	}
+	if note.Trimmed {
+		return state, errTrimmed
+	}
+	next, err := fleet.Apply(state, note.Note)
+	if err != nil {
+		return state, err
+	}
+	digest, err := fleet.Digest(next)
+	if err != nil {
+		return state, err
+	}
+	if digest != note.Digest {
+		return state, errDigest
+	}
+	return next, nil
+}
+
+// decodeState decodes a stored state after it has checked the digest of its
+// bytes. A newer program may have stored fields that this one does not know, so
+// the decoded state is not encoded again to be compared.
+func decodeState(data []byte, digest string) (fleet.State, error) {
+	sum := sha256.Sum256(data)
+	if hex.EncodeToString(sum[:]) != digest {
+		return fleet.State{}, errDigest
+	}
+	var state fleet.State
+	err := fleet.Unmarshal(data, &state)
+	return state, err
+}
+
+// decodeHead decodes the head object.
+func decodeHead(data []byte) (api.NoteHead, error) {
+	var head api.NoteHead
+	if err := fleet.Unmarshal(data, &head); err != nil {
+		return api.NoteHead{}, fmt.Errorf("notes: head: %w", err)
+	}
+	return head, nil
+}
+
+// obsolete reports whether a state object may be removed. An object above the
+// head's revision may still be committed by the operator that wrote it. One at
+// or below it is either a committed state or can no longer be committed, because
+// the head has changed since its writer read it.
+func obsolete(head api.NoteHead, revision uint64, noteID string) bool {
+	if revision > head.Revision {
+		return false
+	}
+	if revision+keptStates <= head.Revision {
+		return true
+	}
+	return !slices.ContainsFunc(head.Recent, func(n api.AcceptedNote) bool {
+		return n.Revision == revision && n.ID == noteID
+	})
+}
