notes: follow accepted notes through the object API and peers

Cause: each router must apply every note within 5 s, also in an outage, and must never return to an older revision. Change: Syncer with long polls, catch-up from peers, whole states when notes do not lead to their digests, and Start for a new router.

--- /dev/null
+++ b/notes/syncer_test.go
@@ -0,0 +1,304 @@
+package notes
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+// faultyStore fails, or returns an older head, as its fields say.
+type faultyStore struct {
+	*platform.Memory
+	down      atomic.Bool
+	noStates  atomic.Bool
+	staleHead atomic.Pointer[platform.Object]
+}
+
+func (s *faultyStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	if s.down.Load() || (s.noStates.Load() && key != HeadKey) {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	if stale := s.staleHead.Load(); stale != nil && key == HeadKey {
+		return *stale, nil
+	}
+	return s.Memory.Get(ctx, key)
+}
+
+func (s *faultyStore) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]platform.Object, uint64, error) {
+	if s.down.Load() {
+		return nil, 0, platform.ErrUnavailable
+	}
+	objects, next, err := s.Memory.Watch(ctx, prefix, since, wait)
+	if s.down.Load() { // an outage also cuts the calls that wait
+		return nil, 0, platform.ErrUnavailable
+	}
+	return objects, next, err
+}
+
+// directPeers connects syncers without a network.
+type directPeers map[string]func(after uint64) (api.NotesReply, error)
+
+func (p directPeers) Notes(_ context.Context, peer string, after uint64) (api.NotesReply, error) {
+	call, ok := p[peer]
+	if !ok {
+		return api.NotesReply{}, errors.New("no such peer")
+	}
+	return call(after)
+}
+
+func (p directPeers) add(name string, s *Syncer) {
+	p[name] = func(after uint64) (api.NotesReply, error) { return s.Serve(api.NotesRequest{After: after}), nil }
+}
+
+// timeline is a sequence of accepted notes with all heads and states.
+type timeline struct {
+	store  *platform.Memory
+	heads  []api.NoteHead
+	states []fleet.State
+}
+
+func newTimeline(t assert.TestingT, count int) timeline {
+	line := timeline{store: platform.NewMemory(), heads: []api.NoteHead{{}}, states: []fleet.State{{}}}
+	acceptor := testAcceptor(line.store)
+	for i := range count {
+		_, err := acceptor.Accept(context.Background(), addZone(fmt.Sprintf("zone-%d", i)))
+		assert.NilError(t, err)
+		_, head, err := readHead(context.Background(), line.store)
+		assert.NilError(t, err)
+		state, err := readState(context.Background(), line.store, head)
+		assert.NilError(t, err)
+		line.heads, line.states = append(line.heads, head), append(line.states, state)
+	}
+	return line
+}
+
+// Guards against a router that returns to an older revision, or holds a state
+// that is not the one of its revision, when heads are stale, replies of peers
+// come late, twice, with gaps or altered, and routers restart in an outage.
+func TestSyncerNeverGoesBack(t *testing.T) {
+	const revisions = 40 // more than a head keeps
+	line := newTimeline(t, revisions)
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := context.Background()
+		store := &faultyStore{Memory: line.store}
+		peers := directPeers{}
+		var s *Syncer
+		last := uint64(0)
+		start := func() {
+			s = NewSyncer(SyncerOptions{Store: store, Peers: peers})
+			s.OnChange(func(before, after *fleet.View) {
+				assert.Assert(t, after.Revision() > before.Revision())
+			})
+			last = 0
+		}
+		start()
+		pick := func(label string) int { return rapid.IntRange(0, revisions).Draw(t, label) }
+		t.Repeat(map[string]func(*rapid.T){
+			"head": func(*rapid.T) {
+				head := line.heads[pick("revision")]
+				store.noStates.Store(rapid.Bool().Draw(t, "states unreadable"))
+				_ = s.takeHead(ctx, head)
+			},
+			"peer": func(*rapid.T) {
+				at := pick("peer's revision")
+				reply := planReply(line.states[at], line.heads[at].Recent, uint64(pick("after")))
+				_ = s.takeReply(alter(t, reply))
+			},
+			"restart": func(*rapid.T) {
+				start()
+				at := pick("peer's revision")
+				peers["a"] = func(after uint64) (api.NotesReply, error) {
+					return planReply(line.states[at], line.heads[at].Recent, after), nil
+				}
+				store.down.Store(true)
+				assert.NilError(t, s.Start(ctx, []string{"a", "unreachable"}))
+				store.down.Store(false)
+				assert.Equal(t, s.Revision(), uint64(at))
+			},
+			"": func(*rapid.T) {
+				assert.Assert(t, s.Revision() >= last)
+				last = s.Revision()
+				digest, err := fleet.Digest(s.View().State())
+				assert.NilError(t, err)
+				if last > 0 {
+					assert.Equal(t, digest, line.heads[last].Digest)
+				}
+			},
+		})
+		store.noStates.Store(false)
+		_ = s.takeHead(ctx, line.heads[revisions])
+		assert.Equal(t, s.Revision(), uint64(revisions))
+	})
+}
+
+// alter returns a reply as it is, or with one fault.
+func alter(t *rapid.T, reply api.NotesReply) api.NotesReply {
+	reply.Notes = slices.Clone(reply.Notes)
+	switch rapid.IntRange(0, 4).Draw(t, "alteration") {
+	case 1:
+		reply.Notes = rapid.Permutation(reply.Notes).Draw(t, "order")
+	case 2:
+		if len(reply.Notes) > 0 {
+			reply.Notes[rapid.IntRange(0, len(reply.Notes)-1).Draw(t, "note")].Note = addZone("wrong")
+		}
+	case 3:
+		if reply.State != nil {
+			wrong := *reply.State
+			wrong.Zones = append(slices.Clone(wrong.Zones), api.Zone{ID: "wrong"})
+			reply.State = &wrong
+		}
+	case 4:
+		if len(reply.Notes) > 1 {
+			reply.Notes = slices.Delete(reply.Notes, 0, 1)
+		}
+	}
+	return reply
+}
+
+func waitRevision(t *testing.T, s *Syncer, revision uint64) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for s.Revision() != revision {
+		assert.Assert(t, time.Since(begin) < 5*time.Second, "revision %d, want %d", s.Revision(), revision)
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(begin)
+}
+
+// Guards against a note that does not reach a router in time: by the object API,
+// by a peer while the router cannot reach the object API, and after the outage.
+func TestSyncerFollowsThroughOutage(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	memory := platform.NewMemory()
+	acceptor := testAcceptor(memory)
+	near := &faultyStore{Memory: memory}
+	far := &faultyStore{Memory: memory}
+	peers := directPeers{}
+	a := NewSyncer(SyncerOptions{Store: near, Peers: peers})
+	b := NewSyncer(SyncerOptions{Store: far, Peers: peers})
+	peers.add("a", a)
+	done := make(chan error)
+	for _, s := range []*Syncer{a, b} {
+		assert.NilError(t, s.Start(ctx, nil))
+		go func() { done <- s.Run(ctx) }()
+	}
+	accept := func(note api.Note) {
+		_, err := acceptor.Accept(ctx, note)
+		assert.NilError(t, err)
+	}
+	accept(addZone("a"))
+	t.Logf("by the object API: %v, %v", waitRevision(t, a, 1), waitRevision(t, b, 1))
+	far.down.Store(true)
+	accept(withdrawZone("a"))
+	waitRevision(t, a, 2)
+	assert.Equal(t, b.Revision(), uint64(1))
+	b.Offer("gone", 2)
+	b.Offer("a", 2)
+	t.Logf("by a peer: %v", waitRevision(t, b, 2))
+	accept(addZone("c"))
+	far.down.Store(false)
+	t.Logf("after the outage: %v", waitRevision(t, b, 3))
+	assert.Assert(t, time.Since(b.LastContact()) < 5*time.Second)
+	cancel()
+	for range 2 {
+		assert.NilError(t, <-done)
+	}
+}
+
+// Guards against notes that are trusted although they lead to another state
+// than the one accepted, by a peer and by the object API.
+func TestSyncerReadsWholeStateOnMismatch(t *testing.T) {
+	ctx := context.Background()
+	line := newTimeline(t, 3)
+	peers := directPeers{"a": func(after uint64) (api.NotesReply, error) {
+		reply := planReply(line.states[3], line.heads[3].Recent, after)
+		reply.Notes = slices.Clone(reply.Notes)
+		for i := range reply.Notes {
+			reply.Notes[i].Note = addZone("wrong")
+		}
+		return reply, nil
+	}}
+	for name, update := range map[string]func(*Syncer) error{
+		"peer": func(s *Syncer) error { return s.askPeer(ctx, "a") },
+		"store": func(s *Syncer) error {
+			head := line.heads[3]
+			head.Recent = slices.Clone(head.Recent)
+			head.Recent[1].Note = addZone("wrong")
+			return s.takeHead(ctx, head)
+		},
+	} {
+		s := NewSyncer(SyncerOptions{Store: line.store, Peers: peers})
+		assert.NilError(t, s.takeHead(ctx, line.heads[1]))
+		assert.NilError(t, update(s), name)
+		assert.Equal(t, s.Revision(), uint64(3))
+		assert.Equal(t, s.options.Metrics.Counter("notes.digest_mismatches").Count(), int64(1), name)
+		assert.Equal(t, s.Digest(), line.heads[3].Digest)
+	}
+}
+
+// Guards against a new router that becomes ready at an old revision: with a
+// stale head beside a newer peer, with a head whose state cannot be read, and
+// with no answer at all.
+func TestStartTakesTheHighest(t *testing.T) {
+	line := newTimeline(t, 40)
+	store := &faultyStore{Memory: line.store}
+	data, err := fleet.Marshal(line.heads[2])
+	assert.NilError(t, err)
+	store.staleHead.Store(&platform.Object{Key: HeadKey, Version: 1, Value: data})
+	peers := directPeers{"a": func(after uint64) (api.NotesReply, error) {
+		return planReply(line.states[39], line.heads[39].Recent, after), nil
+	}, "old": func(after uint64) (api.NotesReply, error) {
+		return planReply(line.states[5], line.heads[5].Recent, after), nil
+	}}
+	s := NewSyncer(SyncerOptions{Store: store, Peers: peers})
+	assert.NilError(t, s.Start(context.Background(), []string{"a", "old"}))
+	assert.Equal(t, s.Revision(), uint64(39))
+
+	store.staleHead.Store(nil)
+	store.noStates.Store(true)
+	short, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	s = NewSyncer(SyncerOptions{Store: store, Peers: peers})
+	assert.ErrorIs(t, s.Start(short, []string{"old"}), platform.ErrUnavailable)
+	store.down.Store(true)
+	s = NewSyncer(SyncerOptions{Store: store, Peers: peers})
+	assert.ErrorIs(t, s.Start(short, []string{"gone"}), platform.ErrUnavailable)
+	assert.Assert(t, s.LastContact().IsZero())
+}
+
+// Guards against a peer's reply that makes a router panic, hold a state without
+// its digest, or go back.
+func FuzzPeerReply(f *testing.F) {
+	line := newTimeline(f, 5)
+	for _, after := range []uint64{0, 2, 5} {
+		data, err := fleet.Marshal(planReply(line.states[5], line.heads[5].Recent, after))
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reply, err := DecodeReply(data)
+		if err != nil {
+			return
+		}
+		s := NewSyncer(SyncerOptions{Store: line.store})
+		assert.NilError(t, s.takeHead(context.Background(), line.heads[2]))
+		_ = s.takeReply(reply)
+		assert.Assert(t, s.Revision() >= 2)
+		digest, err := fleet.Digest(s.View().State())
+		assert.NilError(t, err)
+		assert.Equal(t, digest, s.Digest())
+	})
+}
