--- a/notes/errors.go
+++ b/notes/errors.go
@@ -52,10 +52,11 @@
 	if accepted.Note.Author != "" {
 		by = " by " + accepted.Note.Author
 	}
-	return fmt.Sprintf("revision %d, note %s %q%s: %s", accepted.Revision, accepted.ID, accepted.Note.Title, by, changes(accepted))
+	return fmt.Sprintf("revision %d, note %s %q%s: %s", accepted.Revision, accepted.ID, accepted.Note.Title, by, Changes(accepted))
 }
 
-func changes(accepted api.AcceptedNote) string {
+// Changes returns one line that names what a note added, changed and withdrew.
+func Changes(accepted api.AcceptedNote) string {
 	if accepted.Trimmed {
 		return "too large to be listed"
 	}
