Add the peer transport

Cause: routers exchange permits, claims, gossip and notes, and permit calls are on the path of each request.

Change: package peer with one authenticated WebSocket per pair of routers. Messages are encoded by the caller, joined into CBOR sequences of up to 32 KiB and written by one goroutine per connection. The schema gains the handshake body and PeerError.not_run.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -598,12 +598,35 @@
 }
 
 type PeerError struct {
+	// The request was not handed to any handler.
+	NotRun bool `json:"not_run,omitempty,omitzero" toml:"not_run,omitempty" cbor:"not_run,omitempty"`
+
 	// Text corresponds to the JSON schema field "text".
 	Text string `json:"text" toml:"text" cbor:"text"`
 }
 
-// Message between two routers, as CBOR in one WebSocket binary message. Exactly
-// one body is set.
+// Mutual authentication at the start of a connection: the listening side sends its
+// part without mac, the dialling side answers with its part and mac, the listening
+// side answers with its mac.
+type PeerHandshake struct {
+	// Address at which the sender accepts peers; empty when it accepts none.
+	Address string `json:"address,omitempty,omitzero" toml:"address,omitempty" cbor:"address,omitempty"`
+
+	// HMAC-SHA256 under the shared secret over role and both parts.
+	Mac []byte `json:"mac,omitempty,omitzero" toml:"mac,omitempty" cbor:"mac,omitempty"`
+
+	// 32 random bytes.
+	Nonce []byte `json:"nonce,omitempty,omitzero" toml:"nonce,omitempty" cbor:"nonce,omitempty"`
+
+	// Router id of the sender.
+	Router string `json:"router,omitempty,omitzero" toml:"router,omitempty" cbor:"router,omitempty"`
+
+	// Random number of the sender's process.
+	Session uint64 `json:"session,omitempty,omitzero" toml:"session,omitempty" cbor:"session,omitempty"`
+}
+
+// Message between two routers, as CBOR. One WebSocket binary message holds a
+// sequence of them (RFC 8742). Exactly one body is set.
 type PeerMessage struct {
 	// ClaimReply corresponds to the JSON schema field "claim_reply".
 	ClaimReply *ClaimReply `json:"claim_reply,omitempty,omitzero" toml:"claim_reply,omitempty" cbor:"claim_reply,omitempty"`
@@ -620,6 +643,9 @@
 	// Gossip corresponds to the JSON schema field "gossip".
 	Gossip *Gossip `json:"gossip,omitempty,omitzero" toml:"gossip,omitempty" cbor:"gossip,omitempty"`
 
+	// Handshake corresponds to the JSON schema field "handshake".
+	Handshake *PeerHandshake `json:"handshake,omitempty,omitzero" toml:"handshake,omitempty" cbor:"handshake,omitempty"`
+
 	// Correlates a reply with its request; 0 for one-way messages.
 	ID uint64 `json:"id,omitempty,omitzero" toml:"id,omitempty" cbor:"id,omitempty"`
 
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+// Limits of one decoded message. A fleet state with 3,200 workspaces needs
+// arrays of some thousand elements.
+const (
+	maxNesting  = 24
+	maxElements = 1 << 17
+)
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+	buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+)
+
+func newEncoder() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxNestedLevels:  maxNesting,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Size returns the encoded size of a message in bytes.
+func Size(msg *api.PeerMessage) (int, error) {
+	buf := encode(msg)
+	defer releaseBuffer(buf)
+	if buf.Len() == 0 {
+		return 0, ErrMessage
+	}
+	return buf.Len(), nil
+}
+
+// encode returns an empty buffer for a message that cannot be encoded.
+func encode(msg *api.PeerMessage) *bytes.Buffer {
+	buf := buffers.Get().(*bytes.Buffer)
+	buf.Reset()
+	if err := encoder.MarshalToBuffer(msg, buf); err != nil {
+		buf.Reset()
+	}
+	return buf
+}
+
+func releaseBuffer(buf *bytes.Buffer) {
+	if buf.Cap() <= chunkBytes {
+		buffers.Put(buf)
+	}
+}
+
+// decodeNext decodes the first message of a sequence and returns the rest.
+func decodeNext(data []byte, msg *api.PeerMessage) ([]byte, error) {
+	rest, err := decoder.UnmarshalFirst(data, msg)
+	if err != nil {
+		return nil, fmt.Errorf("decode message: %w", err)
+	}
+	return rest, nil
+}
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,481 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+const (
+	// chunkBytes is the size up to which messages are joined into one write.
+	chunkBytes = 32 << 10
+	// maxKeptReadBytes is the largest read buffer kept between messages.
+	maxKeptReadBytes = 64 << 10
+)
+
+// result ends one call.
+type result struct {
+	msg api.PeerMessage
+	err error
+}
+
+// call is a request in progress. done has room for one result, and only the
+// side that takes the call out of conn.calls sends one.
+type call struct {
+	done  chan result
+	chunk uint64
+}
+
+var calls = sync.Pool{New: func() any { return &call{done: make(chan result, 1)} }}
+
+// chunk is a sequence of encoded messages that is written as one WebSocket message.
+type chunk struct {
+	data []byte
+}
+
+var chunks = sync.Pool{New: func() any { return &chunk{} }}
+
+// conn is one authenticated connection.
+type conn struct {
+	t      *Transport
+	ws     *websocket.Conn
+	id     identity
+	addr   string
+	dialed bool
+	nextID atomic.Uint64
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu          sync.Mutex
+	queue       []*chunk
+	queueBytes  int
+	writing     bool
+	startedUpTo uint64 // number of chunks whose writing has begun
+	calls       map[uint64]*call
+	err         error // set when closed
+	wake        chan struct{}
+	closed      chan struct{}
+
+	handlers     atomic.Int64
+	handlerGroup sync.WaitGroup
+	probing      atomic.Bool
+
+	// Times in Unix nanoseconds. writeSince is 0 while nothing is written.
+	lastReceived, lastUsed, writeSince atomic.Int64
+}
+
+func newConn(t *Transport, ws *websocket.Conn, id identity, addr string, dialed bool) *conn {
+	c := &conn{
+		t: t, ws: ws, id: id, addr: addr, dialed: dialed,
+		calls:  map[uint64]*call{},
+		wake:   make(chan struct{}, 1),
+		closed: make(chan struct{}),
+	}
+	c.ctx, c.cancel = context.WithCancel(t.ctx)
+	now := time.Now().UnixNano()
+	c.lastReceived.Store(now)
+	c.lastUsed.Store(now)
+	return c
+}
+
+func (c *conn) dialedBySmaller() bool {
+	return c.dialed == (c.t.opts.RouterID < c.id.router)
+}
+
+// usable says whether new messages may use the connection. Only the dialling
+// side closes idle connections. The accepting side stops using one earlier, so
+// that its messages do not meet the close.
+func (c *conn) usable() bool {
+	select {
+	case <-c.closed:
+		return false
+	default:
+	}
+	if c.dialed {
+		return true
+	}
+	idle := time.Duration(time.Now().UnixNano() - c.lastUsed.Load())
+	return idle < c.t.opts.IdleTimeout*3/4
+}
+
+// run serves the connection until it ends.
+func (c *conn) run() {
+	var writer sync.WaitGroup
+	writer.Go(c.writeLoop)
+	err := c.readLoop()
+	c.close(err)
+	writer.Wait()
+	c.handlerGroup.Wait()
+	c.t.unregister(c)
+	c.reportEnd()
+}
+
+func (c *conn) reportEnd() {
+	err := c.failure()
+	if errors.Is(err, errIdle) || errors.Is(err, ErrClosed) {
+		return
+	}
+	status := websocket.CloseStatus(err)
+	if status == websocket.StatusNormalClosure || status == websocket.StatusGoingAway {
+		return
+	}
+	c.t.cut.Inc(1)
+	c.t.opts.Logger.Info("peer connection failed",
+		zap.String("peer", c.id.router), zap.String("address", c.addr), zap.Error(err))
+	if c.t.ctx.Err() == nil {
+		c.t.opts.PeerDown(c.id.router, c.addr, err)
+	}
+}
+
+func (c *conn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// call sends an encoded request and waits for its reply.
+func (c *conn) call(ctx context.Context, addr string, k kind, id uint64, data []byte) (api.PeerMessage, error) {
+	waiting := calls.Get().(*call)
+	sentAt := time.Now()
+	if err := c.enqueue(k, data, id, waiting); err != nil {
+		calls.Put(waiting)
+		return api.PeerMessage{}, &CallError{Addr: addr, Kind: ErrUnreachable, Cause: err}
+	}
+	select {
+	case res := <-waiting.done:
+		calls.Put(waiting)
+		return res.msg, res.err
+	case <-ctx.Done():
+	}
+	if c.takeCall(id) == nil {
+		res := <-waiting.done
+		calls.Put(waiting)
+		return res.msg, res.err
+	}
+	calls.Put(waiting)
+	if c.lastReceived.Load() < sentAt.UnixNano() {
+		c.probe()
+	}
+	return api.PeerMessage{}, &CallError{Addr: addr, Kind: ErrNoReply, Cause: ctx.Err()}
+}
+
+func (c *conn) takeCall(id uint64) *call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	found := c.calls[id]
+	delete(c.calls, id)
+	return found
+}
+
+func (c *conn) send(k kind, data []byte) error {
+	return c.enqueue(k, data, 0, nil)
+}
+
+// enqueue appends an encoded message to the queue and registers its call, if
+// any, under the same lock, so that a failing connection ends every call once.
+func (c *conn) enqueue(k kind, data []byte, id uint64, waiting *call) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return c.err
+	}
+	if c.queueBytes+len(data) > c.t.opts.QueueBytes {
+		return ErrQueueFull
+	}
+	c.append(data)
+	if waiting != nil {
+		waiting.chunk = c.startedUpTo + uint64(len(c.queue))
+		c.calls[id] = waiting
+	}
+	c.t.sent.add(k, len(data))
+	c.lastUsed.Store(time.Now().UnixNano())
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (c *conn) append(data []byte) {
+	c.queueBytes += len(data)
+	if n := len(c.queue); n > 0 && len(c.queue[n-1].data)+len(data) <= min(chunkBytes, c.t.opts.MaxMessageBytes) {
+		last := c.queue[n-1]
+		last.data = append(last.data, data...)
+		return
+	}
+	next := chunks.Get().(*chunk)
+	next.data = append(next.data[:0], data...)
+	c.queue = append(c.queue, next)
+}
+
+// nextChunk returns nil when the queue is empty.
+func (c *conn) nextChunk() *chunk {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = len(c.queue) > 0 && c.err == nil
+	if !c.writing {
+		return nil
+	}
+	next := c.queue[0]
+	copy(c.queue, c.queue[1:])
+	c.queue = c.queue[:len(c.queue)-1]
+	c.queueBytes -= len(next.data)
+	c.startedUpTo++
+	return next
+}
+
+func (c *conn) flushed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err != nil || (len(c.queue) == 0 && !c.writing)
+}
+
+func (c *conn) writeLoop() {
+	for {
+		select {
+		case <-c.wake:
+		case <-c.closed:
+			return
+		}
+		for next := c.nextChunk(); next != nil; next = c.nextChunk() {
+			if err := c.write(next); err != nil {
+				c.close(err)
+				return
+			}
+		}
+	}
+}
+
+// write uses no context, because the WebSocket library allocates a timer for
+// each one. Transport.maintain ends a write that takes too long.
+func (c *conn) write(next *chunk) error {
+	c.writeSince.Store(time.Now().UnixNano())
+	err := c.ws.Write(context.Background(), websocket.MessageBinary, next.data)
+	c.writeSince.Store(0)
+	c.t.sent.add(kindFraming, frameOverhead(len(next.data), c.dialed))
+	if cap(next.data) <= 2*chunkBytes {
+		chunks.Put(next)
+	}
+	if err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	return nil
+}
+
+func (c *conn) readLoop() error {
+	var buf []byte
+	for {
+		_, reader, err := c.ws.Reader(context.Background())
+		if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		buf, err = readAll(reader, buf[:0])
+		if err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+		c.lastReceived.Store(time.Now().UnixNano())
+		c.t.received.add(kindFraming, frameOverhead(len(buf), !c.dialed))
+		if err := c.dispatchAll(buf); err != nil {
+			return err
+		}
+		if cap(buf) > maxKeptReadBytes {
+			buf = nil
+		}
+	}
+}
+
+// readAll reads to the end into buf, which it grows as needed.
+func readAll(reader io.Reader, buf []byte) ([]byte, error) {
+	for {
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
+		}
+		n, err := reader.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, nil
+		}
+		if err != nil {
+			return buf, err
+		}
+	}
+}
+
+func (c *conn) dispatchAll(data []byte) error {
+	for len(data) > 0 {
+		var msg api.PeerMessage
+		rest, err := decodeNext(data, &msg)
+		if err != nil {
+			return err
+		}
+		k := kindOf(&msg)
+		c.t.received.add(k, len(data)-len(rest))
+		data = rest
+		c.dispatch(k, msg)
+	}
+	return nil
+}
+
+func (c *conn) dispatch(k kind, msg api.PeerMessage) {
+	c.lastUsed.Store(time.Now().UnixNano())
+	if msg.Reply {
+		if waiting := c.takeCall(msg.ID); waiting != nil {
+			waiting.done <- result{msg: msg}
+		}
+		return
+	}
+	if k == kindNone || k == kindHandshake {
+		c.refuse(msg.ID, "unknown message")
+		return
+	}
+	if c.handlers.Add(1) > int64(c.t.opts.MaxHandlers) {
+		c.handlers.Add(-1)
+		c.refuse(msg.ID, "too many requests in progress")
+		return
+	}
+	c.handlerGroup.Add(1)
+	go c.handle(msg)
+}
+
+func (c *conn) handle(msg api.PeerMessage) {
+	defer c.handlerGroup.Done()
+	defer c.handlers.Add(-1)
+	reply := c.t.opts.Handler.HandlePeer(c.ctx, c.id.router, msg)
+	if msg.ID == 0 {
+		return
+	}
+	if reply == nil {
+		reply = &api.PeerMessage{Error: &api.PeerError{Text: "no reply"}}
+	}
+	c.reply(msg.ID, *reply)
+}
+
+func (c *conn) refuse(id uint64, text string) {
+	c.t.refused.Inc(1)
+	if id != 0 {
+		c.reply(id, api.PeerMessage{Error: &api.PeerError{Text: text, NotRun: true}})
+	}
+}
+
+// reply takes the message by value, because the handler may keep its reply.
+func (c *conn) reply(id uint64, msg api.PeerMessage) {
+	msg.ID = id
+	msg.Reply = true
+	k := kindOf(&msg)
+	buf := encode(&msg)
+	defer releaseBuffer(buf)
+	if k == kindNone || c.t.checkSize(buf.Len()) != nil {
+		c.reply(id, api.PeerMessage{Error: &api.PeerError{Text: "invalid or too large reply"}})
+		return
+	}
+	if c.send(k, buf.Bytes()) != nil {
+		c.t.dropped.Inc(1)
+	}
+}
+
+// check runs the timeouts of the connection.
+func (c *conn) check(now time.Time) {
+	if since := c.writeSince.Load(); since != 0 && elapsed(now, since) > c.t.opts.WriteTimeout {
+		c.close(errWriteTimeout)
+		return
+	}
+	if c.dialed && c.idle(now) {
+		c.closeIdle()
+		return
+	}
+	if c.dialed && elapsed(now, c.lastReceived.Load()) > c.t.opts.PingInterval {
+		c.probe()
+	}
+}
+
+func elapsed(now time.Time, since int64) time.Duration {
+	return time.Duration(now.UnixNano() - since)
+}
+
+func (c *conn) idle(now time.Time) bool {
+	if elapsed(now, c.lastUsed.Load()) < c.t.opts.IdleTimeout || c.handlers.Load() > 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls) == 0 && len(c.queue) == 0
+}
+
+// closeIdle tells the peer, so that it does not take the end for a failure.
+func (c *conn) closeIdle() {
+	c.background(func() {
+		if !c.end(errIdle) {
+			return
+		}
+		_ = c.ws.Close(websocket.StatusNormalClosure, errIdle.Error())
+		c.cancel()
+	})
+}
+
+// background runs f in a goroutine that run waits for. It does nothing once the
+// connection is closed, because run may then have stopped waiting.
+func (c *conn) background(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.handlerGroup.Go(f)
+	}
+}
+
+// probe pings the peer, and closes the connection when no answer comes.
+func (c *conn) probe() {
+	if !c.probing.CompareAndSwap(false, true) {
+		return
+	}
+	c.background(c.ping)
+}
+
+func (c *conn) ping() {
+	defer c.probing.Store(false)
+	c.t.pings.Inc(1)
+	ctx, cancel := context.WithTimeout(c.ctx, c.t.opts.PingTimeout)
+	defer cancel()
+	if err := c.ws.Ping(ctx); err != nil {
+		c.close(fmt.Errorf("%w: %w", errPingTimeout, err))
+		return
+	}
+	c.lastReceived.Store(time.Now().UnixNano())
+}
+
+// close ends the connection at once. Only the first reason counts.
+func (c *conn) close(reason error) {
+	c.end(reason)
+	c.cancel()
+	_ = c.ws.CloseNow()
+}
+
+// end refuses new messages and ends all calls. It reports whether it was the
+// first to do so.
+func (c *conn) end(reason error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		return false
+	}
+	c.err = reason
+	close(c.closed)
+	for id, waiting := range c.calls {
+		failure := &CallError{Addr: c.addr, Kind: ErrNoReply, Cause: reason}
+		if waiting.chunk > c.startedUpTo {
+			failure.Kind = ErrUnreachable
+		}
+		waiting.done <- result{err: failure}
+		delete(c.calls, id)
+	}
+	c.queue = nil
+	return true
+}
--- /dev/null
+++ b/peer/handshake.go
@@ -0,0 +1,146 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"hash"
+
+	"github.com/coder/websocket"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+const (
+	nonceBytes = 32
+	// maxHandshakeBytes bounds what an unauthenticated side can make this router
+	// read.
+	maxHandshakeBytes = 1024
+)
+
+// identity is what the handshake has proved about the other side.
+type identity struct {
+	router  string
+	address string
+	session uint64
+}
+
+// The role is part of the MAC so that a side cannot be answered with its own MAC.
+const (
+	roleDialer   = "hornbeamproxy peer dialer"
+	roleListener = "hornbeamproxy peer listener"
+)
+
+// dialHandshake runs the dialling side: it reads the listener's part, answers
+// with its own part and MAC, and checks the listener's MAC.
+func (t *Transport) dialHandshake(ctx context.Context, ws *websocket.Conn) (identity, error) {
+	listener, err := t.readHandshake(ctx, ws)
+	if err != nil {
+		return identity{}, err
+	}
+	dialer := t.handshakePart()
+	if listener.Router == dialer.Router {
+		return identity{}, errSelf
+	}
+	dialer.Mac = t.mac(roleDialer, dialer, listener)
+	if err := t.writeHandshake(ctx, ws, dialer); err != nil {
+		return identity{}, err
+	}
+	proof, err := t.readHandshake(ctx, ws)
+	if err != nil {
+		return identity{}, fmt.Errorf("%w: %w", ErrAuthentication, err)
+	}
+	if !hmac.Equal(proof.Mac, t.mac(roleListener, dialer, listener)) {
+		t.authFailed.Inc(1)
+		return identity{}, ErrAuthentication
+	}
+	return identityOf(listener), nil
+}
+
+// acceptHandshake runs the listening side. It sends its MAC only after the
+// dialler's MAC was found correct.
+func (t *Transport) acceptHandshake(ctx context.Context, ws *websocket.Conn) (identity, error) {
+	listener := t.handshakePart()
+	if err := t.writeHandshake(ctx, ws, listener); err != nil {
+		return identity{}, err
+	}
+	dialer, err := t.readHandshake(ctx, ws)
+	if err != nil {
+		return identity{}, err
+	}
+	if !hmac.Equal(dialer.Mac, t.mac(roleDialer, dialer, listener)) {
+		t.authFailed.Inc(1)
+		return identity{}, ErrAuthentication
+	}
+	if dialer.Router == "" || dialer.Router == listener.Router || len(dialer.Nonce) != nonceBytes {
+		return identity{}, ErrAuthentication
+	}
+	proof := &api.PeerHandshake{Mac: t.mac(roleListener, dialer, listener)}
+	if err := t.writeHandshake(ctx, ws, proof); err != nil {
+		return identity{}, err
+	}
+	return identityOf(dialer), nil
+}
+
+func identityOf(part *api.PeerHandshake) identity {
+	return identity{router: part.Router, address: part.Address, session: part.Session}
+}
+
+func (t *Transport) handshakePart() *api.PeerHandshake {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce) // crypto/rand.Read never returns an error
+	return &api.PeerHandshake{
+		Router:  t.opts.RouterID,
+		Address: t.opts.Address,
+		Session: t.session,
+		Nonce:   nonce,
+	}
+}
+
+func (t *Transport) mac(role string, dialer, listener *api.PeerHandshake) []byte {
+	h := hmac.New(sha256.New, t.opts.Secret)
+	writeField(h, []byte(role))
+	for _, part := range []*api.PeerHandshake{dialer, listener} {
+		writeField(h, []byte(part.Router))
+		writeField(h, []byte(part.Address))
+		writeField(h, binary.BigEndian.AppendUint64(nil, part.Session))
+		writeField(h, part.Nonce)
+	}
+	return h.Sum(nil)
+}
+
+// writeField prefixes the length, so that no two lists of fields hash the same
+// bytes.
+func writeField(h hash.Hash, field []byte) {
+	_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(field))))
+	_, _ = h.Write(field)
+}
+
+func (t *Transport) writeHandshake(ctx context.Context, ws *websocket.Conn, part *api.PeerHandshake) error {
+	buf := encode(&api.PeerMessage{Handshake: part})
+	defer releaseBuffer(buf)
+	t.sent.add(kindHandshake, buf.Len())
+	if err := ws.Write(ctx, websocket.MessageBinary, buf.Bytes()); err != nil {
+		return fmt.Errorf("write handshake: %w", err)
+	}
+	return nil
+}
+
+func (t *Transport) readHandshake(ctx context.Context, ws *websocket.Conn) (*api.PeerHandshake, error) {
+	_, data, err := ws.Read(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("read handshake: %w", err)
+	}
+	t.received.add(kindHandshake, len(data))
+	var msg api.PeerMessage
+	if _, err := decodeNext(data, &msg); err != nil {
+		return nil, err
+	}
+	if kindOf(&msg) != kindHandshake {
+		return nil, fmt.Errorf("%w: not a handshake", ErrMessage)
+	}
+	return msg.Handshake, nil
+}
--- /dev/null
+++ b/peer/transport.go
@@ -0,0 +1,397 @@
+// Package peer carries messages between routers: WebSocket connections with
+// CBOR messages, requests with replies and one-way messages. Both directions
+// share one connection per pair of routers.
+package peer
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+)
+
+// Path is where the peers' listener serves the transport.
+const Path = "/peer"
+
+// Handler handles incoming messages. It is called concurrently and in no
+// particular order. For a request it returns the reply; for a one-way message
+// (ID 0) the result is ignored.
+type Handler interface {
+	HandlePeer(ctx context.Context, from string, msg api.PeerMessage) *api.PeerMessage
+}
+
+// HandlerFunc is a function as a Handler.
+type HandlerFunc func(ctx context.Context, from string, msg api.PeerMessage) *api.PeerMessage
+
+// HandlePeer implements Handler.
+func (f HandlerFunc) HandlePeer(ctx context.Context, from string, msg api.PeerMessage) *api.PeerMessage {
+	return f(ctx, from, msg)
+}
+
+// Options of a Transport. Zero values of the limits mean the defaults.
+type Options struct {
+	RouterID string
+	Address  string // where this router accepts peers; empty when it accepts none
+	Secret   []byte // shared by all routers, never sent
+	Handler  Handler
+	Metrics  *telemetry.Metrics
+	Logger   *zap.Logger
+
+	// PeerDown is called when a connection fails or cannot be opened, but not
+	// when it is closed for being idle. The router id is empty when it is not
+	// known. It must not block.
+	PeerDown func(routerID, addr string, err error)
+	// PeerUp is called when a connection is ready. It must not block.
+	PeerUp func(routerID, addr string)
+
+	MaxMessageBytes int           // one encoded message; default 2 MiB
+	QueueBytes      int           // unsent bytes per connection; default 4 MiB
+	MaxHandlers     int           // concurrent handlers per connection; default 512
+	DialTimeout     time.Duration // connection and handshake; default 2 s
+	WriteTimeout    time.Duration // one batch; default 3 s
+	PingInterval    time.Duration // silence after which a ping is sent; default 10 s
+	PingTimeout     time.Duration // default 2 s
+	IdleTimeout     time.Duration // default 2 min
+	MinBackoff      time.Duration // after the first failed dial; default 100 ms
+	MaxBackoff      time.Duration // default 5 s
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.MaxMessageBytes, 2<<20)
+	setDefault(&o.QueueBytes, 4<<20)
+	setDefault(&o.MaxHandlers, 512)
+	setDefault(&o.DialTimeout, 2*time.Second)
+	setDefault(&o.WriteTimeout, 3*time.Second)
+	setDefault(&o.PingInterval, 10*time.Second)
+	setDefault(&o.PingTimeout, 2*time.Second)
+	setDefault(&o.IdleTimeout, 2*time.Minute)
+	setDefault(&o.MinBackoff, 100*time.Millisecond)
+	setDefault(&o.MaxBackoff, 5*time.Second)
+	if o.Metrics == nil {
+		o.Metrics = telemetry.NewMetrics()
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.PeerDown == nil {
+		o.PeerDown = func(string, string, error) {}
+	}
+	if o.PeerUp == nil {
+		o.PeerUp = func(string, string) {}
+	}
+}
+
+func setDefault[T int | time.Duration](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+// maxPendingHandshakes bounds the connections that have not authenticated.
+const maxPendingHandshakes = 256
+
+// Transport sends messages to peers and accepts their connections. It is an
+// http.Handler for Path on the peers' listener. It is safe for concurrent use.
+type Transport struct {
+	opts    Options
+	session uint64
+	client  *http.Client
+
+	links      sync.Map // address to *link
+	handshakes chan struct{}
+
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	closed bool
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	sent, received                  *traffic
+	dropped, refused, authFailed    metrics.Counter
+	dials, dialFailures, pings, cut metrics.Counter
+}
+
+// NewTransport starts a transport. Errors: a missing router id, secret or
+// handler.
+func NewTransport(opts Options) (*Transport, error) {
+	if opts.RouterID == "" || len(opts.Secret) == 0 || opts.Handler == nil {
+		return nil, errors.New("peer: router id, secret and handler are required")
+	}
+	opts.setDefaults()
+	var session [8]byte
+	_, _ = rand.Read(session[:]) // crypto/rand.Read never returns an error
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &Transport{
+		opts:       opts,
+		session:    binary.BigEndian.Uint64(session[:]),
+		handshakes: make(chan struct{}, maxPendingHandshakes),
+		conns:      map[*conn]struct{}{},
+		ctx:        ctx,
+		cancel:     cancel,
+	}
+	dialer := &net.Dialer{Timeout: opts.DialTimeout}
+	t.client = &http.Client{Transport: &http.Transport{
+		DialContext:       dialer.DialContext,
+		DisableKeepAlives: true,
+	}}
+	t.registerMetrics(opts.Metrics)
+	t.wg.Go(t.maintain)
+	return t, nil
+}
+
+func (t *Transport) registerMetrics(m *telemetry.Metrics) {
+	t.sent = newTraffic(m, "sent")
+	t.received = newTraffic(m, "received")
+	t.dropped = m.Counter("peer.messages.dropped")
+	t.refused = m.Counter("peer.messages.refused")
+	t.authFailed = m.Counter("peer.auth.failed")
+	t.dials = m.Counter("peer.dials")
+	t.dialFailures = m.Counter("peer.dials.failed")
+	t.pings = m.Counter("peer.pings.sent")
+	t.cut = m.Counter("peer.connections.failed")
+}
+
+// Call sends a request to the peer at addr and waits for its reply. The
+// error is a *CallError that matches ErrUnreachable, ErrNoReply, ErrRemote or
+// ErrMessage. Call opens a connection if there is none, and fails at once
+// while the peer is in backoff after a failed attempt.
+func (t *Transport) Call(ctx context.Context, addr string, msg api.PeerMessage) (api.PeerMessage, error) {
+	reply, err := t.call(ctx, addr, &msg)
+	if err != nil {
+		return api.PeerMessage{}, err
+	}
+	if reply.Error == nil {
+		return reply, nil
+	}
+	cause := errors.New(reply.Error.Text)
+	if reply.Error.NotRun {
+		return api.PeerMessage{}, &CallError{Addr: addr, Kind: ErrUnreachable, Cause: cause}
+	}
+	return api.PeerMessage{}, &CallError{Addr: addr, Kind: ErrRemote, Cause: cause}
+}
+
+func (t *Transport) call(ctx context.Context, addr string, msg *api.PeerMessage) (api.PeerMessage, error) {
+	k := kindOf(msg)
+	if k == kindNone {
+		return api.PeerMessage{}, &CallError{Addr: addr, Kind: ErrMessage, Cause: errors.New("not exactly one body")}
+	}
+	c, err := t.link(addr).connect(ctx)
+	if err != nil {
+		return api.PeerMessage{}, &CallError{Addr: addr, Kind: ErrUnreachable, Cause: err}
+	}
+	msg.ID = c.nextID.Add(1)
+	msg.Reply = false
+	buf := encode(msg)
+	defer releaseBuffer(buf)
+	if err := t.checkSize(buf.Len()); err != nil {
+		return api.PeerMessage{}, &CallError{Addr: addr, Kind: ErrMessage, Cause: err}
+	}
+	return c.call(ctx, addr, k, msg.ID, buf.Bytes())
+}
+
+// Send queues a one-way message to the peer at addr and opens a connection if
+// there is none. A message that cannot be queued, or whose connection cannot be
+// opened, is dropped and counted in peer.messages.dropped. Errors: ErrMessage,
+// ErrQueueFull, ErrUnreachable during backoff.
+func (t *Transport) Send(addr string, msg api.PeerMessage) error {
+	k := kindOf(&msg)
+	if k == kindNone {
+		return ErrMessage
+	}
+	msg.ID = 0
+	msg.Reply = false
+	buf := encode(&msg)
+	defer releaseBuffer(buf)
+	if err := t.checkSize(buf.Len()); err != nil {
+		return err
+	}
+	if err := t.link(addr).send(k, buf.Bytes()); err != nil {
+		t.dropped.Inc(1)
+		return err
+	}
+	return nil
+}
+
+func (t *Transport) checkSize(size int) error {
+	if size == 0 {
+		return fmt.Errorf("%w: cannot be encoded", ErrMessage)
+	}
+	if size > t.opts.MaxMessageBytes {
+		return fmt.Errorf("%w: %d bytes exceed the limit of %d", ErrMessage, size, t.opts.MaxMessageBytes)
+	}
+	return nil
+}
+
+func (t *Transport) link(addr string) *link {
+	if found, ok := t.links.Load(addr); ok {
+		return found.(*link)
+	}
+	created, _ := t.links.LoadOrStore(addr, &link{t: t, addr: addr})
+	return created.(*link)
+}
+
+// Forget drops the state kept for an address that no router uses any longer.
+func (t *Transport) Forget(addr string) {
+	if found, ok := t.links.LoadAndDelete(addr); ok {
+		found.(*link).forget()
+	}
+}
+
+// ServeHTTP accepts a peer's connection and serves it until it ends.
+func (t *Transport) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case t.handshakes <- struct{}{}:
+	default:
+		http.Error(w, "too many connections", http.StatusServiceUnavailable)
+		return
+	}
+	c, err := t.accept(w, r)
+	<-t.handshakes
+	if err != nil {
+		t.opts.Logger.Warn("peer connection refused", zap.String("remote", r.RemoteAddr), zap.Error(err))
+		return
+	}
+	defer t.wg.Done()
+	if c.id.address != "" {
+		t.link(c.id.address).adopt(c)
+	}
+	t.opts.PeerUp(c.id.router, c.id.address)
+	c.run()
+}
+
+func (t *Transport) accept(w http.ResponseWriter, r *http.Request) (*conn, error) {
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, fmt.Errorf("accept: %w", err)
+	}
+	ws.SetReadLimit(maxHandshakeBytes)
+	ctx, cancel := context.WithTimeout(t.ctx, t.opts.DialTimeout)
+	defer cancel()
+	id, err := t.acceptHandshake(ctx, ws)
+	if err != nil {
+		_ = ws.CloseNow()
+		return nil, err
+	}
+	return t.register(ws, id, id.address, false)
+}
+
+func (t *Transport) dial(addr string) (*conn, error) {
+	t.dials.Inc(1)
+	ctx, cancel := context.WithTimeout(t.ctx, t.opts.DialTimeout)
+	defer cancel()
+	ws, response, err := websocket.Dial(ctx, "ws://"+addr+Path, &websocket.DialOptions{HTTPClient: t.client})
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	if response.Body != nil {
+		_ = response.Body.Close()
+	}
+	ws.SetReadLimit(maxHandshakeBytes)
+	id, err := t.dialHandshake(ctx, ws)
+	if err != nil {
+		_ = ws.CloseNow()
+		return nil, err
+	}
+	return t.register(ws, id, addr, true)
+}
+
+// register counts the connection in t.wg; the caller runs it and calls Done.
+func (t *Transport) register(ws *websocket.Conn, id identity, addr string, dialed bool) (*conn, error) {
+	ws.SetReadLimit(int64(t.opts.MaxMessageBytes))
+	c := newConn(t, ws, id, addr, dialed)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		_ = ws.CloseNow()
+		return nil, ErrClosed
+	}
+	t.conns[c] = struct{}{}
+	t.wg.Add(1)
+	return c, nil
+}
+
+func (t *Transport) unregister(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
+
+func (t *Transport) connections() []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]*conn, 0, len(t.conns))
+	for c := range t.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// Connections returns the number of open connections.
+func (t *Transport) Connections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
+const (
+	minMaintainInterval = 5 * time.Millisecond
+	maxMaintainInterval = time.Second
+)
+
+// maintain checks all connections from one goroutine, because a timer per
+// connection and message costs allocations on the request path.
+func (t *Transport) maintain() {
+	shortest := min(t.opts.PingInterval, t.opts.PingTimeout, t.opts.IdleTimeout, t.opts.WriteTimeout)
+	ticker := time.NewTicker(max(minMaintainInterval, min(maxMaintainInterval, shortest/4)))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, c := range t.connections() {
+				c.check(now)
+			}
+		}
+	}
+}
+
+// flushTimeout is how long Close waits for queued messages to be written.
+const flushTimeout = 500 * time.Millisecond
+
+// Close writes the queued messages, closes all connections, cancels the
+// handlers' contexts and waits for them. Calls in progress end with an error.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return
+	}
+	t.closed = true
+	t.mu.Unlock()
+	deadline := time.Now().Add(flushTimeout)
+	for _, c := range t.connections() {
+		for !c.flushed() && time.Now().Before(deadline) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	t.cancel()
+	for _, c := range t.connections() {
+		c.close(ErrClosed)
+	}
+	t.wg.Wait()
+	t.client.CloseIdleConnections()
+}
