Add rendezvous ownership

Cause: each router computes the owner of an endpoint or shard by itself.

Change: placement.Owner scores each member with a mixed hash of name and member and takes the highest.

--- /dev/null
+++ b/placement/owner.go
@@ -0,0 +1,29 @@
+// Package placement decides which endpoint a chat goes to and which router owns
+// an endpoint or shard.
+package placement
+
+import "github.com/cespare/xxhash/v2"
+
+// Owner returns the member that owns name by rendezvous hashing, or "" if there
+// are no members. The result does not depend on the order of members. Equal
+// scores go to the smaller id. Owner does not allocate.
+func Owner(name string, members []string) string {
+	nameHash := xxhash.Sum64String(name)
+	owner := ""
+	var best uint64
+	for _, member := range members {
+		score := mix(nameHash ^ mix(xxhash.Sum64String(member)))
+		if owner == "" || score > best || (score == best && member < owner) {
+			owner, best = member, score
+		}
+	}
+	return owner
+}
+
+// mix is the finalizer of SplitMix64. Without it, the exclusive or of two hashes
+// would order the members of all names by the same high bits.
+func mix(x uint64) uint64 {
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
