--- a/claims/attempts.go
+++ b/claims/attempts.go
@@ -225,6 +225,13 @@
 	delete(t.entries, update.Attempt)
 }
 
+// Reported returns whether nothing of the attempt is left to be acknowledged.
+func (t *Attempts) Reported(attempt string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entries[attempt] == nil
+}
+
 // Unreported returns the number of attempts that are known to this router and
 // not yet acknowledged, and the number of late grants that could not be released.
 func (t *Attempts) Unreported() (held, dropped int) {
--- a/cmd/hornbeamproxy/main.go
+++ b/cmd/hornbeamproxy/main.go
@@ -39,7 +39,9 @@
 		os.Exit(code)
 	})
 	addServeCommand(app)
+	addDemoCommand(app)
 	addSettingsCommands(app)
+	addNoteCommands(app)
 	addVersionCommand(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "hornbeamproxy:", err)
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,7 +20,14 @@
 
 // ColdKey returns the object of the lease on a cold endpoint.
 func ColdKey(endpoint string) string {
-	return "leases/cold/" + endpoint
+	return coldPrefix + endpoint
+}
+
+const coldPrefix = "leases/cold/"
+
+// ColdEndpoint returns the endpoint of a cold lease's object.
+func ColdEndpoint(key string) (endpoint string, ok bool) {
+	return strings.CutPrefix(key, coldPrefix)
 }
 
 // DefaultCallTimeout bounds one call to the object API. It is shorter than the
--- a/placement/baselines.go
+++ b/placement/baselines.go
@@ -45,7 +45,7 @@
 	}
 	var best top
 	for i := range endpoints {
-		tie := float64(mix(key, endpoints[i].hash)>>11) / (1 << 53)
+		tie := float64(mix(key^endpoints[i].hash)>>11) / (1 << 53)
 		best.insert(ranked{index: i, score: tie - float64(l.Load(i))}, limit)
 	}
 	return best.appendTo(dst, limit)
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -1,5 +1,7 @@
-// Package placement decides which endpoint a chat goes to and which router owns
-// an endpoint or shard.
+// Package placement orders the endpoints of a pool for a chat, and names the
+// router that owns an endpoint or a claim shard. All of it is a pure function of
+// the names; whether an endpoint may take the work is decided by its admission
+// owner.
 package placement
 
 import "github.com/cespare/xxhash/v2"
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,6 +1,3 @@
-// Package placement orders the endpoints of a pool for a chat. A policy is a
-// pure function of the chat's key and the endpoints; whether an endpoint may
-// take the work is decided by its admission owner.
 package placement
 
 import (
@@ -44,17 +41,6 @@
 	return digest.Sum64()
 }
 
-// mix combines a key with an endpoint's hash (finalizer of SplitMix64).
-func mix(key, hash uint64) uint64 {
-	x := key ^ hash
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
-
 // scorer computes rendezvous scores: the highest wins, and an endpoint wins a
 // share of the keys proportional to its weight.
 type scorer struct {
@@ -75,7 +61,7 @@
 
 func (s scorer) score(e *Endpoint) float64 {
 	// 53 random bits, shifted by one half so that the logarithm is finite.
-	unit := (float64(mix(s.key, e.hash)>>11) + 0.5) / (1 << 53)
+	unit := (float64(mix(s.key^e.hash)>>11) + 0.5) / (1 << 53)
 	if s.uniform {
 		return unit
 	}
--- a/router/chat.go
+++ b/router/chat.go
@@ -12,6 +12,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/engine"
+	"github.com/hornbeamproxy/hornbeamproxy/retry"
 )
 
 // maxDeliveredBytes bounds the answer text that is kept to continue a stream on
@@ -103,7 +104,7 @@
 // completeChat runs a completion that is not streamed. It has no side effect at
 // an endpoint, so that every failure may be retried.
 func (r *Router) completeChat(ctx context.Context, ch *chat) (engine.Answer, error) {
-	r.budget.First(r.now(), ch.workspace.ID)
+	r.retries.firstTry(ch.workspace.ID)
 	for {
 		found, err := r.dispatch.place(ctx, &ch.work)
 		if err != nil {
@@ -144,41 +145,14 @@
 	ch.markFailed(at.endpoint.ID)
 	ch.sent = ch.sent || wasSent(cause)
 	ch.attempts++
-	return r.awaitRetry(ctx, ch.workspace.ID, ch.attempts, ch.deadline, cause, ch.sent)
-}
-
-// awaitRetry takes a retry from the workspace's budget and waits for its
-// backoff.
-func (r *Router) awaitRetry(ctx context.Context, workspace string, attempts int, deadline time.Time, cause error, sent bool) error {
-	fail := func(reason api.Refusal) error {
-		return &refusal{reason: reason, notRun: !sent, detail: "the endpoint failed the request", cause: cause, retryAfter: time.Second}
-	}
-	if ctx.Err() != nil {
-		return fail(api.RefusalDeadlineExceeded)
-	}
-	if attempts >= r.settings.Retry.MaxAttempts {
-		return fail(failureReason(cause))
-	}
-	delay, ok := r.backoff.Delay(r.now(), attempts, deadline)
-	if !ok {
-		return fail(api.RefusalDeadlineExceeded)
-	}
-	if !r.budget.TryRetry(r.now(), workspace) {
-		return fail(api.RefusalRetryBudget)
-	}
-	r.metrics.Retried(retryReason(cause))
-	return sleep(ctx, delay, fail)
-}
-
-func sleep(ctx context.Context, delay time.Duration, fail func(api.Refusal) error) error {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return fail(api.RefusalDeadlineExceeded)
-	}
+	return r.retries.await(ctx, retry.Try{
+		Workspace: ch.workspace.ID,
+		Failure:   retryReason(cause),
+		Repeat:    retry.Idempotent,
+		BytesSent: ch.sent,
+		Attempts:  ch.attempts,
+		Deadline:  ch.deadline,
+	}, cause)
 }
 
 // finalRefusal corrects "not run" when an earlier attempt has sent something.
@@ -202,16 +176,6 @@
 	return !errors.As(err, &failure) || failure.Sent
 }
 
-func failureReason(cause error) api.Refusal {
-	switch {
-	case errors.Is(cause, engine.ErrMismatch):
-		return api.RefusalUpstreamMismatch
-	case errors.Is(cause, engine.ErrCut), errors.Is(cause, engine.ErrGap), errors.Is(cause, engine.ErrTooLarge):
-		return api.RefusalUpstreamIncomplete
-	}
-	return api.RefusalUpstreamFailed
-}
-
 func retryReason(cause error) api.RetryReason {
 	switch {
 	case errors.Is(cause, errDrained):
--- a/router/claim.go
+++ b/router/claim.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/claims"
 )
@@ -22,7 +20,6 @@
 type claimClient struct {
 	network  Network
 	local    claimAnswerer
-	logger   *zap.Logger
 	shards   int
 	timeout  time.Duration
 	now      func() time.Time
@@ -31,10 +28,9 @@
 
 // claim is one attempt to run a call under its idempotency key.
 type claim struct {
-	shard   int
-	key     string
-	attempt string
-	digest  string
+	request api.ClaimRequest
+	// asked counts the requests that may have reached an owner.
+	asked int
 }
 
 // claimRetryDelay is the pause before the shard's owner is asked again.
@@ -42,63 +38,60 @@
 
 func shardOwnerName(shard int) string { return "claims/" + strconv.Itoa(shard) }
 
-func (c *claimClient) newClaim(call *serviceCall) *claim {
-	key := call.workspace.ID + "/" + call.service + "/" + call.key
-	return &claim{
-		shard:   claims.ShardOf(key, c.shards),
-		key:     key,
-		attempt: call.id,
-		digest:  call.bodyDigest(),
-	}
-}
-
 // acquire returns once the claim is granted, or its recorded outcome. Every
 // other result is a refusal that is truly "not run": an attempt whose answer
 // did not arrive is abandoned first, so that it can't run later.
-func (c *claimClient) acquire(ctx context.Context, cl *claim) (api.ClaimReply, error) {
+func (c *claimClient) acquire(ctx context.Context, call *serviceCall) (*claim, api.ClaimReply, error) {
+	key := call.workspace.ID + "/" + call.service + "/" + call.key
+	request, ok := c.attempts.Begin(claims.ShardOf(key, c.shards), key, call.bodyDigest())
+	if !ok {
+		return nil, api.ClaimReply{}, claimRefusal(api.RefusalClaimUnavailable, "too many claims are open at this router")
+	}
+	cl := &claim{request: request}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	if !c.attempts.Begin(cl.shard, cl.key, cl.attempt) {
-		return api.ClaimReply{}, claimRefusal(api.RefusalClaimUnavailable, "too many claims are open at this router")
-	}
-	request := api.ClaimRequest{
-		Shard:      cl.shard,
-		Key:        cl.key,
-		Attempt:    cl.attempt,
-		Router:     c.network.Self(),
-		BodyDigest: cl.digest,
-	}
 	for {
-		reply, ok := c.ask(ctx, request)
+		reply, ok := c.ask(ctx, cl)
 		if ok && reply.Result != api.ClaimResultUnavailable {
-			return c.decide(cl, reply)
+			err := c.decide(cl, reply)
+			return cl, reply, err
 		}
 		if !c.pause(ctx) {
-			c.attempts.Abandon(cl.attempt)
-			return api.ClaimReply{}, claimRefusal(api.RefusalClaimUnavailable, "the key could not be claimed")
+			c.attempts.Abandon(c.now(), cl.request.Attempt)
+			return nil, api.ClaimReply{}, claimRefusal(api.RefusalClaimUnavailable, "the key could not be claimed")
 		}
 	}
 }
 
-func (c *claimClient) decide(cl *claim, reply api.ClaimReply) (api.ClaimReply, error) {
+func (c *claimClient) decide(cl *claim, reply api.ClaimReply) error {
 	if reply.Result == api.ClaimResultGranted {
-		if !c.attempts.Start(cl.attempt) {
-			return api.ClaimReply{}, claimRefusal(api.RefusalClaimUnavailable, "the claim was abandoned")
+		if !c.attempts.Granted(c.now(), cl.request) {
+			return claimRefusal(api.RefusalClaimUnavailable, "the claim was abandoned")
 		}
-		return reply, nil
+		return nil
 	}
-	c.attempts.Forget(cl.attempt)
+	c.drop(cl, reply)
 	switch reply.Result {
 	case api.ClaimResultDone:
-		return reply, nil
+		return nil
 	case api.ClaimResultInProgress:
-		return reply, claimRefusal(api.RefusalClaimInProgress, "a call with this key is in progress")
+		return claimRefusal(api.RefusalClaimInProgress, "a call with this key is in progress")
 	case api.ClaimResultOutcomeUnknown:
-		return reply, &refusal{reason: api.RefusalClaimOutcomeUnknown, detail: "a call with this key may have run; its outcome is unknown"}
+		return &refusal{reason: api.RefusalClaimOutcomeUnknown, detail: "a call with this key may have run; its outcome is unknown"}
 	case api.ClaimResultBodyMismatch:
-		return reply, claimRefusal(api.RefusalClaimBodyMismatch, "this key was used for another request")
+		return claimRefusal(api.RefusalClaimBodyMismatch, "this key was used for another request")
+	}
+	return claimRefusal(api.RefusalClaimUnavailable, "the key could not be claimed")
+}
+
+// drop ends an attempt that was not granted. If an earlier request of it got no
+// answer, that one may still be committed and has to be released.
+func (c *claimClient) drop(cl *claim, reply api.ClaimReply) {
+	if cl.asked > 1 {
+		c.attempts.Abandon(c.now(), cl.request.Attempt)
+		return
 	}
-	return reply, claimRefusal(api.RefusalClaimUnavailable, "the key could not be claimed")
+	c.attempts.Refused(c.now(), cl.request.Attempt, reply)
 }
 
 // claimRefusal says "not run" of this request; an earlier one with the key may
@@ -120,42 +113,58 @@
 
 // ask sends the request to the shard's owner. The same attempt may be asked
 // about again, because an attempt runs at most once.
-func (c *claimClient) ask(ctx context.Context, request api.ClaimRequest) (api.ClaimReply, bool) {
-	owner := c.network.OwnerOf(shardOwnerName(request.Shard))
+func (c *claimClient) ask(ctx context.Context, cl *claim) (api.ClaimReply, bool) {
+	owner := c.network.OwnerOf(shardOwnerName(cl.request.Shard))
+	cl.asked++
 	if owner == c.network.Self() {
-		return c.local.Handle(ctx, request), true
+		return c.local.Handle(ctx, cl.request), true
 	}
-	reply, err := c.network.Call(ctx, owner, api.PeerMessage{ClaimRequest: &request})
+	reply, err := c.network.Call(ctx, owner, api.PeerMessage{ClaimRequest: &cl.request})
 	if err != nil || reply.ClaimReply == nil {
 		return api.ClaimReply{}, false
 	}
 	return *reply.ClaimReply, true
 }
 
-// complete records the outcome; it is written in the background until it is
-// durable.
-func (c *claimClient) complete(cl *claim, outcome api.ClaimOutcome) {
-	c.attempts.Complete(cl.attempt, outcome)
+// complete records the outcome in the background until it is durable. A nil
+// outcome means that it is unknown.
+func (c *claimClient) complete(cl *claim, outcome *api.ClaimOutcome) {
+	c.attempts.Complete(c.now(), cl.request.Attempt, outcome)
 }
 
 // release records that the call was not run, and returns whether that is
 // durable already.
 func (c *claimClient) release(ctx context.Context, cl *claim) bool {
-	c.attempts.Abandon(cl.attempt)
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	if !c.attempts.NotSent(c.now(), cl.request.Attempt) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
 	defer cancel()
-	return c.attempts.Wait(ctx, cl.attempt)
+	for !c.attempts.Reported(cl.request.Attempt) {
+		if !c.pause(ctx) {
+			return false
+		}
+	}
+	return true
+}
+
+// run reports completed and released attempts until the context ends.
+func (c *claimClient) run(ctx context.Context) error {
+	claims.Report(ctx, c.attempts, claims.SystemClock{}, c.send)
+	return nil
 }
 
-// send reports one update to the shard's owner. It returns true when the update
-// is durable.
-func (c *claimClient) send(ctx context.Context, update api.ClaimUpdate) bool {
+// send reports one update to the shard's owner.
+func (c *claimClient) send(ctx context.Context, update api.ClaimUpdate) api.ClaimReply {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	owner := c.network.OwnerOf(shardOwnerName(update.Shard))
 	if owner == c.network.Self() {
-		return c.local.HandleUpdate(ctx, update).Result == api.ClaimResultDone
+		return c.local.HandleUpdate(ctx, update)
 	}
 	reply, err := c.network.Call(ctx, owner, api.PeerMessage{ClaimUpdate: &update})
-	return err == nil && reply.ClaimReply != nil && reply.ClaimReply.Result == api.ClaimResultDone
+	if err != nil || reply.ClaimReply == nil {
+		return api.ClaimReply{Result: api.ClaimResultUnavailable}
+	}
+	return *reply.ClaimReply
 }
--- a/router/handle.go
+++ b/router/handle.go
@@ -92,7 +92,7 @@
 	if err == nil || errors.Is(err, errCallerGone) {
 		return nil
 	}
-	out.fail(&refusal{reason: failureReason(err)})
+	out.fail(&refusal{reason: api.RefusalUpstreamIncomplete, cause: err})
 	return nil
 }
 
--- a/router/owner.go
+++ b/router/owner.go
@@ -15,7 +15,6 @@
 	"github.com/hornbeamproxy/hornbeamproxy/endpointstate"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/lease"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -40,7 +39,7 @@
 	network   Network
 	loads     loadReader
 	pools     poolCounter
-	store     platform.Store
+	leases    *lease.Manager
 	settings  *api.Settings
 	logger    *zap.Logger
 	metrics   *telemetry.Metrics
@@ -64,8 +63,8 @@
 	endpoint *api.Endpoint
 	pool     string
 	machine  *endpointstate.Machine
-	lease    *lease.Manager
-	inflight int
+	leased   bool
+	closed   bool
 }
 
 // loadPool names the group of endpoints whose mean load bounds the endpoint's:
@@ -107,8 +106,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	owned := &ownedEndpoint{
 		cancel:  cancel,
-		done:    make(chan struct{}),
-		machine: endpointstate.NewMachine(),
+		machine: endpointstate.New(endpointstate.Config{}),
 	}
 	o.gates.Add(admission.Config{
 		Endpoint:     e.ID,
@@ -116,12 +114,14 @@
 		QueueLength:  o.settings.Limits.QueueLength,
 	})
 	o.owned[e.ID] = owned
+	owned.machine.SetPolling(o.now(), e.Service == "")
 	o.configure(owned, e, view)
 	go o.watch(ctx, owned)
 }
 
 func (o *admissionOwner) drop(id string, owned *ownedEndpoint) {
 	owned.cancel()
+	o.close(owned)
 	delete(o.owned, id)
 	outcomes, _ := o.gates.Remove(id)
 	o.deliver(outcomes)
@@ -134,7 +134,7 @@
 	owned.endpoint = e
 	owned.pool = loadPool(e)
 	from := owned.machine.State()
-	owned.machine.SetWithdrawn(o.now(), view.EndpointWithdrawn(e.ID))
+	owned.machine.SetWithdrawn(view.EndpointWithdrawn(e.ID))
 	o.applyState(owned, from)
 }
 
@@ -142,7 +142,13 @@
 func (o *admissionOwner) applyState(owned *ownedEndpoint, from endpointstate.State) {
 	e := owned.endpoint
 	state := owned.machine.State()
-	settings := admission.Settings{MaxInflight: e.MaxInflight, State: state, NoReports: e.Service != ""}
+	settings := admission.Settings{
+		MaxInflight: e.MaxInflight,
+		State:       state,
+		NeedsLease:  owned.machine.NeedsLease(),
+		NoReports:   e.Service != "",
+	}
+	o.wantLease(owned, settings.NeedsLease)
 	o.withGate(e.ID, func(g *admission.Gate) []admission.Outcome { return g.SetEndpoint(o.now(), settings) })
 	if state == from {
 		return
@@ -153,6 +159,41 @@
 	}
 }
 
+// wantLease acquires the cold lease of an endpoint that needs it, and releases it
+// afterwards. owned.mu is held.
+func (o *admissionOwner) wantLease(owned *ownedEndpoint, wanted bool) {
+	if wanted == owned.leased {
+		return
+	}
+	owned.leased = wanted
+	key := lease.ColdKey(owned.endpoint.ID)
+	if wanted {
+		o.leases.Acquire(key)
+		return
+	}
+	o.leases.Release(key)
+}
+
+// close releases the lease here rather than in the polling goroutine, which may
+// end after this router has taken the endpoint again.
+func (o *admissionOwner) close(owned *ownedEndpoint) {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	owned.closed = true
+	o.wantLease(owned, false)
+}
+
+// leaseChanged passes the state of a cold lease to the endpoint's gate.
+func (o *admissionOwner) leaseChanged(key string, l lease.Lease) {
+	endpoint, ok := lease.ColdEndpoint(key)
+	if !ok {
+		return
+	}
+	o.withGate(endpoint, func(g *admission.Gate) []admission.Outcome {
+		return g.SetLease(o.now(), admission.Lease(l))
+	})
+}
+
 // withGate calls f with the endpoint's gate and delivers the outcomes.
 func (o *admissionOwner) withGate(endpoint string, f func(*admission.Gate) []admission.Outcome) bool {
 	var outcomes []admission.Outcome
@@ -172,13 +213,10 @@
 
 // watch polls the endpoint's load and keeps its cold lease while it is cold.
 func (o *admissionOwner) watch(ctx context.Context, owned *ownedEndpoint) {
-	defer close(owned.done)
-	defer o.releaseLease(owned)
 	ticker := time.NewTicker(o.settings.Limits.LoadPollInterval.Duration)
 	defer ticker.Stop()
 	for {
 		o.poll(ctx, owned)
-		o.renewLease(ctx, owned)
 		select {
 		case <-ctx.Done():
 			return
@@ -204,13 +242,16 @@
 	}
 	owned.mu.Lock()
 	defer owned.mu.Unlock()
+	if owned.closed {
+		return
+	}
 	from := owned.machine.State()
 	now := o.now()
 	if err != nil {
-		owned.machine.Failed(now)
+		owned.machine.ReportFailed(now)
 		o.withGate(e.ID, func(g *admission.Gate) []admission.Outcome { return g.ReportFailed(now) })
 	} else {
-		owned.machine.Report(now, load)
+		owned.machine.Report(now, load.Readiness)
 		o.withGate(e.ID, func(g *admission.Gate) []admission.Outcome { return g.Report(now, load) })
 	}
 	o.applyState(owned, from)
@@ -236,6 +277,9 @@
 
 func (o *admissionOwner) tick() {
 	owned := o.snapshot()
+	for _, at := range owned {
+		o.tickMachine(at)
+	}
 	counts := map[string]*api.PoolCount{}
 	for _, at := range owned {
 		o.count(at, counts)
@@ -250,6 +294,16 @@
 	}
 }
 
+func (o *admissionOwner) tickMachine(owned *ownedEndpoint) {
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	from := owned.machine.State()
+	owned.machine.Tick(o.now())
+	if owned.machine.State() != from {
+		o.applyState(owned, from)
+	}
+}
+
 func (o *admissionOwner) snapshot() []*ownedEndpoint {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -375,11 +429,33 @@
 		permits = []uint64{0} // only records a moved chat
 	}
 	now := o.now()
+	if len(r.Permits) > 0 {
+		o.noteResult(now, r)
+	}
 	for _, id := range permits {
 		o.withGate(r.Endpoint, func(g *admission.Gate) []admission.Outcome { return g.Release(now, id, info) })
 	}
 }
 
+// noteResult tells the state machine of the endpoint how a request ended.
+func (o *admissionOwner) noteResult(now time.Time, r api.PermitRelease) {
+	o.mu.Lock()
+	owned := o.owned[r.Endpoint]
+	o.mu.Unlock()
+	if owned == nil {
+		return
+	}
+	owned.mu.Lock()
+	defer owned.mu.Unlock()
+	if !r.Failed {
+		owned.machine.RequestSucceeded()
+		return
+	}
+	from := owned.machine.State()
+	owned.machine.RequestFailed(now)
+	o.applyState(owned, from)
+}
+
 // HandleRenew extends permits and returns those that are not known here.
 func (o *admissionOwner) HandleRenew(from string, r api.PermitRenew) api.PermitRenew {
 	unknown := api.PermitRenew{Endpoint: r.Endpoint, Permits: []uint64{}}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,314 @@
+// Package router is the caller-facing side of hornbeamproxy: it authenticates
+// callers, places their requests, takes permits and claims, and copies complete
+// answers. The decisions are made by the pure packages; this package does HTTP,
+// timers and the wiring.
+package router
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/admission"
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/claims"
+	"github.com/hornbeamproxy/hornbeamproxy/cluster"
+	"github.com/hornbeamproxy/hornbeamproxy/config"
+	"github.com/hornbeamproxy/hornbeamproxy/engine"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+	"github.com/hornbeamproxy/hornbeamproxy/lease"
+	"github.com/hornbeamproxy/hornbeamproxy/notes"
+	"github.com/hornbeamproxy/hornbeamproxy/placement"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+)
+
+const (
+	// isolationLimit is the time without contact to the object API and to any
+	// peer after which a router fails its readiness check.
+	isolationLimit = 10 * time.Second
+	// readinessInterval is what refused callers are told to wait at start.
+	readinessInterval = time.Second
+	// flushTimeout bounds the reporting of outcomes and the release of leases at
+	// shutdown.
+	flushTimeout = 5 * time.Second
+)
+
+var errWrongReply = errors.New("router: a peer answered with another kind of message")
+
+// Config is what a Router needs from its process.
+type Config struct {
+	Settings *api.Settings
+	Secrets  config.Secrets
+	Store    platform.Store
+	Logger   *zap.Logger
+	Metrics  *telemetry.Metrics
+}
+
+// Router is one router of the fleet.
+type Router struct {
+	settings   *api.Settings
+	logger     *zap.Logger
+	metrics    *telemetry.Metrics
+	store      platform.Store
+	engine     *engine.Client
+	cluster    *cluster.Cluster
+	syncer     *notes.Syncer
+	acceptor   *notes.Acceptor
+	dispatch   *dispatcher
+	permits    *permitClient
+	owner      *admissionOwner
+	claimOwner *claims.Owner
+	claims     *claimClient
+	leases     *lease.Manager
+	retries    *retries
+	handleKey  []byte
+	idPrefix   string
+	idCount    atomic.Uint64
+	ready      atomic.Bool
+	leaving    atomic.Bool
+	drains     drains
+	refreshMu  sync.Mutex
+	now        func() time.Time
+}
+
+// New wires a router. Run starts it.
+func New(c Config) (*Router, error) {
+	r := &Router{
+		settings:  c.Settings,
+		logger:    c.Logger,
+		metrics:   c.Metrics,
+		store:     c.Store,
+		engine:    engine.New(engine.Options{}),
+		retries:   newRetries(c.Settings.Retry, c.Metrics, time.Now),
+		handleKey: deriveKey(c.Secrets.PeerSecret, "stream handles"),
+		idPrefix:  c.Settings.Router.ID + "-" + rand.Text()[:8] + "-",
+		now:       time.Now,
+	}
+	r.syncer = notes.NewSyncer(notes.SyncerOptions{Store: c.Store, Peers: r, Metrics: c.Metrics, Logger: c.Logger})
+	r.acceptor = notes.NewAcceptor(notes.AcceptorOptions{Store: c.Store, Metrics: c.Metrics})
+	if err := r.joinCluster(c); err != nil {
+		return nil, fmt.Errorf("cluster: %w", err)
+	}
+	r.buildClaims()
+	r.buildAdmission()
+	r.syncer.OnChange(func(_, after *fleet.View) { r.viewChanged(after) })
+	return r, nil
+}
+
+func deriveKey(secret, purpose string) []byte {
+	mac := hmac.New(sha256.New, []byte(secret))
+	mac.Write([]byte(purpose))
+	return mac.Sum(nil)
+}
+
+func (r *Router) buildClaims() {
+	settings := r.settings.Claims
+	ownerConfig := claims.DefaultOwnerConfig(r.settings.Router.ID)
+	ownerConfig.CommitInterval = settings.CommitInterval.Duration
+	ownerConfig.Retention = settings.Retention.Duration
+	ownerConfig.MaxOutcomeBytes = settings.MaxOutcomeBytes
+	r.claimOwner = claims.NewOwner(ownerConfig, r.store, claims.SystemClock{})
+	attempts := claims.DefaultAttemptsConfig(r.settings.Router.ID)
+	attempts.MaxOutcomeBytes = settings.MaxOutcomeBytes
+	r.claims = &claimClient{
+		network:  r.cluster,
+		local:    r.claimOwner,
+		shards:   settings.Shards,
+		timeout:  settings.Timeout.Duration,
+		now:      r.now,
+		attempts: claims.NewAttempts(attempts),
+	}
+}
+
+func (r *Router) buildAdmission() {
+	leaseConfig := lease.Config{
+		Router:   r.settings.Router.ID,
+		Nonce:    randomNonce(),
+		Lifetime: r.settings.Limits.ColdLease.Duration,
+	}
+	r.owner = &admissionOwner{
+		self:     r.settings.Router.ID,
+		network:  r.cluster,
+		loads:    r.engine,
+		pools:    r.cluster,
+		settings: r.settings,
+		logger:   r.logger,
+		metrics:  r.metrics,
+		now:      r.now,
+		isolated: r.isolated,
+		gates:    admission.NewSet(),
+		owned:    map[string]*ownedEndpoint{},
+	}
+	r.leases = lease.NewManager(r.store, leaseConfig, r.owner.leaseChanged, r.leaseFailed)
+	r.owner.leases = r.leases
+	r.permits = &permitClient{
+		network: r.cluster,
+		local:   r.owner,
+		timeout: r.settings.Limits.PermitTimeout.Duration,
+		now:     r.now,
+	}
+	r.dispatch = &dispatcher{
+		policy:    placement.Rendezvous{},
+		permits:   r.permits,
+		metrics:   r.metrics,
+		queueWait: r.settings.Limits.QueueWait.Duration,
+		now:       r.now,
+	}
+	r.dispatch.index.Store(newCandidateIndex(r.syncer.View()))
+}
+
+func randomNonce() uint64 {
+	var bytes [8]byte
+	_, _ = rand.Read(bytes[:]) // never fails
+	var nonce uint64
+	for _, b := range bytes {
+		nonce = nonce<<8 | uint64(b)
+	}
+	return nonce
+}
+
+func (r *Router) leaseFailed(key string, err error) {
+	r.metrics.Counter("leases.failed").Inc(1)
+	r.logger.Debug("lease call failed", zap.String("lease", key), zap.Error(err))
+}
+
+func (r *Router) view() *fleet.View { return r.dispatch.index.Load().view }
+
+func (r *Router) newRequestID() string {
+	return r.idPrefix + strconv.FormatUint(r.idCount.Add(1), 36)
+}
+
+// Ready says whether the router takes requests.
+func (r *Router) Ready() bool {
+	return r.ready.Load() && !r.leaving.Load() && r.silence() < isolationLimit
+}
+
+// silence returns the time since the object API or a peer was heard.
+func (r *Router) silence() time.Duration {
+	last := r.syncer.LastContact()
+	if heard := r.cluster.LastPeerContact(); heard.After(last) {
+		last = heard
+	}
+	return r.now().Sub(last)
+}
+
+// isolated says that a note may be in force elsewhere that this router cannot
+// have heard of. A router that has no peers accepts all notes itself.
+func (r *Router) isolated() bool {
+	return r.cluster.HasPeers() && r.silence() > r.settings.Limits.WithdrawWithin.Duration
+}
+
+// viewChanged brings a new fleet state into force.
+func (r *Router) viewChanged(after *fleet.View) {
+	r.dispatch.index.Store(newCandidateIndex(after))
+	r.cluster.SetRevision(after.Revision())
+	r.drains.update(r.now(), after)
+	r.refreshOwnership()
+	r.logger.Info("revision applied", zap.Uint64("revision", after.Revision()))
+}
+
+// refreshOwnership takes and drops gates and claim shards after a change of the
+// owners or of the fleet's state.
+func (r *Router) refreshOwnership() {
+	r.refreshMu.Lock()
+	defer r.refreshMu.Unlock()
+	r.owner.update(context.Background(), r.view())
+	r.permits.ownersChanged()
+	r.claimOwner.SetOwned(r.ownedShards())
+}
+
+func (r *Router) ownedShards() []int {
+	var owned []int
+	for shard := range r.settings.Claims.Shards {
+		if r.cluster.OwnerOf(shardOwnerName(shard)) == r.settings.Router.ID {
+			owned = append(owned, shard)
+		}
+	}
+	return owned
+}
+
+// Handler returns the callers' HTTP handler.
+func (r *Router) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.POST("/v1/chat/completions", r.serveChat)
+	e.GET("/v1/streams/:handle", r.serveStream)
+	e.Any("/services/:service/*", r.serveService)
+	return e
+}
+
+// Start joins the fleet: it returns when the newest revision is applied and the
+// router takes requests.
+func (r *Router) Start(ctx context.Context) error {
+	if err := r.cluster.Start(ctx); err != nil {
+		return fmt.Errorf("join the fleet: %w", err)
+	}
+	if err := r.syncer.Start(ctx, r.cluster.Peers()); err != nil {
+		return fmt.Errorf("read the release notes: %w", err)
+	}
+	r.viewChanged(r.syncer.View())
+	r.ready.Store(true)
+	return nil
+}
+
+// Run keeps the router's loops until the context ends. Call it after Start.
+func (r *Router) Run(ctx context.Context) error {
+	var group run.Group
+	for _, loop := range []func(context.Context) error{
+		r.cluster.Run, r.syncer.Run, r.owner.run, r.permits.run, r.claims.run,
+	} {
+		loopCtx, cancel := context.WithCancel(ctx)
+		group.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
+	}
+	return group.Run()
+}
+
+// StopAccepting makes the router unready and hands its ownership to others. It
+// goes on serving the requests that still arrive.
+func (r *Router) StopAccepting() {
+	r.leaving.Store(true)
+	r.cluster.SetLeaving()
+	r.refreshOwnership()
+}
+
+// Flush waits until the outcomes of this router's calls are recorded and its
+// leases are released.
+func (r *Router) Flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	ticker := time.NewTicker(claimRetryDelay)
+	defer ticker.Stop()
+	for {
+		held, _ := r.claims.attempts.Unreported()
+		if held == 0 || ctx.Err() != nil {
+			break
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	if err := r.leases.Close(ctx); err != nil {
+		r.logger.Warn("leases not released", zap.Error(err))
+	}
+}
+
+// Close ends all work. Run must have returned.
+func (r *Router) Close(ctx context.Context) {
+	r.claimOwner.Close()
+	r.cluster.Close(ctx)
+	r.engine.Close()
+}
--- a/router/service.go
+++ b/router/service.go
@@ -17,6 +17,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/engine"
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
+	"github.com/hornbeamproxy/hornbeamproxy/retry"
 )
 
 const (
@@ -69,7 +70,7 @@
 }
 
 func (r *Router) runService(ctx context.Context, writer http.ResponseWriter, call *serviceCall) (engine.Answer, error) {
-	r.budget.First(r.now(), call.workspace.ID)
+	r.retries.firstTry(call.workspace.ID)
 	switch {
 	case call.idempotent:
 		return r.callRepeatable(ctx, call)
@@ -207,8 +208,7 @@
 		if err == nil {
 			return answer, nil
 		}
-		call.attempts++
-		if err := r.awaitRetry(ctx, call.workspace.ID, call.attempts, call.deadline, err, call.sent); err != nil {
+		if err := r.retryService(ctx, call, err); err != nil {
 			return engine.Answer{}, err
 		}
 	}
@@ -226,21 +226,33 @@
 		if err == nil {
 			return answer, nil
 		}
-		if engine.MayHaveRun(err) {
-			return engine.Answer{}, &refusal{
-				reason:     failureReason(err),
-				mayHaveRun: true,
-				detail:     "the call may have run; its outcome is unknown",
-				cause:      err,
-			}
-		}
-		call.attempts++
-		if err := r.awaitRetry(ctx, call.workspace.ID, call.attempts, call.deadline, err, call.sent); err != nil {
+		if err := r.retryService(ctx, call, err); err != nil {
 			return engine.Answer{}, err
 		}
 	}
 }
 
+// retryService waits for the next attempt of a call. Whether there is one
+// depends on what the failure says about the call having run.
+func (r *Router) retryService(ctx context.Context, call *serviceCall, cause error) error {
+	repeat := retry.Keyed
+	switch {
+	case call.idempotent:
+		repeat = retry.Idempotent
+	case call.key == "":
+		repeat = retry.SendOnce
+	}
+	call.attempts++
+	return r.retries.await(ctx, retry.Try{
+		Workspace: call.workspace.ID,
+		Failure:   retryReason(cause),
+		Repeat:    repeat,
+		BytesSent: call.sent,
+		Attempts:  call.attempts,
+		Deadline:  call.deadline,
+	}, cause)
+}
+
 func (call *serviceCall) finalRefusal(err error) error {
 	var refused *refusal
 	if call.sent && errors.As(err, &refused) {
@@ -252,8 +264,7 @@
 // callClaimed makes a call under its idempotency key: the claim is durable
 // before the first byte is sent, and its outcome or release is recorded after.
 func (r *Router) callClaimed(ctx context.Context, writer http.ResponseWriter, call *serviceCall) (engine.Answer, error) {
-	claim := r.claims.newClaim(call)
-	reply, err := r.claims.acquire(ctx, claim)
+	claim, reply, err := r.claims.acquire(ctx, call)
 	if err != nil {
 		return engine.Answer{}, err
 	}
@@ -262,7 +273,7 @@
 	}
 	answer, err := r.callOnce(ctx, call)
 	if err == nil {
-		r.claims.complete(claim, outcomeOf(answer, r.settings.Claims.MaxOutcomeBytes))
+		r.claims.complete(claim, outcomeOf(answer))
 		return answer, nil
 	}
 	return engine.Answer{}, r.settleFailed(ctx, claim, err)
@@ -281,18 +292,16 @@
 		refused.detail = "the call was not run, but its key is not released yet"
 		return refused
 	}
-	r.claims.complete(claim, api.ClaimOutcome{Status: 0})
+	r.claims.complete(claim, nil)
 	return refused
 }
 
-func outcomeOf(answer engine.Answer, maxBytes int) api.ClaimOutcome {
-	outcome := api.ClaimOutcome{Status: answer.Status, ContentType: answer.Header.Get("Content-Type")}
-	if len(answer.Body) > maxBytes {
-		outcome.Truncated = true
-		return outcome
+func outcomeOf(answer engine.Answer) *api.ClaimOutcome {
+	return &api.ClaimOutcome{
+		Status:      answer.Status,
+		ContentType: answer.Header.Get("Content-Type"),
+		Body:        answer.Body,
 	}
-	outcome.Body = answer.Body
-	return outcome
 }
 
 // replay returns the recorded outcome of a key.
--- a/router/stream.go
+++ b/router/stream.go
@@ -77,7 +77,7 @@
 		flusher: http.NewResponseController(writer),
 		text:    engine.NewDelivered(maxDeliveredBytes),
 	}
-	r.budget.First(r.now(), ch.workspace.ID)
+	r.retries.firstTry(ch.workspace.ID)
 	err := r.runStream(ctx, ch, out)
 	switch {
 	case err == nil, errors.Is(err, errCallerGone):
@@ -162,7 +162,7 @@
 		if err != nil {
 			return err
 		}
-		if r.drainPassed(at.endpoint.ID) {
+		if r.drains.passed(r.now(), at.endpoint.ID) {
 			return errDrained
 		}
 		if !out.started {
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,186 @@
+// Package server runs a router as a process: its three listeners, the order of
+// start and the graceful shutdown.
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/admin"
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/config"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/router"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+// Options of one process.
+type Options struct {
+	Settings *api.Settings
+	Secrets  config.Secrets
+	Logger   *zap.Logger
+	// Started is called when the router takes requests; it may be nil.
+	Started func()
+}
+
+// Run serves until ctx ends, and then shuts down gracefully: readiness off,
+// ownership handed over, requests in progress finished, outcomes recorded.
+func Run(ctx context.Context, o Options) error {
+	s, err := newServer(o)
+	if err != nil {
+		return err
+	}
+	defer s.closeListeners()
+	if err := s.listen(); err != nil {
+		return err
+	}
+	return s.run(ctx)
+}
+
+type server struct {
+	options Options
+	metrics *telemetry.Metrics
+	router  *router.Router
+	callers *http.Server
+	admin   *http.Server
+	failed  chan error
+}
+
+func newServer(o Options) (*server, error) {
+	registry := telemetry.NewMetrics()
+	clientConfig := platform.DefaultClientConfig(o.Settings.Platform.URL, o.Secrets.PlatformToken)
+	clientConfig.Timeout = o.Settings.Platform.Timeout.Duration
+	store := platform.NewClient(clientConfig, http.DefaultTransport, registry)
+	r, err := router.New(router.Config{
+		Settings: o.Settings,
+		Secrets:  o.Secrets,
+		Store:    store,
+		Logger:   o.Logger,
+		Metrics:  registry,
+	})
+	if err != nil {
+		return nil, err
+	}
+	operators, group := admin.New(r, registry, o.Secrets.AdminToken)
+	admin.RegisterNotes(group, r.Acceptor(), r.Syncer(), r)
+	s := &server{
+		options: o,
+		metrics: registry,
+		router:  r,
+		failed:  make(chan error, 2),
+	}
+	s.callers = s.httpServer(r.Handler())
+	s.admin = s.httpServer(operators)
+	return s, nil
+}
+
+func (s *server) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    s.options.Settings.Limits.MaxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(s.options.Logger),
+	}
+}
+
+// listen opens the callers' and operators' listeners. The router opens the
+// peers' listener itself.
+func (s *server) listen() error {
+	addresses := s.options.Settings.Listen
+	if err := s.serve(s.admin, addresses.Admin); err != nil {
+		return err
+	}
+	return s.serve(s.callers, addresses.Callers)
+}
+
+func (s *server) serve(server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	addresses := s.options.Settings.Listen
+	if addresses.TlsCertFile != "" {
+		certificate, err := tls.LoadX509KeyPair(addresses.TlsCertFile, addresses.TlsKeyFile)
+		if err != nil {
+			return fmt.Errorf("certificate: %w", err)
+		}
+		listener = tls.NewListener(listener, &tls.Config{
+			Certificates: []tls.Certificate{certificate},
+			MinVersion:   tls.VersionTLS12,
+			NextProtos:   []string{"http/1.1"},
+		})
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.failed <- fmt.Errorf("serve %s: %w", address, err)
+		}
+	}()
+	return nil
+}
+
+func (s *server) run(ctx context.Context) error {
+	if err := s.router.Start(ctx); err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}
+	loopCtx, stopLoops := context.WithCancel(context.Background())
+	defer stopLoops()
+	loops := make(chan error, 1)
+	go func() { loops <- s.router.Run(loopCtx) }()
+	if s.options.Started != nil {
+		s.options.Started()
+	}
+	s.options.Logger.Info("router ready", zap.String("router", s.options.Settings.Router.ID))
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-s.failed:
+	case failure = <-loops:
+	}
+	s.shutDown()
+	stopLoops()
+	if failure == nil {
+		failure = <-loops
+	}
+	closeCtx, cancel := context.WithTimeout(context.Background(), readHeaderTimeout)
+	defer cancel()
+	s.router.Close(closeCtx)
+	s.options.Logger.Info("router stopped")
+	return failure
+}
+
+// shutDown finishes the requests in progress. The balancer and the peers need
+// up to withdraw_within to send nothing more here, so requests are taken for
+// that long after readiness is off.
+func (s *server) shutDown() {
+	limits := s.options.Settings.Limits
+	s.options.Logger.Info("shutting down")
+	s.router.StopAccepting()
+	time.Sleep(limits.WithdrawWithin.Duration)
+	ctx, cancel := context.WithTimeout(context.Background(), limits.DrainTimeout.Duration)
+	defer cancel()
+	if err := s.callers.Shutdown(ctx); err != nil {
+		s.options.Logger.Warn("requests cut at the drain timeout", zap.Error(err))
+	}
+	s.router.Flush(ctx)
+}
+
+func (s *server) closeListeners() {
+	_ = s.callers.Close()
+	_ = s.admin.Close()
+}
--- /dev/null
+++ b/standin/site.go
@@ -0,0 +1,195 @@
+package standin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+// SiteConfig describes a site of stand-ins.
+type SiteConfig struct {
+	// Zones are the availability zones, over which endpoints are spread in turn.
+	Zones []string
+	// Engines and Services are the numbers of model engines and of replicas of
+	// the service "orders".
+	Engines, Services int
+	// Workspaces is the number of workspaces.
+	Workspaces int
+	// Engine is the configuration of each engine; the id is filled in.
+	Engine EngineConfig
+	// MaxInflight is the limit of each endpoint in the release note.
+	MaxInflight int
+}
+
+// Secrets of every site.
+const (
+	SitePlatformToken = "platform-token"
+	SitePeerSecret    = "peer-secret"
+	SiteAdminToken    = "admin-token"
+	// SiteModel is the model that all engines serve.
+	SiteModel = "drafts"
+	// SiteService is the plain service.
+	SiteService = "orders"
+)
+
+// Site is a platform with endpoints, each behind its own loopback listener.
+type Site struct {
+	Config         SiteConfig
+	Platform       *Platform
+	PlatformServer *httptest.Server
+	Engines        []*SiteEngine
+	Services       []*SiteReplica
+}
+
+// SiteEngine is a model engine of a site.
+type SiteEngine struct {
+	*Engine
+	ID, Zone string
+	Server   *httptest.Server
+}
+
+// SiteReplica is a replica of a site's plain service.
+type SiteReplica struct {
+	*Service
+	ID, Zone string
+	Server   *httptest.Server
+}
+
+// NewSite starts the stand-ins. The caller closes the site.
+func NewSite(config SiteConfig) *Site {
+	site := &Site{Config: config, Platform: NewPlatform(SitePlatformToken)}
+	site.PlatformServer = httptest.NewServer(site.Platform)
+	for i := range config.Engines {
+		engineConfig := config.Engine
+		engineConfig.ID = fmt.Sprintf("engine-%d", i+1)
+		engineConfig.Models = []string{SiteModel}
+		engine := NewEngine(engineConfig)
+		site.Engines = append(site.Engines, &SiteEngine{
+			Engine: engine,
+			ID:     engineConfig.ID,
+			Zone:   site.zone(i),
+			Server: httptest.NewServer(engine),
+		})
+	}
+	for i := range config.Services {
+		service := NewService(map[string]int{"goatskin": 1 << 30})
+		site.Services = append(site.Services, &SiteReplica{
+			Service: service,
+			ID:      fmt.Sprintf("orders-%d", i+1),
+			Zone:    site.zone(i),
+			Server:  httptest.NewServer(service),
+		})
+	}
+	return site
+}
+
+func (s *Site) zone(i int) string { return s.Config.Zones[i%len(s.Config.Zones)] }
+
+// Close ends all stand-ins.
+func (s *Site) Close() {
+	for _, engine := range s.Engines {
+		engine.Kill()
+	}
+	for _, service := range s.Services {
+		service.Server.CloseClientConnections()
+		service.Server.Close()
+	}
+	s.PlatformServer.CloseClientConnections()
+	s.PlatformServer.Close()
+}
+
+// Kill ends the engine's process: connections break and new ones are refused.
+func (e *SiteEngine) Kill() {
+	_ = e.Server.Listener.Close()
+	e.Server.CloseClientConnections()
+	e.Engine.Close()
+	e.Server.Close()
+}
+
+// WorkspaceKey returns the API key of a workspace.
+func WorkspaceKey(i int) string { return fmt.Sprintf("key-of-workspace-%d", i) }
+
+// Note returns the release note that adds the whole site.
+func (s *Site) Note() api.Note {
+	parts := &api.NoteParts{
+		Models:   []api.Model{{ID: SiteModel}},
+		Services: []api.Service{{ID: SiteService}},
+	}
+	for _, zone := range s.Config.Zones {
+		parts.Zones = append(parts.Zones, api.Zone{ID: zone, Region: "region-1"})
+	}
+	for _, engine := range s.Engines {
+		parts.Endpoints = append(parts.Endpoints, api.Endpoint{
+			ID:          engine.ID,
+			Instance:    "instance-of-" + engine.ID,
+			Zone:        engine.Zone,
+			URL:         engine.Server.URL,
+			Models:      []string{SiteModel},
+			MaxInflight: s.Config.MaxInflight,
+		})
+	}
+	for _, service := range s.Services {
+		parts.Endpoints = append(parts.Endpoints, api.Endpoint{
+			ID:          service.ID,
+			Instance:    "instance-of-" + service.ID,
+			Zone:        service.Zone,
+			URL:         service.Server.URL,
+			Service:     SiteService,
+			MaxInflight: s.Config.MaxInflight,
+		})
+	}
+	for i := range s.Config.Workspaces {
+		digest := sha256.Sum256([]byte(WorkspaceKey(i)))
+		parts.Workspaces = append(parts.Workspaces, api.Workspace{
+			ID:        fmt.Sprintf("workspace-%d", i),
+			KeySha256: hex.EncodeToString(digest[:]),
+		})
+	}
+	return api.Note{Title: "Add the site", Author: "site", Added: parts}
+}
+
+// RunsOfKey returns how often the calls with an idempotency key ran, over all
+// replicas.
+func (s *Site) RunsOfKey(key string) int {
+	runs := 0
+	for _, service := range s.Services {
+		runs += len(service.RunsOfKey(key))
+	}
+	return runs
+}
+
+// StartsAfter returns how many completions started in a zone after a time.
+func (s *Site) StartsAfter(zone string, after time.Time) int {
+	count := 0
+	for _, engine := range s.Engines {
+		if engine.Zone != zone {
+			continue
+		}
+		for _, start := range engine.Starts() {
+			if start.At.After(after) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// FreeAddresses returns loopback addresses with ports that were free just now.
+func FreeAddresses(count int) ([]string, error) {
+	addresses := make([]string, count)
+	for i := range addresses {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, fmt.Errorf("find a free port: %w", err)
+		}
+		defer listener.Close()
+		addresses[i] = listener.Addr().String()
+	}
+	return addresses, nil
+}
+
