--- a/claims/owner.go
+++ b/claims/owner.go
@@ -45,7 +45,9 @@
 
 // OwnerConfig holds the settings of an Owner.
 type OwnerConfig struct {
-	Router          string
+	Router string
+	// Shards is the number of shards, the same on all routers.
+	Shards          int
 	CommitInterval  time.Duration
 	Retention       time.Duration
 	UnknownAfter    time.Duration
@@ -59,6 +61,7 @@
 func DefaultOwnerConfig(router string) OwnerConfig {
 	return OwnerConfig{
 		Router:          router,
+		Shards:          64,
 		CommitInterval:  50 * time.Millisecond,
 		Retention:       24 * time.Hour,
 		UnknownAfter:    10 * time.Minute,
@@ -145,14 +148,14 @@
 
 // Handle claims a key. It returns unavailable when ctx ends first.
 func (o *Owner) Handle(ctx context.Context, request api.ClaimRequest) api.ClaimReply {
-	return o.run(ctx, request.Shard, func(s *Shard, id uint64) { s.Claim(id, request) })
+	return o.run(ctx, request.Shard, request.Key, func(s *Shard, id uint64) { s.Claim(id, request) })
 }
 
 // HandleUpdate completes or releases a claim. The result is done after the
 // commit, in_progress if another attempt holds the key, and unavailable if the
 // update has to be sent again.
 func (o *Owner) HandleUpdate(ctx context.Context, update api.ClaimUpdate) api.ClaimReply {
-	return o.run(ctx, update.Shard, func(s *Shard, id uint64) { s.Update(id, update) })
+	return o.run(ctx, update.Shard, update.Key, func(s *Shard, id uint64) { s.Update(id, update) })
 }
 
 // Close stops all work. Operations in progress are answered with unavailable.
@@ -164,7 +167,12 @@
 	o.work.Wait()
 }
 
-func (o *Owner) run(ctx context.Context, number int, enqueue func(*Shard, uint64)) api.ClaimReply {
+func (o *Owner) run(ctx context.Context, number int, key string, enqueue func(*Shard, uint64)) api.ClaimReply {
+	// Routers that disagree on the number of shards would grant one key in two
+	// journals.
+	if ShardOf(key, o.cfg.Shards) != number {
+		return api.ClaimReply{Result: api.ClaimResultUnavailable, NotClaimed: true}
+	}
 	ctx, cancel := context.WithTimeout(ctx, maxReplyWait)
 	defer cancel()
 	r, id, reply := o.submit(number, enqueue)
--- a/claims/owner_test.go
+++ b/claims/owner_test.go
@@ -17,6 +17,7 @@
 
 func testOwner(store platform.Store) *Owner {
 	cfg := DefaultOwnerConfig("r1")
+	cfg.Shards = 1
 	cfg.CommitInterval = time.Millisecond
 	return NewOwner(cfg, store, SystemClock{})
 }
@@ -69,3 +70,13 @@
 	assert.DeepEqual(t, reply, api.ClaimReply{Result: api.ClaimResultUnavailable, NotClaimed: true})
 	owner.Close()
 }
+
+// Guards against a key that is granted in the journal of another shard.
+func TestOwnerRefusesWrongShard(t *testing.T) {
+	owner := testOwner(platform.NewMemory())
+	defer owner.Close()
+	request := claimOf("k", "a")
+	request.Shard = 1
+	reply := owner.Handle(context.Background(), request)
+	assert.DeepEqual(t, reply, api.ClaimReply{Result: api.ClaimResultUnavailable, NotClaimed: true})
+}
--- a/claims/shard_test.go
+++ b/claims/shard_test.go
@@ -516,3 +516,22 @@
 	}
 	t.Fatal("the claim was not refused")
 }
+
+// Guards against a head that grows without bound when segments do not expire,
+// and against granted calls whose outcome then finds no room.
+func TestFullJournalRefusesClaimsButKeepsOutcomes(t *testing.T) {
+	store := platform.NewMemory()
+	now := time.Unix(1e9, 0)
+	s := NewShard(testConfig("o1"))
+	s.sealBytes = 1
+	refused := false
+	for i := 0; i < maxSegments+10 && !refused; i++ {
+		s.Claim(1, claimOf(fmt.Sprintf("k%d", i), "a"))
+		refused = drive(s, store, now)[1].Result == api.ClaimResultUnavailable
+	}
+	assert.Assert(t, refused)
+	s.Update(2, api.ClaimUpdate{Key: "k0", Attempt: "a", State: api.ClaimStateDone, Outcome: &api.ClaimOutcome{Status: 200}})
+	assert.Equal(t, drive(s, store, now)[2].Result, api.ClaimResultDone)
+	s.Claim(3, claimOf("k0", "b"))
+	assert.Equal(t, drive(s, store, now)[3].Result, api.ClaimResultDone)
+}
