notes: test lost answers before an outage and sizes at the target

Cause: removing the record of a pending write survived the race tests, because a lost answer is rarely followed by failed reads only.

--- a/admin/notes.go
+++ b/admin/notes.go
@@ -21,6 +21,10 @@
 // disconnects, so that a cut connection leaves no outcome unknown.
 const acceptTimeout = 30 * time.Second
 
+// listTimeout is how long a list waits for the object API before it shows the
+// notes that the router itself has applied.
+const listTimeout = 3 * time.Second
+
 // RouterRevision is the revision that a router has applied, as last heard.
 type RouterRevision struct {
 	Router   string
@@ -205,7 +209,9 @@
 }
 
 func (h noteHandlers) list(c echo.Context) error {
-	recent, err := h.acceptor.History(c.Request().Context())
+	ctx, cancel := context.WithTimeout(c.Request().Context(), listTimeout)
+	defer cancel()
+	recent, err := h.acceptor.History(ctx)
 	if err != nil {
 		recent = h.syncer.Recent()
 	}
--- a/notes/acceptor_test.go
+++ b/notes/acceptor_test.go
@@ -195,3 +195,81 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(states), keptStates)
 }
+
+// lostAnswerStore makes one write of the head take effect without an answer and
+// is unreachable from then on.
+type lostAnswerStore struct{ faultyStore }
+
+func (s *lostAnswerStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	if s.down.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	version, err := s.Memory.Put(ctx, key, value, ifVersion)
+	if key == HeadKey && err == nil {
+		s.down.Store(true)
+		return 0, platform.ErrAmbiguous
+	}
+	return version, err
+}
+
+// Guards against "not accepted" for a note that was accepted, when an outage
+// begins with the lost answer, and against a second revision when the operator
+// accepts it again.
+func TestLostAnswerBeforeOutage(t *testing.T) {
+	ctx := context.Background()
+	store := &lostAnswerStore{faultyStore{Memory: platform.NewMemory()}}
+	_, err := testAcceptor(store).Accept(ctx, addZone("a"))
+	assert.ErrorIs(t, err, ErrOutcomeUnknown)
+	_, err = testAcceptor(store).Accept(ctx, addZone("a"))
+	assert.ErrorIs(t, err, ErrUnavailable)
+	store.down.Store(false)
+	result, err := testAcceptor(store).Accept(ctx, addZone("a"))
+	assert.NilError(t, err)
+	assert.Assert(t, result.Already)
+	assert.Equal(t, result.Revision, uint64(1))
+}
+
+// targetNote returns the import of a fleet at the sizing target.
+func targetNote() api.Note {
+	add := &api.NoteParts{Models: []api.Model{{ID: "chat", Version: "v1"}}}
+	for i := range 6 {
+		add.Zones = append(add.Zones, api.Zone{ID: fmt.Sprintf("zone-%d", i), Region: "region-1"})
+	}
+	for i := range 600 {
+		add.Endpoints = append(add.Endpoints, api.Endpoint{
+			ID: fmt.Sprintf("endpoint-%04d", i), Instance: fmt.Sprintf("instance-%04d", i), Zone: fmt.Sprintf("zone-%d", i%6),
+			URL: fmt.Sprintf("http://10.0.%d.%d:8000", i/250, i%250), Models: []string{"chat"}, MaxInflight: 32, ChecksFencing: true,
+		})
+	}
+	for i := range 3200 {
+		add.Workspaces = append(add.Workspaces, api.Workspace{ID: fmt.Sprintf("workspace-%05d", i), KeySha256: fmt.Sprintf("%064x", i), Priority: 5})
+	}
+	return api.Note{Title: "Import", Added: add}
+}
+
+// Guards against objects that the object API refuses at the sizing target, and
+// against deltas that take more than the 4 KB/s of a router: 440 a day must stay
+// far below.
+func TestSizesAtTarget(t *testing.T) {
+	ctx := context.Background()
+	store := platform.NewMemory()
+	acceptor := testAcceptor(store)
+	syncer := NewSyncer(SyncerOptions{Store: store})
+	_, err := acceptor.Accept(ctx, targetNote())
+	assert.NilError(t, err)
+	for i := range 2 * maxRecent {
+		_, err := acceptor.Accept(ctx, api.Note{Title: fmt.Sprintf("Withdraw %d", i), Withdrawn: &api.NoteWithdrawals{Instances: []string{fmt.Sprintf("instance-%04d", i)}}})
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, syncer.Start(ctx, nil))
+	head, err := store.Get(ctx, HeadKey)
+	assert.NilError(t, err)
+	delta, err := fleet.Marshal(syncer.Serve(api.NotesRequest{After: syncer.Revision() - 1}))
+	assert.NilError(t, err)
+	whole, err := fleet.Marshal(syncer.Serve(api.NotesRequest{}))
+	assert.NilError(t, err)
+	t.Logf("head %d bytes, delta of one note %d bytes, whole state with recent notes %d bytes", len(head.Value), len(delta), len(whole))
+	assert.Assert(t, len(head.Value) <= maxRecentBytes)
+	assert.Assert(t, len(delta) < 4096)
+	assert.Assert(t, len(whole) <= platform.MaxValueBytes)
+}
--- a/notes/syncer.go
+++ b/notes/syncer.go
@@ -44,7 +44,8 @@
 
 // SyncerOptions configures a Syncer. Zero durations mean the defaults.
 type SyncerOptions struct {
-	Store   platform.Store
+	Store platform.Store
+	// Peers may be nil for a router without peers; Start then takes none.
 	Peers   PeerSource
 	Metrics *telemetry.Metrics
 	Logger  *zap.Logger
@@ -152,7 +153,7 @@
 // than the own one, Run asks the peer for what is missing.
 func (s *Syncer) Offer(peer string, revision uint64) {
 	s.Heard()
-	if revision <= s.Revision() {
+	if revision <= s.Revision() || s.options.Peers == nil {
 		return
 	}
 	s.offering.Lock()
@@ -260,8 +261,13 @@
 	if err != nil {
 		return version, err
 	}
-	if len(objects) == 0 && s.options.Now().Sub(sent) >= s.options.Wait {
-		sent = sent.Add(s.options.Wait) // the store answered no earlier than that
+	if len(objects) == 0 {
+		waited := s.options.Now().Sub(sent)
+		if waited < s.options.Wait/2 {
+			_ = sleep(ctx, minBackoff) // a store that does not hold the poll must not be flooded
+		} else if waited >= s.options.Wait {
+			sent = sent.Add(s.options.Wait) // the store answered no earlier than that
+		}
 	}
 	s.heardAt(sent)
 	for _, object := range objects {
