--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,98 @@
+// Package retry decides whether a failed request is sent again, and when. It
+// does no I/O and reads no clock or random source.
+package retry
+
+import (
+	"container/list"
+	"time"
+)
+
+// BudgetConfig holds the settings of a Budget.
+type BudgetConfig struct {
+	// Fraction is the number of retries that each first try allows.
+	Fraction float64
+	// Floor is the number of retries a second that are always allowed.
+	Floor float64
+	// MaxWorkspaces is the number of workspaces kept. 0 means 4096.
+	MaxWorkspaces int
+}
+
+const (
+	// DefaultMaxWorkspaces is above the 3,200 workspaces in steady use.
+	DefaultMaxWorkspaces = 4096
+	// burstSeconds of the floor is what an unused budget saves up.
+	burstSeconds = 10
+	// minCapacity keeps a budget with a floor of 0 usable.
+	minCapacity = 10
+)
+
+// Budget limits the retries of each workspace with a token bucket, so that
+// failures of many requests do not multiply the load. It is not safe for
+// concurrent use.
+type Budget struct {
+	config  BudgetConfig
+	buckets map[string]*list.Element
+	// order has the most recently used workspace first.
+	order *list.List
+}
+
+type bucket struct {
+	workspace string
+	tokens    float64
+	updated   time.Time
+}
+
+// NewBudget returns a budget in which each workspace starts with one second of
+// the floor. A workspace that was dropped as the least recently used one starts
+// again so.
+func NewBudget(config BudgetConfig) *Budget {
+	if config.MaxWorkspaces <= 0 {
+		config.MaxWorkspaces = DefaultMaxWorkspaces
+	}
+	return &Budget{config: config, buckets: map[string]*list.Element{}, order: list.New()}
+}
+
+// FirstTry counts the first try of a request.
+func (b *Budget) FirstTry(now time.Time, workspace string) {
+	bucket := b.bucket(now, workspace)
+	bucket.tokens = min(bucket.tokens+b.config.Fraction, b.capacity())
+}
+
+// Take uses up one retry. It returns false when the budget has none.
+func (b *Budget) Take(now time.Time, workspace string) bool {
+	bucket := b.bucket(now, workspace)
+	if bucket.tokens < 1 {
+		return false
+	}
+	bucket.tokens--
+	return true
+}
+
+func (b *Budget) capacity() float64 {
+	return max(minCapacity, b.config.Floor*burstSeconds)
+}
+
+func (b *Budget) bucket(now time.Time, workspace string) *bucket {
+	element, ok := b.buckets[workspace]
+	if !ok {
+		return b.add(now, workspace)
+	}
+	b.order.MoveToFront(element)
+	found := element.Value.(*bucket)
+	if elapsed := now.Sub(found.updated); elapsed > 0 {
+		found.tokens = min(found.tokens+b.config.Floor*elapsed.Seconds(), b.capacity())
+		found.updated = now
+	}
+	return found
+}
+
+func (b *Budget) add(now time.Time, workspace string) *bucket {
+	if b.order.Len() >= b.config.MaxWorkspaces {
+		oldest := b.order.Back()
+		b.order.Remove(oldest)
+		delete(b.buckets, oldest.Value.(*bucket).workspace)
+	}
+	added := &bucket{workspace: workspace, tokens: b.config.Floor, updated: now}
+	b.buckets[workspace] = b.order.PushFront(added)
+	return added
+}
--- a/router/owner.go
+++ b/router/owner.go
@@ -234,9 +234,13 @@
 	if e.Service != "" {
 		return
 	}
+	sent := o.now()
 	callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	load, err := o.loads.Load(callCtx, e.URL)
 	cancel()
+	// The figures may be as old as the call; the cold limit depends on their
+	// age not being understated.
+	load.AgeMs += int(o.now().Sub(sent)/time.Millisecond) + 1
 	if ctx.Err() != nil {
 		return
 	}
