--- a/router/peers.go
+++ b/router/peers.go
@@ -31,15 +31,3 @@
 	}
 	return nil
 }
-
-// Notes implements notes.PeerSource.
-func (r *Router) Notes(ctx context.Context, peer string, after uint64) (api.NotesReply, error) {
-	reply, err := r.cluster.Call(ctx, peer, api.PeerMessage{NotesRequest: &api.NotesRequest{After: after}})
-	if err != nil {
-		return api.NotesReply{}, err
-	}
-	if reply.NotesReply == nil {
-		return api.NotesReply{}, errWrongReply
-	}
-	return *reply.NotesReply, nil
-}
--- a/router/router.go
+++ b/router/router.go
@@ -9,7 +9,6 @@
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
-	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -24,7 +23,6 @@
 	"github.com/hornbeamproxy/hornbeamproxy/admission"
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/claims"
-	"github.com/hornbeamproxy/hornbeamproxy/cluster"
 	"github.com/hornbeamproxy/hornbeamproxy/config"
 	"github.com/hornbeamproxy/hornbeamproxy/engine"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
@@ -46,8 +44,6 @@
 	flushTimeout = 5 * time.Second
 )
 
-var errWrongReply = errors.New("router: a peer answered with another kind of message")
-
 // Config is what a Router needs from its process.
 type Config struct {
 	Settings *api.Settings
@@ -64,7 +60,9 @@
 	metrics    *telemetry.Metrics
 	store      platform.Store
 	engine     *engine.Client
-	cluster    *cluster.Cluster
+	cluster    *peerNetwork
+	peerServer *http.Server
+	everSeen   map[string]bool // used by followPeers only
 	syncer     *notes.Syncer
 	acceptor   *notes.Acceptor
 	dispatch   *dispatcher
@@ -81,6 +79,8 @@
 	leaving    atomic.Bool
 	drains     drains
 	refreshMu  sync.Mutex
+	stopLoops  context.CancelFunc
+	loopsDone  chan struct{}
 	now        func() time.Time
 }
 
@@ -95,6 +95,7 @@
 		retries:   newRetries(c.Settings.Retry, c.Metrics, time.Now),
 		handleKey: deriveKey(c.Secrets.PeerSecret, "stream handles"),
 		idPrefix:  c.Settings.Router.ID + "-" + rand.Text()[:8] + "-",
+		everSeen:  map[string]bool{},
 		now:       time.Now,
 	}
 	r.syncer = notes.NewSyncer(notes.SyncerOptions{Store: c.Store, Peers: r, Metrics: c.Metrics, Logger: c.Logger})
@@ -208,7 +209,7 @@
 // isolated says that a note may be in force elsewhere that this router cannot
 // have heard of. A router that has no peers accepts all notes itself.
 func (r *Router) isolated() bool {
-	return r.cluster.HasPeers() && r.silence() > r.settings.Limits.WithdrawWithin.Duration
+	return !r.cluster.NeverHadPeers() && r.silence() > r.settings.Limits.WithdrawWithin.Duration
 }
 
 // viewChanged brings a new fleet state into force.
@@ -253,10 +254,11 @@
 // Start joins the fleet: it returns when the newest revision is applied and the
 // router takes requests.
 func (r *Router) Start(ctx context.Context) error {
-	if err := r.cluster.Start(ctx); err != nil {
-		return fmt.Errorf("join the fleet: %w", err)
+	if err := r.listenPeers(); err != nil {
+		return err
 	}
-	if err := r.syncer.Start(ctx, r.cluster.Peers()); err != nil {
+	r.startLoops()
+	if err := r.syncer.Start(ctx, r.settings.Peers.Seeds); err != nil {
 		return fmt.Errorf("read the release notes: %w", err)
 	}
 	r.viewChanged(r.syncer.View())
@@ -264,18 +266,28 @@
 	return nil
 }
 
-// Run keeps the router's loops until the context ends. Call it after Start.
-func (r *Router) Run(ctx context.Context) error {
+// startLoops runs the router's loops until Close.
+func (r *Router) startLoops() {
+	ctx, stop := context.WithCancel(context.Background())
+	r.stopLoops = stop
+	r.loopsDone = make(chan struct{})
 	var group run.Group
 	for _, loop := range []func(context.Context) error{
-		r.cluster.Run, r.syncer.Run, r.owner.run, r.permits.run, r.claims.run,
+		r.cluster.Run, r.followPeers, r.syncer.Run, r.owner.run, r.permits.run, r.claims.run,
 	} {
-		loopCtx, cancel := context.WithCancel(ctx)
-		group.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
+		group.Add(func() error { return loop(ctx) }, func(error) { stop() })
 	}
-	return group.Run()
+	go func() {
+		defer close(r.loopsDone)
+		if err := group.Run(); err != nil {
+			r.logger.Error("a loop of the router failed", zap.Error(err))
+		}
+	}()
 }
 
+// Done is closed when the router's loops have ended.
+func (r *Router) Done() <-chan struct{} { return r.loopsDone }
+
 // StopAccepting makes the router unready and hands its ownership to others. It
 // goes on serving the requests that still arrive.
 func (r *Router) StopAccepting() {
@@ -306,9 +318,16 @@
 	}
 }
 
-// Close ends all work. Run must have returned.
-func (r *Router) Close(ctx context.Context) {
+// Close ends all work and leaves the fleet.
+func (r *Router) Close() {
+	if r.stopLoops != nil {
+		r.stopLoops()
+		<-r.loopsDone
+	}
 	r.claimOwner.Close()
-	r.cluster.Close(ctx)
+	r.cluster.Transport().Close()
+	if r.peerServer != nil {
+		_ = r.peerServer.Close()
+	}
 	r.engine.Close()
 }
--- a/router/status.go
+++ b/router/status.go
@@ -42,9 +42,6 @@
 // Syncer returns the syncer of release notes.
 func (r *Router) Syncer() *notes.Syncer { return r.syncer }
 
-// RouterRevisions implements admin.StatusSource.
-func (r *Router) RouterRevisions() []admin.RouterRevision { return r.cluster.RouterRevisions() }
-
 // Steps implements admin.StatusSource. A note has no steps until orders to
 // endpoints follow from it.
 func (r *Router) Steps(uint64) []admin.Step { return nil }
--- a/server/server.go
+++ b/server/server.go
@@ -132,16 +132,13 @@
 }
 
 func (s *server) run(ctx context.Context) error {
+	defer s.router.Close()
 	if err := s.router.Start(ctx); err != nil {
 		if ctx.Err() != nil {
 			return nil
 		}
 		return err
 	}
-	loopCtx, stopLoops := context.WithCancel(context.Background())
-	defer stopLoops()
-	loops := make(chan error, 1)
-	go func() { loops <- s.router.Run(loopCtx) }()
 	if s.options.Started != nil {
 		s.options.Started()
 	}
@@ -150,20 +147,15 @@
 	select {
 	case <-ctx.Done():
 	case failure = <-s.failed:
-	case failure = <-loops:
+	case <-s.router.Done():
+		failure = errLoopsEnded
 	}
 	s.shutDown()
-	stopLoops()
-	if failure == nil {
-		failure = <-loops
-	}
-	closeCtx, cancel := context.WithTimeout(context.Background(), readHeaderTimeout)
-	defer cancel()
-	s.router.Close(closeCtx)
-	s.options.Logger.Info("router stopped")
 	return failure
 }
 
+var errLoopsEnded = errors.New("server: the router's loops have ended")
+
 // shutDown finishes the requests in progress. The balancer and the peers need
 // up to withdraw_within to send nothing more here, so requests are taken for
 // that long after readiness is off.
