--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -276,12 +276,29 @@
 	Zones []Zone `json:"zones,omitempty,omitzero" toml:"zones,omitempty" cbor:"zones,omitempty"`
 }
 
+// One gossip message; the transport names its sender. Beats and loads are packed,
+// because named fields for each router would take several times the bytes.
 type Gossip struct {
-	// Entries corresponds to the JSON schema field "entries".
-	Entries []GossipEntry `json:"entries" toml:"entries" cbor:"entries"`
+	// Heartbeats, 5 bytes each: 3 bytes hash of router id and incarnation, 2 bytes
+	// low bits of the heartbeat, big endian.
+	B []byte `json:"b,omitempty,omitzero" toml:"b,omitempty" cbor:"b,omitempty"`
 
-	// From corresponds to the JSON schema field "from".
-	From string `json:"from" toml:"from" cbor:"from"`
+	// Routers that the receiver may not know.
+	Entries []GossipEntry `json:"entries,omitempty,omitzero" toml:"entries,omitempty" cbor:"entries,omitempty"`
+
+	// Loads: a beat, varints of (v minus the router's revision) and of the number of
+	// pools, and for each pool varints of its index in m, ready endpoints and
+	// requests in flight.
+	L []byte `json:"l,omitempty,omitzero" toml:"l,omitempty" cbor:"l,omitempty"`
+
+	// Pools named in l.
+	M []string `json:"m,omitempty,omitzero" toml:"m,omitempty" cbor:"m,omitempty"`
+
+	// Router that has applied v; empty for the sender itself.
+	T string `json:"t,omitempty,omitzero" toml:"t,omitempty" cbor:"t,omitempty"`
+
+	// Highest revision known to the sender.
+	V uint64 `json:"v,omitempty,omitzero" toml:"v,omitempty" cbor:"v,omitempty"`
 }
 
 // State of one router. Field names are short because entries make up most of the
--- a/peer/transport_test.go
+++ b/peer/transport_test.go
@@ -346,7 +346,7 @@
 func FuzzDecode(f *testing.F) {
 	for _, msg := range []api.PeerMessage{
 		request("e"),
-		{Gossip: &api.Gossip{From: "a", Entries: []api.GossipEntry{{R: "a", I: 1, H: 2, P: []api.PoolCount{{M: "m"}}}}}},
+		{Gossip: &api.Gossip{Entries: []api.GossipEntry{{R: "a", I: 1, H: 2, P: []api.PoolCount{{M: "m"}}}}}},
 		{Handshake: &api.PeerHandshake{Nonce: make([]byte, nonceBytes)}},
 	} {
 		f.Add(append([]byte(nil), encode(&msg).Bytes()...))
