Add the cluster shell

Cause: the gossip table does no I/O and needs registrations, timers and a transport.

Change: package cluster registers the router, finds peers by registrations and seeds, exchanges whole tables with routers it does not know, gossips, suspects routers locally whose connection failed, and publishes the owners for lock-free lookups.

Conclusion: routers on loopback find each other with and without the object API and follow departures, failures and restarts.

--- /dev/null
+++ b/cluster/cluster_test.go
@@ -0,0 +1,172 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/peer"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+// Guards against goroutines that outlive the cluster.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// outage is a Store that can be unavailable.
+type outage struct {
+	platform.Store
+	down atomic.Bool
+}
+
+func (o *outage) Get(ctx context.Context, key string) (platform.Object, error) {
+	if o.down.Load() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return o.Store.Get(ctx, key)
+}
+
+func (o *outage) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	if o.down.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	return o.Store.List(ctx, prefix)
+}
+
+type router struct {
+	*Cluster
+	id     string
+	server *httptest.Server
+	stop   func()
+}
+
+func startRouter(t *testing.T, i int, store platform.Store, seeds ...string) *router {
+	t.Helper()
+	r := &router{id: fmt.Sprintf("router-%d", i), server: httptest.NewUnstartedServer(nil)}
+	cluster, err := New(Options{
+		Self: api.RouterRegistration{
+			ID: r.id, PeerAddress: r.server.Listener.Addr().String(), Zone: fmt.Sprintf("zone-%d", i%2),
+		},
+		Seeds: seeds, Store: store, RefreshInterval: 300 * time.Millisecond,
+		Transport: peer.Options{Secret: []byte("secret"), MinBackoff: 20 * time.Millisecond},
+		Handler: peer.HandlerFunc(func(context.Context, string, api.PeerMessage) *api.PeerMessage {
+			return &api.PeerMessage{PermitReply: &api.PermitReply{Permit: 1}}
+		}),
+	})
+	assert.NilError(t, err)
+	r.Cluster = cluster
+	r.server.Config.Handler = cluster.Transport()
+	r.server.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = cluster.Run(ctx)
+	}()
+	r.stop = func() {
+		cancel()
+		<-done
+		cluster.Transport().Close()
+		r.server.Close()
+	}
+	t.Cleanup(r.stop)
+	return r
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(10*time.Second))
+}
+
+func allKnow(routers []*router, n int) func() bool {
+	return func() bool {
+		for _, r := range routers {
+			if len(r.Owners().IDs) != n {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Guards against routers that do not find each other through registrations,
+// disagree about owners, miss a revision or loads, or keep one that left.
+func TestRoutersFindEachOtherAndLeave(t *testing.T) {
+	store := platform.NewMemory()
+	var routers []*router
+	for i := range 5 {
+		routers = append(routers, startRouter(t, i, store))
+	}
+	eventually(t, "five owners everywhere", allKnow(routers, 5))
+	owner, address := routers[0].OwnerOf("endpoint-1")
+	assert.Equal(t, testing.AllocsPerRun(10, func() { routers[0].OwnerOf("endpoint-1") }), 0.0)
+	for _, r := range routers {
+		id, at := r.OwnerOf("endpoint-1")
+		assert.Equal(t, id, owner)
+		assert.Equal(t, at, address)
+		assert.Assert(t, !r.LastPeerContact().IsZero())
+		r.SetPoolCounts([]api.PoolCount{{M: "m", N: 2, F: 3}})
+	}
+	_, err := routers[1].Transport().Call(t.Context(), address, api.PeerMessage{PermitRequest: &api.PermitRequest{}})
+	if owner != "router-1" {
+		assert.NilError(t, err)
+	}
+	routers[2].SetRevision(7)
+	eventually(t, "revision and loads everywhere", func() bool {
+		for _, r := range routers {
+			revision, _, at := r.HighestRevision()
+			if load := r.PoolLoad("m"); revision != 7 || at == "" || load.Inflight != 15 || load.Ready != 10 {
+				return false
+			}
+		}
+		return true
+	})
+	routers[4].stop()
+	eventually(t, "four owners", allKnow(routers[:4], 4))
+	_, err = store.Get(t.Context(), RegistrationPrefix+"router-4")
+	assert.Assert(t, errors.Is(err, platform.ErrNotFound))
+}
+
+// Guards against routers that need the object API to find their seeds, and
+// against a router that registers late once it is available again.
+func TestSeedsWithoutStore(t *testing.T) {
+	store := &outage{Store: platform.NewMemory()}
+	store.down.Store(true)
+	first := startRouter(t, 0, store)
+	second := startRouter(t, 1, store, first.server.Listener.Addr().String())
+	eventually(t, "two owners", allKnow([]*router{first, second}, 2))
+	store.down.Store(false)
+	eventually(t, "registered", func() bool {
+		objects, _ := store.List(t.Context(), RegistrationPrefix)
+		return len(objects) == 2
+	})
+}
+
+// Guards against an owner that stays after its connection failed, and against a
+// restarted router that is not taken back.
+func TestFailedConnectionMovesOwnership(t *testing.T) {
+	store := platform.NewMemory()
+	routers := []*router{startRouter(t, 0, store), startRouter(t, 1, store)}
+	eventually(t, "two owners", allKnow(routers, 2))
+	routers[1].Transport().Close()
+	started := time.Now()
+	eventually(t, "one owner", allKnow(routers[:1], 1))
+	assert.Assert(t, time.Since(started) < time.Second)
+	routers[1].stop()
+	eventually(t, "two owners again", allKnow([]*router{routers[0], startRouter(t, 1, store)}, 2))
+}
