Start over placement when an endpoint is lost while a request waits

Cause: a request queued at an endpoint that was then withdrawn was refused, although other endpoints had room (seen in the demo: 1 of 204 answers). Change: place asks all candidates again while there is time.

--- /dev/null
+++ b/cluster/address.go
@@ -0,0 +1,16 @@
+package cluster
+
+// Address returns the peer address of a router, or "" if it is not known.
+func (c *Cluster) Address(id string) string {
+	if address, ok := c.owners.Load().addresses[id]; ok {
+		return address
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Address(id)
+}
+
+// NeverHadPeers says that no other router has been heard since the start.
+func (c *Cluster) NeverHadPeers() bool {
+	return c.lastContact.Load() == 0
+}
--- a/cmd/hornbeamproxy/main.go
+++ b/cmd/hornbeamproxy/main.go
@@ -54,6 +54,9 @@
 	if errors.As(err, &coded) {
 		return coded.code
 	}
+	if code := noteExitCode(err); code != 0 {
+		return code
+	}
 	return exitUsage
 }
 
--- a/cmd/hornbeamproxy/note.go
+++ b/cmd/hornbeamproxy/note.go
@@ -1,4 +1,4 @@
-// Command hornbeamproxy is the router daemon and the operators' command line.
+
 package main
 
 import (
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -18,6 +18,8 @@
 	// avoidRefused is how long an endpoint is left out after its owner said
 	// that it takes no work, or did not answer.
 	avoidRefused = 500 * time.Millisecond
+	// placePause is the time before all candidates are asked again.
+	placePause = 50 * time.Millisecond
 	// avoidUnreachable is how long an endpoint is left out after a connection
 	// to it failed.
 	avoidUnreachable = time.Second
@@ -106,33 +108,70 @@
 }
 
 // place returns an endpoint and a permit for it. It asks the candidates in
-// order without waiting and then waits at the one with the least load. The
-// error is a *refusal that says "not run"; the caller corrects that if an
-// earlier attempt has sent something.
+// order without waiting and then waits at the one with the least load. While
+// there is time it starts over when an endpoint or its owner was lost meanwhile,
+// because the next view has others. The error is a *refusal that says "not run";
+// the caller corrects that if an earlier attempt has sent something.
 func (d *dispatcher) place(ctx context.Context, w *work) (*placed, error) {
+	until := d.now().Add(d.queueWait)
+	if w.deadline.Before(until) {
+		until = w.deadline
+	}
+	for {
+		found, reason := d.placeOnce(ctx, w, until)
+		if found != nil {
+			return found, nil
+		}
+		if !isPassing(reason) || !d.pause(ctx, until) {
+			return nil, d.refused(reason)
+		}
+	}
+}
+
+// placeOnce asks all candidates once. The reason is set when none accepts.
+func (d *dispatcher) placeOnce(ctx context.Context, w *work, until time.Time) (*placed, api.Refusal) {
 	candidates := d.candidates(w)
 	if len(candidates) == 0 {
-		return nil, &refusal{reason: api.RefusalNoEndpoint, notRun: true, detail: "no endpoint serves this", retryAfter: time.Second}
+		return nil, api.RefusalNoEndpoint
 	}
 	var best *api.Endpoint
 	var last *denial
 	for _, e := range candidates {
 		found, denied := d.try(ctx, w, e)
 		if found != nil {
-			return found, nil
+			return found, ""
 		}
 		if last == nil || (isFull(denied.reason) && (!isFull(last.reason) || denied.inflight < last.inflight)) {
 			best, last = e, denied
 		}
 	}
 	if !isFull(last.reason) {
-		return nil, d.refused(last.reason)
+		return nil, last.reason
+	}
+	return d.wait(ctx, w, best, until)
+}
+
+// pause waits before the candidates are asked again.
+func (d *dispatcher) pause(ctx context.Context, until time.Time) bool {
+	if d.now().Add(placePause).After(until) {
+		return false
+	}
+	timer := time.NewTimer(placePause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return d.wait(ctx, w, best)
 }
 
 func (d *dispatcher) refused(reason api.Refusal) error {
-	return &refusal{reason: reason, notRun: true, detail: "no endpoint accepts this request now", retryAfter: time.Second}
+	detail := "no endpoint accepts this request now"
+	if reason == api.RefusalNoEndpoint {
+		detail = "no endpoint serves this"
+	}
+	return &refusal{reason: reason, notRun: true, detail: detail, retryAfter: time.Second}
 }
 
 // candidates returns the endpoints to try. Endpoints to be avoided come last
@@ -196,16 +235,16 @@
 	return nil
 }
 
-func (d *dispatcher) wait(ctx context.Context, w *work, e *api.Endpoint) (*placed, error) {
-	wait := min(d.queueWait, w.deadline.Sub(d.now()))
+func (d *dispatcher) wait(ctx context.Context, w *work, e *api.Endpoint, until time.Time) (*placed, api.Refusal) {
+	wait := until.Sub(d.now())
 	if wait <= 0 {
-		return nil, d.refused(api.RefusalDeadlineUnreachable)
+		return nil, api.RefusalDeadlineUnreachable
 	}
 	p, denied := d.acquire(ctx, e, d.request(w, e), wait)
 	if denied != nil {
-		return nil, d.refused(denied.reason)
+		return nil, denied.reason
 	}
-	return &placed{endpoint: e, permit: p}, nil
+	return &placed{endpoint: e, permit: p}, ""
 }
 
 func (d *dispatcher) request(w *work, e *api.Endpoint) api.PermitRequest {
@@ -241,6 +280,12 @@
 	return false
 }
 
+// isPassing says that other candidates, or the same ones a little later, may
+// accept the request: endpoints and owners change.
+func isPassing(reason api.Refusal) bool {
+	return closesEndpoint(reason) || reason == api.RefusalNotOwner || reason == api.RefusalPermitExpired
+}
+
 // closesEndpoint says that asking again at once gives the same answer.
 func closesEndpoint(reason api.Refusal) bool {
 	switch reason {
--- a/router/network.go
+++ b/router/network.go
@@ -182,7 +182,7 @@
 			Router:   member.ID,
 			Zone:     member.Zone,
 			Revision: member.Revision,
-			Age:      member.Age,
+			Age:      member.Silent,
 		})
 	}
 	return list
--- a/router/stream.go
+++ b/router/stream.go
@@ -153,7 +153,7 @@
 
 // pump copies events to the caller until the end marker.
 func (r *Router) pump(ch *chat, out *delivery, at *placed, stream *engine.Stream) error {
-	defer func() { _ = stream.Close() }()
+	defer stream.Close()
 	for {
 		event, err := stream.Next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, engine.ErrCut) {
