Find a killed endpoint within three failed polls, and wait only where work can start

Cause: a killed engine stayed suspect for 6 s. A burst into an idle pool also waited for the next gossip round, because the load bound used a mean that was up to 200 ms old. Change: three failed reads of the load report in a row mean down; requests wait at reachable endpoints first; refusals carry the load, and a router that has asked a whole pool passes the sum on.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -75,6 +75,8 @@
 	if reason := g.blocked(now); reason != "" {
 		return refuse(r, reason), false
 	}
+	// The next SetPool replaces it.
+	g.pool.Inflight = max(g.pool.Inflight, r.PoolInflight)
 	limit, full := g.limit(now)
 	if g.queue.total == 0 && g.Inflight() < limit {
 		return g.grant(now, r, now), false
--- a/admission/types.go
+++ b/admission/types.go
@@ -89,6 +89,10 @@
 	// ChatKey is looked up in the table of moved chats. 0 skips the lookup, as
 	// a router does after the endpoint of a redirect refused it.
 	ChatKey uint64
+	// PoolInflight is the load of the whole pool when the router has just asked
+	// all its endpoints, and 0 otherwise. It is newer than the load from gossip,
+	// which lets a burst through a small pool without a wait for the next round.
+	PoolInflight int
 }
 
 // Grant is a permit.
--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -821,6 +821,10 @@
 	// Endpoint corresponds to the JSON schema field "endpoint".
 	Endpoint string `json:"endpoint" toml:"endpoint" cbor:"endpoint"`
 
+	// Load of the whole pool, when the router has just asked all its endpoints; 0
+	// otherwise.
+	PoolInflight int `json:"pool_inflight,omitempty,omitzero" toml:"pool_inflight,omitempty" cbor:"pool_inflight,omitempty"`
+
 	// Priority corresponds to the JSON schema field "priority".
 	Priority int `json:"priority,omitempty,omitzero" toml:"priority,omitempty" cbor:"priority,omitempty"`
 
--- a/cmd/hornbeamproxy/note.go
+++ b/cmd/hornbeamproxy/note.go
@@ -1,4 +1,3 @@
-
 package main
 
 import (
--- a/endpointstate/machine.go
+++ b/endpointstate/machine.go
@@ -14,6 +14,9 @@
 	// DownAfter is the time without a good report after which it is down.
 	// Default 6 s.
 	DownAfter time.Duration
+	// DownFailures is the number of consecutive failed reads of the report after
+	// which it is down. Default 3.
+	DownFailures int
 	// SuspectErrors is the number of consecutive failed requests that make an
 	// endpoint suspect. Default 3.
 	SuspectErrors int
@@ -26,6 +29,7 @@
 const (
 	DefaultLateAfter     = 2 * time.Second
 	DefaultDownAfter     = 6 * time.Second
+	DefaultDownFailures  = 3
 	DefaultSuspectErrors = 3
 	DefaultForgetAfter   = 10 * time.Second
 )
@@ -61,6 +65,7 @@
 
 	health       health
 	goodReports  int
+	badReports   int
 	lastGood     time.Time
 	lastCall     time.Time
 	errors       int
@@ -81,6 +86,7 @@
 func New(config Config) *Machine {
 	orDefault(&config.LateAfter, DefaultLateAfter)
 	orDefault(&config.DownAfter, DefaultDownAfter)
+	orDefault(&config.DownFailures, DefaultDownFailures)
 	orDefault(&config.SuspectErrors, DefaultSuspectErrors)
 	orDefault(&config.ForgetAfter, DefaultForgetAfter)
 	return &Machine{config: config}
@@ -150,6 +156,7 @@
 	m.readiness = ""
 	m.recoveryLeft = 0
 	m.goodReports = 0
+	m.badReports = 0
 	m.lastGood = now
 	m.lastCall = now
 	if m.health == failed {
@@ -165,6 +172,7 @@
 	}
 	m.lastCall = now
 	m.lastGood = now
+	m.badReports = 0
 	m.reported = true
 	m.readiness = readiness
 	switch m.health {
@@ -200,10 +208,16 @@
 	}
 }
 
-// ReportFailed says that a load report could not be had.
+// ReportFailed says that a load report could not be had. A process that has
+// ended refuses connections at once, so a few failures in a row tell more than
+// the same time without a report.
 func (m *Machine) ReportFailed(now time.Time) {
 	m.goodReports = 0
+	m.badReports++
 	m.Tick(now)
+	if m.polling && m.badReports >= m.config.DownFailures {
+		m.health = failed
+	}
 }
 
 // RequestFailed says that the endpoint failed a request.
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -136,19 +136,37 @@
 	}
 	var best *api.Endpoint
 	var last *denial
+	poolInflight := 0
 	for _, e := range candidates {
 		found, denied := d.try(ctx, w, e)
 		if found != nil {
 			return found, ""
 		}
-		if last == nil || (isFull(denied.reason) && (!isFull(last.reason) || denied.inflight < last.inflight)) {
+		poolInflight += denied.inflight
+		if last == nil || d.betterToWait(e, denied, best, last) {
 			best, last = e, denied
 		}
 	}
 	if !isFull(last.reason) {
 		return nil, last.reason
 	}
-	return d.wait(ctx, w, best, until)
+	if len(candidates) < len(w.pool.Endpoints) {
+		poolInflight = 0
+	}
+	return d.wait(ctx, w, best, until, poolInflight)
+}
+
+// betterToWait says whether a request should rather wait at e than at best: at
+// an endpoint that is full and not one that takes no work, at one that can be
+// reached, and at the one with the least load.
+func (d *dispatcher) betterToWait(e *api.Endpoint, denied *denial, best *api.Endpoint, last *denial) bool {
+	if isFull(denied.reason) != isFull(last.reason) {
+		return isFull(denied.reason)
+	}
+	if avoided := d.isAvoided(e.ID); avoided != d.isAvoided(best.ID) {
+		return !avoided
+	}
+	return denied.inflight < last.inflight
 }
 
 // pause waits before the candidates are asked again.
@@ -235,12 +253,14 @@
 	return nil
 }
 
-func (d *dispatcher) wait(ctx context.Context, w *work, e *api.Endpoint, until time.Time) (*placed, api.Refusal) {
+func (d *dispatcher) wait(ctx context.Context, w *work, e *api.Endpoint, until time.Time, poolInflight int) (*placed, api.Refusal) {
 	wait := until.Sub(d.now())
 	if wait <= 0 {
 		return nil, api.RefusalDeadlineUnreachable
 	}
-	p, denied := d.acquire(ctx, e, d.request(w, e), wait)
+	request := d.request(w, e)
+	request.PoolInflight = poolInflight
+	p, denied := d.acquire(ctx, e, request, wait)
 	if denied != nil {
 		return nil, denied.reason
 	}
--- a/router/owner.go
+++ b/router/owner.go
@@ -21,6 +21,11 @@
 // ownerTick is the interval of expiry checks and of new pool figures.
 const ownerTick = 50 * time.Millisecond
 
+// poolMaxAge is the age from which the pool's load is not used. In a large fleet
+// the oldest part of it is several seconds old, while the mean over hundreds of
+// endpoints changes slowly.
+const poolMaxAge = 15 * time.Second
+
 // loadReader reads the load report of an endpoint.
 type loadReader interface {
 	Load(ctx context.Context, url string) (api.LoadReport, error)
@@ -112,6 +117,7 @@
 		Endpoint:     e.ID,
 		LoadMultiple: o.settings.Limits.LoadMultiple,
 		QueueLength:  o.settings.Limits.QueueLength,
+		PoolMaxAge:   poolMaxAge,
 	})
 	o.owned[e.ID] = owned
 	owned.machine.SetPolling(o.now(), e.Service == "")
@@ -359,6 +365,8 @@
 		Workspace: r.Workspace,
 		Priority:  r.Priority,
 		ChatKey:   r.ChatKey,
+
+		PoolInflight: r.PoolInflight,
 	}
 	var waiter chan admission.Outcome
 	if r.WaitMs > 0 {
@@ -368,7 +376,13 @@
 	}
 	var outcome admission.Outcome
 	var queued bool
-	if !o.gates.Do(r.Endpoint, func(g *admission.Gate) { outcome, queued = g.Request(now, request) }) {
+	decide := func(g *admission.Gate) {
+		outcome, queued = g.Request(now, request)
+		if !outcome.Granted() {
+			outcome.Grant.Inflight = g.Inflight()
+		}
+	}
+	if !o.gates.Do(r.Endpoint, decide) {
 		o.waiting.Delete(request.ID)
 		return refusedReply(api.RefusalNotOwner)
 	}
--- a/standin/site.go
+++ b/standin/site.go
@@ -192,4 +192,3 @@
 	}
 	return addresses, nil
 }
-
