claims: forget looked-up records when the head changes

A long run of the differential test (60,000 cases) recorded an outcome twice. A record read from a segment was still used after the head had been read again, although another owner had sealed a newer record of the key in between. With a released record in the old segment this could have granted a key that was claimed or done, so it was a fault of the guarantee itself.

The looked-up records are now cleared with each new head, as their segment is the newest one of the key only under the head they were read for. A directed test fails before the change (in_progress instead of done) and passes after it.

--- a/claims/shard.go
+++ b/claims/shard.go
@@ -417,6 +417,7 @@
 	s.verifySeal = false
 	s.unsealed = make(map[string]int, len(head.Records))
 	s.recordBytes = 0
+	clear(s.lookups) // a newer segment may hold a newer record
 	for i := range head.Records {
 		s.unsealed[head.Records[i].Key] = i
 		s.recordBytes += recordSize(&head.Records[i])
--- a/claims/shard_test.go
+++ b/claims/shard_test.go
@@ -535,3 +535,23 @@
 	s.Claim(3, claimOf("k0", "b"))
 	assert.Equal(t, drive(s, store, now)[3].Result, api.ClaimResultDone)
 }
+
+// Guards against a record read from a segment that is still used after another
+// owner has sealed a newer record of the key.
+func TestLookupIsNotUsedAfterNewHead(t *testing.T) {
+	store := platform.NewMemory()
+	now := time.Unix(1e9, 0)
+	first, second := NewShard(testConfig("o1")), NewShard(testConfig("o2"))
+	first.sealBytes, second.sealBytes = 1, 1
+	claim := func(s *Shard, key, attempt string) api.ClaimResult {
+		s.Claim(1, claimOf(key, attempt))
+		return drive(s, store, now)[1].Result
+	}
+	assert.Equal(t, claim(first, "k1", "a1"), api.ClaimResultGranted)
+	assert.Equal(t, claim(first, "k2", "a1"), api.ClaimResultGranted) // seals k1
+	second.Update(1, api.ClaimUpdate{Key: "k1", Attempt: "a1", State: api.ClaimStateDone, Outcome: &api.ClaimOutcome{Status: 200}})
+	drive(second, store, now)
+	assert.Equal(t, claim(second, "k3", "a1"), api.ClaimResultGranted) // seals the outcome
+	now = now.Add(2 * refreshAge)
+	assert.Equal(t, claim(first, "k1", "a2"), api.ClaimResultDone)
+}
