claims: check in the differential test that no segment in use is deleted

A stale head that was adopted would put newer segments on the list of segments to delete; no check covered this.

--- a/claims/shard_test.go
+++ b/claims/shard_test.go
@@ -69,6 +69,9 @@
 func (w *simulation) apply(a Action) (uint64, error) {
 	ctx := context.Background()
 	if a.Kind == ActionDelete {
+		for _, ref := range w.previous.Segments {
+			assert.Assert(w.t, a.Key != fmt.Sprintf("claims/0/seg-%d", ref.Number), "segment in use is deleted")
+		}
 		return 0, w.store.Delete(ctx, a.Key, a.IfVersion)
 	}
 	version, err := w.store.Put(ctx, a.Key, a.Value, a.IfVersion)
@@ -279,7 +282,7 @@
 }
 
 // Guards against a second run of a key, a grant that is not durable, a changed
-// outcome and a false "not claimed", with several owners of one shard under
+// outcome, a deleted segment that is in use and a false "not claimed", with several owners of one shard under
 // lost answers, delayed writes, stale reads and crashes.
 func TestShardDifferential(t *testing.T) {
 	var grants, outcomes, segments int
