Remove registrations that crashed routers left behind

These pile up, and each is dialled as a contact for ever.

Change: routers rewrite their registration every 5 min. The owner of the key removes one whose version did not change for three rewrites and whose router is no member. Addresses no longer registered are forgotten by the transport.

Figures: 350 routers rewriting every 5 min make 1.2 writes/s (computed).

Conclusion: the list of registrations stays as long as the fleet is large.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -34,7 +34,8 @@
 	Gossip    membership.Config
 	Logger    *zap.Logger
 
-	RefreshInterval time.Duration // of registration and discovery; default 30 s
+	RefreshInterval time.Duration // between looks at the registrations; default 30 s
+	RewriteInterval time.Duration // between writes of the own one; default 5 min
 	StoreTimeout    time.Duration // of one call; default 2 s
 	SyncTimeout     time.Duration // of a request for a whole table; default 2 s
 	LocalSuspicion  time.Duration // after a failed connection; default 5 s
@@ -42,6 +43,7 @@
 
 func (o *Options) setDefaults() {
 	setDefault(&o.RefreshInterval, 30*time.Second)
+	setDefault(&o.RewriteInterval, 5*time.Minute)
 	setDefault(&o.StoreTimeout, 2*time.Second)
 	setDefault(&o.SyncTimeout, 2*time.Second)
 	setDefault(&o.LocalSuspicion, 5*time.Second)
@@ -63,6 +65,12 @@
 	addresses map[string]string
 }
 
+// sighting is when a version of a registration was first seen.
+type sighting struct {
+	version uint64
+	since   time.Time
+}
+
 // Cluster is one router's view of the fleet. It is safe for concurrent use.
 type Cluster struct {
 	opts      Options
@@ -73,6 +81,10 @@
 	registration uint64            // version of the own registration, 0 when not known
 	listed       map[string]string // registered id by address
 
+	// Used by discoverLoop only.
+	written time.Time
+	seen    map[string]sighting
+
 	owners      atomic.Pointer[Owners]
 	changed     chan struct{}
 	lastContact atomic.Int64 // Unix nanoseconds, 0 before the first
@@ -86,6 +98,7 @@
 	opts.setDefaults()
 	c := &Cluster{
 		opts:    opts,
+		seen:    map[string]sighting{},
 		changed: make(chan struct{}, 1),
 		wake:    make(chan struct{}, 1),
 		syncs:   make(chan membership.Peer, 1),
@@ -357,7 +370,7 @@
 	self.Incarnation = c.table.Incarnation()
 	known := c.registration
 	c.mu.Unlock()
-	if err == nil && stored.Version == known {
+	if err == nil && stored.Version == known && time.Since(c.written) < c.opts.RewriteInterval {
 		return nil
 	}
 	var earlier api.RouterRegistration
@@ -373,6 +386,7 @@
 	if err != nil {
 		return fmt.Errorf("write registration: %w", err)
 	}
+	c.written = time.Now()
 	c.mu.Lock()
 	c.registration = version
 	c.mu.Unlock()
@@ -409,15 +423,55 @@
 		addresses = append(addresses, found.PeerAddress)
 	}
 	c.setContacts(listed)
+	c.removeAbandoned(ctx, objects)
 	return addresses
 }
 
+// abandonedRewrites is the number of rewrites that a router must have missed
+// before its registration is removed.
+const abandonedRewrites = 3
+
+// removeAbandoned removes registrations that crashed routers left behind. Only
+// the owner of a registration's key does so, and only for the version seen.
+func (c *Cluster) removeAbandoned(ctx context.Context, objects []platform.Object) {
+	now := time.Now()
+	live := map[string]bool{}
+	for _, m := range c.Members() {
+		live[RegistrationPrefix+m.ID] = true
+	}
+	seen := make(map[string]sighting, len(objects))
+	for _, object := range objects {
+		first, known := c.seen[object.Key]
+		if !known || first.version != object.Version {
+			first = sighting{version: object.Version, since: now}
+		}
+		seen[object.Key] = first
+		old := now.Sub(first.since) > abandonedRewrites*c.opts.RewriteInterval
+		owner, _ := c.OwnerOf(object.Key)
+		if !old || live[object.Key] || owner != c.opts.Self.ID {
+			continue
+		}
+		if err := c.opts.Store.Delete(ctx, object.Key, object.Version); err != nil {
+			c.opts.Logger.Warn("abandoned registration not removed", zap.String("key", object.Key), zap.Error(err))
+		}
+	}
+	c.seen = seen
+}
+
 func (c *Cluster) setContacts(listed map[string]string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	members := map[string]bool{}
+	for _, m := range c.table.Members(time.Now()) {
+		members[m.Address] = true
+	}
 	for address := range c.listed {
-		if _, still := listed[address]; !still && !slices.Contains(c.opts.Seeds, address) {
-			c.table.DropContact(address)
+		if _, still := listed[address]; still || slices.Contains(c.opts.Seeds, address) {
+			continue
+		}
+		c.table.DropContact(address)
+		if !members[address] {
+			c.transport.Forget(address)
 		}
 	}
 	for address, id := range listed {
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -57,7 +57,8 @@
 		Self: api.RouterRegistration{
 			ID: r.id, PeerAddress: r.server.Listener.Addr().String(), Zone: fmt.Sprintf("zone-%d", i%2),
 		},
-		Seeds: seeds, Store: store, RefreshInterval: 300 * time.Millisecond,
+		Seeds: seeds, Store: store,
+		RefreshInterval: 300 * time.Millisecond, RewriteInterval: 600 * time.Millisecond,
 		Transport: peer.Options{Secret: []byte("secret"), MinBackoff: 20 * time.Millisecond},
 		Handler: peer.HandlerFunc(func(context.Context, string, api.PeerMessage) *api.PeerMessage {
 			return &api.PeerMessage{PermitReply: &api.PermitReply{Permit: 1}}
@@ -170,3 +171,20 @@
 	routers[1].stop()
 	eventually(t, "two owners again", allKnow([]*router{routers[0], startRouter(t, 1, store)}, 2))
 }
+
+// Guards against registrations of crashed routers that pile up, and against
+// the removal of those of live routers.
+func TestAbandonedRegistrationIsRemoved(t *testing.T) {
+	store := platform.NewMemory()
+	_, err := store.Put(t.Context(), RegistrationPrefix+"gone", []byte{0xa0}, 0)
+	assert.NilError(t, err)
+	routers := []*router{startRouter(t, 0, store), startRouter(t, 1, store)}
+	eventually(t, "removed", func() bool {
+		_, err := store.Get(t.Context(), RegistrationPrefix+"gone")
+		return errors.Is(err, platform.ErrNotFound)
+	})
+	for _, r := range routers {
+		_, err := store.Get(t.Context(), RegistrationPrefix+r.id)
+		assert.NilError(t, err)
+	}
+}
