--- a/demo/demo.go
+++ b/demo/demo.go
@@ -47,7 +47,7 @@
 }
 
 // Run plays the scenario. It returns ErrBroken if a guarantee did not hold.
-func Run(ctx context.Context, o Options) error {
+func Run(ctx context.Context, o Options) (err error) {
 	site := standin.NewSite(standin.SiteConfig{
 		Zones:       zones,
 		Engines:     6,
@@ -57,7 +57,7 @@
 		Engine:      standin.EngineConfig{TTFT: 30 * time.Millisecond, TokenInterval: 2 * time.Millisecond},
 	})
 	f, err := startFleet(site, zones, o.Logger)
-	defer f.close()
+	defer func() { err = errors.Join(err, f.close()) }()
 	if err != nil {
 		return err
 	}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -111,16 +112,19 @@
 	return config.Parse(id, text)
 }
 
-// close shuts all routers down at once and then ends the site.
-func (f *fleet) close() {
+// close shuts all routers down at once and then ends the site. It returns the
+// errors of routers that did not stop cleanly.
+func (f *fleet) close() error {
+	errs := make([]error, len(f.routers))
 	var waiting sync.WaitGroup
-	for _, r := range f.routers {
+	for i, r := range f.routers {
 		r.stop()
-		waiting.Go(func() { <-r.done })
+		waiting.Go(func() { errs[i] = <-r.done })
 	}
 	waiting.Wait()
 	f.client.CloseIdleConnections()
 	f.site.Close()
+	return errors.Join(errs...)
 }
 
 // accept accepts a release note through a router's admin listener.
--- a/router/owner.go
+++ b/router/owner.go
@@ -62,7 +62,6 @@
 // ownedEndpoint is what the owner keeps beside the gate.
 type ownedEndpoint struct {
 	cancel context.CancelFunc
-	done   chan struct{}
 
 	mu       sync.Mutex
 	endpoint *api.Endpoint
--- a/standin/site.go
+++ b/standin/site.go
@@ -107,7 +107,7 @@
 func (e *SiteEngine) Kill() {
 	_ = e.Server.Listener.Close()
 	e.Server.CloseClientConnections()
-	e.Engine.Close()
+	e.Close()
 	e.Server.Close()
 }
 
