Draw simulated latencies from the simulation's seed

Cause: the default latency came from the global random source, so that a failing seed of TestFleetConvergesAfterFaults could not be replayed.

Change: the latency is drawn from the simulation's own source.

Conclusion: a seed fixes all latencies of a run; the checks are the same.

--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -60,7 +60,9 @@
 		every:  20 * time.Millisecond,
 		lost:   func(_, _ *simNode) bool { return false },
 	}
-	s.latency = func() time.Duration { return time.Millisecond + rand.N(2*time.Millisecond) }
+	s.latency = func() time.Duration {
+		return time.Millisecond + time.Duration(s.random.Int64N(int64(2*time.Millisecond)))
+	}
 	for i := range n {
 		node := &simNode{cfg: Config{
 			ID: fmt.Sprintf("router-%03d", i), Address: fmt.Sprintf("10.0.%d.%d:7002", i/250, i%250),
