--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -376,6 +376,24 @@
 	Instances []Instance `json:"instances" toml:"instances" cbor:"instances"`
 }
 
+type InstanceState struct {
+	// It was in the list and is no longer.
+	Gone bool `json:"gone,omitempty,omitzero" toml:"gone,omitempty" cbor:"gone,omitempty"`
+
+	// ID corresponds to the JSON schema field "id".
+	ID string `json:"id" toml:"id" cbor:"id"`
+
+	// Leaving corresponds to the JSON schema field "leaving".
+	Leaving bool `json:"leaving,omitempty,omitzero" toml:"leaving,omitempty" cbor:"leaving,omitempty"`
+}
+
+// What the platform's instance list says about the instances of endpoints that the
+// receiver owns.
+type InstanceStates struct {
+	// Instances corresponds to the JSON schema field "instances".
+	Instances []InstanceState `json:"instances" toml:"instances" cbor:"instances"`
+}
+
 type LeaseRecord struct {
 	// Router id; empty when released.
 	Holder string `json:"holder" toml:"holder" cbor:"holder"`
@@ -706,6 +724,9 @@
 	// Correlates a reply with its request; 0 for one-way messages.
 	ID uint64 `json:"id,omitempty,omitzero" toml:"id,omitempty" cbor:"id,omitempty"`
 
+	// InstanceStates corresponds to the JSON schema field "instance_states".
+	InstanceStates *InstanceStates `json:"instance_states,omitempty,omitzero" toml:"instance_states,omitempty" cbor:"instance_states,omitempty"`
+
 	// NotesReply corresponds to the JSON schema field "notes_reply".
 	NotesReply *NotesReply `json:"notes_reply,omitempty,omitzero" toml:"notes_reply,omitempty" cbor:"notes_reply,omitempty"`
 
--- a/peer/kind.go
+++ b/peer/kind.go
@@ -23,6 +23,7 @@
 	kindGossip
 	kindNotesRequest
 	kindNotesReply
+	kindInstanceStates
 	kindRecords
 	kindError
 	kindHandshake
@@ -37,22 +38,23 @@
 	name    string
 	payload bool
 }{
-	kindNone:          {name: "unknown"},
-	kindPermitRequest: {name: "permit_request"},
-	kindPermitReply:   {name: "permit_reply"},
-	kindPermitRelease: {name: "permit_release"},
-	kindPermitRenew:   {name: "permit_renew"},
-	kindPermitAdopt:   {name: "permit_adopt"},
-	kindClaimRequest:  {name: "claim_request"},
-	kindClaimReply:    {name: "claim_reply"},
-	kindClaimUpdate:   {name: "claim_update"},
-	kindGossip:        {name: "gossip"},
-	kindNotesRequest:  {name: "notes_request"},
-	kindNotesReply:    {name: "notes_reply"},
-	kindRecords:       {name: "records"},
-	kindError:         {name: "error"},
-	kindHandshake:     {name: "handshake"},
-	kindFraming:       {name: "framing"},
+	kindNone:           {name: "unknown"},
+	kindPermitRequest:  {name: "permit_request"},
+	kindPermitReply:    {name: "permit_reply"},
+	kindPermitRelease:  {name: "permit_release"},
+	kindPermitRenew:    {name: "permit_renew"},
+	kindPermitAdopt:    {name: "permit_adopt"},
+	kindClaimRequest:   {name: "claim_request"},
+	kindClaimReply:     {name: "claim_reply"},
+	kindClaimUpdate:    {name: "claim_update"},
+	kindGossip:         {name: "gossip"},
+	kindNotesRequest:   {name: "notes_request"},
+	kindNotesReply:     {name: "notes_reply"},
+	kindInstanceStates: {name: "instance_states"},
+	kindRecords:        {name: "records"},
+	kindError:          {name: "error"},
+	kindHandshake:      {name: "handshake"},
+	kindFraming:        {name: "framing"},
 }
 
 // kindOf returns kindNone unless exactly one body is set.
@@ -75,6 +77,7 @@
 	set(msg.Gossip != nil, kindGossip)
 	set(msg.NotesRequest != nil, kindNotesRequest)
 	set(msg.NotesReply != nil, kindNotesReply)
+	set(msg.InstanceStates != nil, kindInstanceStates)
 	set(msg.Records != nil, kindRecords)
 	set(msg.Error != nil, kindError)
 	set(msg.Handshake != nil, kindHandshake)
--- a/router/owner.go
+++ b/router/owner.go
@@ -21,10 +21,10 @@
 // ownerTick is the interval of expiry checks and of new pool figures.
 const ownerTick = 50 * time.Millisecond
 
-// poolMaxAge is the age from which the pool's load is not used. In a large fleet
-// the oldest part of it is several seconds old, while the mean over hundreds of
-// endpoints changes slowly.
-const poolMaxAge = 15 * time.Second
+// poolMaxAge is the age from which the pool's load is not used. With 350 routers
+// the oldest part of it is up to 141 s old (BenchmarkFleet of package
+// membership), while the mean over hundreds of endpoints changes slowly.
+const poolMaxAge = 3 * time.Minute
 
 // loadReader reads the load report of an endpoint.
 type loadReader interface {
@@ -454,6 +454,23 @@
 	}
 }
 
+// HandleInstances takes what the platform's list says about instances.
+func (o *admissionOwner) HandleInstances(update api.InstanceStates) {
+	states := make(map[string]api.InstanceState, len(update.Instances))
+	for _, state := range update.Instances {
+		states[state.ID] = state
+	}
+	for _, owned := range o.snapshot() {
+		owned.mu.Lock()
+		if state, ok := states[owned.endpoint.Instance]; ok {
+			from := owned.machine.State()
+			owned.machine.SetInstance(!state.Gone, state.Leaving)
+			o.applyState(owned, from)
+		}
+		owned.mu.Unlock()
+	}
+}
+
 // noteResult tells the state machine of the endpoint how a request ended.
 func (o *admissionOwner) noteResult(now time.Time, r api.PermitRelease) {
 	o.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -49,8 +49,10 @@
 	Settings *api.Settings
 	Secrets  config.Secrets
 	Store    platform.Store
-	Logger   *zap.Logger
-	Metrics  *telemetry.Metrics
+	// Instances reads the platform's instance list; nil when there is none.
+	Instances instanceLister
+	Logger    *zap.Logger
+	Metrics   *telemetry.Metrics
 }
 
 // Router is one router of the fleet.
@@ -72,6 +74,7 @@
 	claims     *claimClient
 	leases     *lease.Manager
 	retries    *retries
+	instances  *instanceReader
 	handleKey  []byte
 	idPrefix   string
 	idCount    atomic.Uint64
@@ -105,6 +108,14 @@
 	}
 	r.buildClaims()
 	r.buildAdmission()
+	r.instances = &instanceReader{
+		lister:  c.Instances,
+		network: r.cluster,
+		local:   r.owner.HandleInstances,
+		view:    r.view,
+		logger:  r.logger,
+		now:     r.now,
+	}
 	r.syncer.OnChange(func(_, after *fleet.View) { r.viewChanged(after) })
 	return r, nil
 }
@@ -272,9 +283,13 @@
 	r.stopLoops = stop
 	r.loopsDone = make(chan struct{})
 	var group run.Group
-	for _, loop := range []func(context.Context) error{
+	loops := []func(context.Context) error{
 		r.cluster.Run, r.followPeers, r.syncer.Run, r.owner.run, r.permits.run, r.claims.run,
-	} {
+	}
+	if r.instances.lister != nil {
+		loops = append(loops, r.instances.run)
+	}
+	for _, loop := range loops {
 		group.Add(func() error { return loop(ctx) }, func(error) { stop() })
 	}
 	go func() {
--- a/router/service.go
+++ b/router/service.go
@@ -49,7 +49,7 @@
 // serveService handles /services/{service}/*.
 func (r *Router) serveService(c echo.Context) error {
 	request, writer := c.Request(), c.Response().Writer
-	call, err := r.newServiceCall(writer, request, c.Param("service"), c.Param("*"))
+	call, err := r.newServiceCall(writer, request, c.Param("service"))
 	if err != nil {
 		return r.refuse(writer, err)
 	}
@@ -81,7 +81,7 @@
 	}
 }
 
-func (r *Router) newServiceCall(writer http.ResponseWriter, request *http.Request, service, path string) (*serviceCall, error) {
+func (r *Router) newServiceCall(writer http.ResponseWriter, request *http.Request, service string) (*serviceCall, error) {
 	workspace, err := r.authenticate(request)
 	if err != nil {
 		return nil, err
@@ -105,7 +105,9 @@
 	}
 	pool, _ := view.ServicePool(service)
 	id := r.newRequestID()
-	target := "/" + path
+	// The path goes on as the caller has escaped it.
+	path := strings.TrimPrefix(request.URL.EscapedPath(), "/services/"+service)
+	target := path
 	if request.URL.RawQuery != "" {
 		target += "?" + request.URL.RawQuery
 	}
@@ -122,7 +124,7 @@
 		target:     target,
 		header:     serviceHeader(request.Header, id),
 		body:       body,
-		idempotent: isIdempotent(definition, request.Method, "/"+path),
+		idempotent: isIdempotent(definition, request.Method, path),
 		key:        key,
 	}, nil
 }
@@ -139,8 +141,8 @@
 }
 
 // isIdempotent says whether calls of the service may be repeated. A path with a
-// dot segment never matches a prefix, because the service may resolve it to
-// another path.
+// dot segment, an empty segment or an escape never matches a prefix, because the
+// service may resolve it to another path.
 func isIdempotent(service *api.Service, method, path string) bool {
 	methods := service.IdempotentMethods
 	if len(methods) == 0 {
@@ -149,7 +151,7 @@
 	if slices.Contains(methods, method) {
 		return true
 	}
-	if strings.Contains(path, "..") || strings.Contains(path, "//") {
+	if strings.Contains(path, "..") || strings.Contains(path, "//") || strings.Contains(path, "%") {
 		return false
 	}
 	for _, prefix := range service.IdempotentPaths {
--- a/server/server.go
+++ b/server/server.go
@@ -64,11 +64,12 @@
 	clientConfig.Timeout = o.Settings.Platform.Timeout.Duration
 	store := platform.NewClient(clientConfig, http.DefaultTransport, registry)
 	r, err := router.New(router.Config{
-		Settings: o.Settings,
-		Secrets:  o.Secrets,
-		Store:    store,
-		Logger:   o.Logger,
-		Metrics:  registry,
+		Settings:  o.Settings,
+		Secrets:   o.Secrets,
+		Store:     store,
+		Instances: store,
+		Logger:    o.Logger,
+		Metrics:   registry,
 	})
 	if err != nil {
 		return nil, err
