Move a returning chat's KV cache to the endpoint that it goes to

Cause: a chat that spilled, or whose home changed because an endpoint joined, left or came back, computed its whole prompt again. Keeping chats where they are would need state per chat. Change: the router computes from the pool's recent changes (or learns from a redirect) which endpoint held the chat before, and copies the cache from there when the chat returns, unless the target holds as much of it. Also: an endpoint's answer that blames the request passes through, a workspace's max_inflight is enforced, a failed request makes the owner poll at once, and contact with peers is timed by the monotonic clock.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -406,6 +406,10 @@
 }
 
 type LimitSettings struct {
+	// Limit of one router on KV cache moved between endpoints, in bytes a second.
+	// Default 67108864.
+	CacheMoveBytesPerSecond int `json:"cache_move_bytes_per_second,omitempty,omitzero" toml:"cache_move_bytes_per_second,omitempty" cbor:"cache_move_bytes_per_second,omitempty"`
+
 	// Lifetime of the lease on a cold endpoint. Default 6s.
 	ColdLease Duration `json:"cold_lease,omitempty,omitzero" toml:"cold_lease,omitempty" cbor:"cold_lease,omitempty"`
 
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -87,7 +87,8 @@
 
 	owners      atomic.Pointer[Owners]
 	changed     chan struct{}
-	lastContact atomic.Int64 // Unix nanoseconds, 0 before the first
+	started     time.Time
+	lastContact atomic.Int64 // nanoseconds after started, 0 before the first
 	wake        chan struct{}
 	syncs       chan membership.Peer
 }
@@ -98,6 +99,7 @@
 	opts.setDefaults()
 	c := &Cluster{
 		opts:    opts,
+		started: time.Now(),
 		seen:    map[string]sighting{},
 		changed: make(chan struct{}, 1),
 		wake:    make(chan struct{}, 1),
@@ -232,7 +234,9 @@
 	return &api.PeerMessage{Gossip: &full}
 }
 
-func (c *Cluster) touch() { c.lastContact.Store(time.Now().UnixNano()) }
+// touch uses the monotonic clock, because a step of the wall clock must neither
+// isolate a router nor hide that it is isolated.
+func (c *Cluster) touch() { c.lastContact.Store(int64(time.Since(c.started)) + 1) }
 
 func (c *Cluster) merge(from string, g *api.Gossip) {
 	c.update(func(now time.Time) {
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -34,7 +34,7 @@
 	if at == 0 {
 		return time.Time{}
 	}
-	return time.Unix(0, at)
+	return c.started.Add(time.Duration(at))
 }
 
 // SetRevision announces the applied revision. It is never lowered.
--- a/config/config.go
+++ b/config/config.go
@@ -136,6 +136,7 @@
 	setInt(&s.Limits.MaxHeaderBytes, 32<<10)
 	setDuration(&s.Limits.DrainTimeout, 5*time.Minute)
 	setDuration(&s.Limits.LoadPollInterval, 500*time.Millisecond)
+	setInt(&s.Limits.CacheMoveBytesPerSecond, 64<<20)
 	setDuration(&s.Limits.ColdLease, 6*time.Second)
 	setInt(&s.Claims.Shards, 64)
 	setDuration(&s.Claims.CommitInterval, 50*time.Millisecond)
--- a/config/validate.go
+++ b/config/validate.go
@@ -48,6 +48,7 @@
 	d.intRange("limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1024, 1<<20)
 	d.durationRange("limits.drain_timeout", s.Limits.DrainTimeout, time.Second, time.Hour)
 	d.durationRange("limits.load_poll_interval", s.Limits.LoadPollInterval, 20*time.Millisecond, time.Minute)
+	d.intRange("limits.cache_move_bytes_per_second", s.Limits.CacheMoveBytesPerSecond, 1, 1<<40)
 	d.durationRange("limits.cold_lease", s.Limits.ColdLease, 500*time.Millisecond, 5*time.Minute)
 }
 
--- a/router/chat.go
+++ b/router/chat.go
@@ -29,6 +29,9 @@
 	id     string
 	body   []byte
 	stream bool
+	// returning says that the chat has had an answer before, so that some
+	// endpoint may hold its cache.
+	returning bool
 	// sent says that a byte of the request may have reached an endpoint.
 	sent     bool
 	attempts int
@@ -41,6 +44,11 @@
 	if err != nil {
 		return r.refuse(writer, err)
 	}
+	leave := r.workspaces.enter(ch.workspace)
+	if leave == nil {
+		return r.refuse(writer, workspaceFull())
+	}
+	defer leave()
 	ctx, cancel := context.WithDeadline(request.Context(), ch.deadline)
 	defer cancel()
 	if ch.stream {
@@ -86,6 +94,8 @@
 		id:     r.newRequestID(),
 		body:   body,
 		stream: parsed.Stream,
+
+		returning: parsed.returning(),
 	}, nil
 }
 
@@ -110,6 +120,7 @@
 		if err != nil {
 			return engine.Answer{}, ch.finalRefusal(err)
 		}
+		r.fetchCache(ctx, ch, found)
 		started := r.now()
 		answer, err := r.engine.Completion(ctx, ch.streamRequest(r, found.endpoint.URL))
 		if err == nil && answer.Status >= http.StatusInternalServerError {
@@ -125,6 +136,22 @@
 	}
 }
 
+// fetchCache moves the cache of a returning chat to the endpoint that it goes to.
+// The permit's start-by time bounds it.
+func (r *Router) fetchCache(ctx context.Context, ch *chat, at *placed) {
+	from := ch.cachedAt
+	if !ch.returning || from == nil || from.ID == at.endpoint.ID {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, at.permit.startBy.Add(-startReserve))
+	defer cancel()
+	r.moves.move(ctx, ch.key, from, at.endpoint)
+}
+
+// startReserve is the part of a permit's start-by time that is left for the
+// start itself.
+const startReserve = 200 * time.Millisecond
+
 // finish returns the permit and tells the home endpoint's owner about a chat
 // that was served elsewhere.
 func (r *Router) finish(ch *chat, at *placed, err error, firstToken time.Duration) {
@@ -171,6 +198,21 @@
 	}
 }
 
+// callersFault returns the endpoint's answer when the failure is a status that
+// blames the request. Sending it again elsewhere would give the same.
+func callersFault(err error) (engine.Answer, bool) {
+	var failure *engine.Error
+	if !errors.As(err, &failure) || !errors.Is(err, engine.ErrStatus) {
+		return engine.Answer{}, false
+	}
+	code := failure.Status
+	if code < http.StatusBadRequest || code >= http.StatusInternalServerError ||
+		code == http.StatusRequestTimeout || code == http.StatusTooManyRequests {
+		return engine.Answer{}, false
+	}
+	return engine.Answer{Status: code, Header: failure.Header, Body: failure.Body}, true
+}
+
 func wasSent(err error) bool {
 	var failure *engine.Error
 	return !errors.As(err, &failure) || failure.Sent
--- a/router/chatrequest.go
+++ b/router/chatrequest.go
@@ -51,6 +51,16 @@
 	return parsed, nil
 }
 
+// returning says whether the chat has had an answer before.
+func (b chatBody) returning() bool {
+	for _, message := range b.Messages {
+		if message.Role == "assistant" {
+			return true
+		}
+	}
+	return false
+}
+
 // chatKey returns the placement key: the chat id that the caller names, else a
 // hash of the opening messages, which are the same on every turn of a chat.
 func chatKey(workspace string, header http.Header, body chatBody) uint64 {
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -29,17 +29,47 @@
 type candidatePool struct {
 	ranked    []placement.Endpoint
 	endpoints []*api.Endpoint
+	// former is the pool before its recent changes; nil if there were none.
+	former *candidatePool
+}
+
+func newCandidatePool(endpoints []*api.Endpoint) *candidatePool {
+	pool := &candidatePool{endpoints: endpoints}
+	for _, e := range endpoints {
+		pool.ranked = append(pool.ranked, placement.NewEndpoint(e.ID, e.Zone, e.Weight))
+	}
+	return pool
+}
+
+func (p *candidatePool) home(policy placement.Policy, key uint64) *api.Endpoint {
+	var buffer [1]int
+	ranked := policy.Rank(buffer[:0], key, p.ranked, 1)
+	if len(ranked) == 0 {
+		return nil
+	}
+	return p.endpoints[ranked[0]]
 }
 
 // candidateIndex holds the prepared pools of one fleet view.
 type candidateIndex struct {
-	view  *fleet.View
-	mu    sync.RWMutex
-	pools map[*fleet.Pool]*candidatePool
+	view   *fleet.View
+	former map[string]*candidatePool // by the pool's name
+	mu     sync.RWMutex
+	pools  map[*fleet.Pool]*candidatePool
 }
 
-func newCandidateIndex(view *fleet.View) *candidateIndex {
-	return &candidateIndex{view: view, pools: map[*fleet.Pool]*candidatePool{}}
+func newCandidateIndex(view *fleet.View, history *poolHistory) *candidateIndex {
+	x := &candidateIndex{
+		view:   view,
+		former: map[string]*candidatePool{},
+		pools:  map[*fleet.Pool]*candidatePool{},
+	}
+	for _, pool := range view.Pools() {
+		if former := history.former(pool); former != nil {
+			x.former[pool.Name] = newCandidatePool(former)
+		}
+	}
+	return x
 }
 
 // pool prepares a pool at its first use.
@@ -50,10 +80,8 @@
 	if prepared != nil {
 		return prepared
 	}
-	prepared = &candidatePool{endpoints: p.Endpoints}
-	for _, e := range p.Endpoints {
-		prepared.ranked = append(prepared.ranked, placement.NewEndpoint(e.ID, e.Zone, e.Weight))
-	}
+	prepared = newCandidatePool(p.Endpoints)
+	prepared.former = x.former[p.Name]
 	x.mu.Lock()
 	x.pools[p] = prepared
 	x.mu.Unlock()
@@ -72,6 +100,9 @@
 	failed map[string]bool
 	// home is the id of the first candidate; set by place.
 	home string
+	// cachedAt is the endpoint that is expected to hold the chat's cache; set by
+	// place.
+	cachedAt *api.Endpoint
 }
 
 func (w *work) markFailed(endpoint string) {
@@ -212,6 +243,10 @@
 	}
 	if len(ranked) > 0 && w.home == "" {
 		w.home = pool.endpoints[ranked[0]].ID
+		w.cachedAt = pool.endpoints[ranked[0]]
+		if pool.former != nil {
+			w.cachedAt = pool.former.home(d.policy, w.key)
+		}
 	}
 	return append(usable, avoided...)
 }
@@ -238,13 +273,14 @@
 
 // follow asks for a permit at the endpoint that holds the chat's cache.
 func (d *dispatcher) follow(ctx context.Context, w *work, target string) *placed {
-	if w.failed[target] || d.isAvoided(target) {
+	if w.failed[target] {
 		return nil
 	}
 	for _, e := range w.pool.Endpoints {
 		if e.ID != target {
 			continue
 		}
+		w.cachedAt = e
 		if p, _ := d.acquire(ctx, e, d.request(w, e), 0); p != nil {
 			return &placed{endpoint: e, permit: p}
 		}
--- a/router/owner.go
+++ b/router/owner.go
@@ -62,6 +62,8 @@
 // ownedEndpoint is what the owner keeps beside the gate.
 type ownedEndpoint struct {
 	cancel context.CancelFunc
+	// poll asks for a load report at once.
+	poll chan struct{}
 
 	mu       sync.Mutex
 	endpoint *api.Endpoint
@@ -110,6 +112,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	owned := &ownedEndpoint{
 		cancel:  cancel,
+		poll:    make(chan struct{}, 1),
 		machine: endpointstate.New(endpointstate.Config{}),
 	}
 	o.gates.Add(admission.Config{
@@ -225,6 +228,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-owned.poll:
 		case <-ticker.C:
 		}
 	}
@@ -488,6 +492,12 @@
 	from := owned.machine.State()
 	owned.machine.RequestFailed(now)
 	o.applyState(owned, from)
+	// An endpoint that restarts cuts its requests, and is cold before the next
+	// poll is due.
+	select {
+	case owned.poll <- struct{}{}:
+	default:
+	}
 }
 
 // HandleRenew extends permits and returns those that are not known here.
--- a/router/router.go
+++ b/router/router.go
@@ -81,6 +81,9 @@
 	ready      atomic.Bool
 	leaving    atomic.Bool
 	drains     drains
+	history    poolHistory
+	workspaces workspaceLimits
+	moves      *cacheMover
 	refreshMu  sync.Mutex
 	stopLoops  context.CancelFunc
 	loopsDone  chan struct{}
@@ -106,6 +109,7 @@
 	if err := r.joinCluster(c); err != nil {
 		return nil, fmt.Errorf("cluster: %w", err)
 	}
+	r.moves = newCacheMover(r.engine, c.Settings.Limits.CacheMoveBytesPerSecond, c.Metrics)
 	r.buildClaims()
 	r.buildAdmission()
 	r.instances = &instanceReader{
@@ -179,7 +183,7 @@
 		queueWait: r.settings.Limits.QueueWait.Duration,
 		now:       r.now,
 	}
-	r.dispatch.index.Store(newCandidateIndex(r.syncer.View()))
+	r.dispatch.index.Store(newCandidateIndex(r.syncer.View(), &r.history))
 }
 
 func randomNonce() uint64 {
@@ -225,7 +229,9 @@
 
 // viewChanged brings a new fleet state into force.
 func (r *Router) viewChanged(after *fleet.View) {
-	r.dispatch.index.Store(newCandidateIndex(after))
+	r.history.update(r.now(), r.view(), after)
+	r.dispatch.index.Store(newCandidateIndex(after, &r.history))
+	r.moves.forget()
 	r.cluster.SetRevision(after.Revision())
 	r.drains.update(r.now(), after)
 	r.refreshOwnership()
--- a/router/service.go
+++ b/router/service.go
@@ -53,6 +53,11 @@
 	if err != nil {
 		return r.refuse(writer, err)
 	}
+	leave := r.workspaces.enter(call.workspace)
+	if leave == nil {
+		return r.refuse(writer, workspaceFull())
+	}
+	defer leave()
 	ctx := request.Context()
 	if call.key != "" && !call.idempotent {
 		// A keyed call goes on without its caller, so that its outcome is
--- a/router/stream.go
+++ b/router/stream.go
@@ -83,6 +83,10 @@
 	case err == nil, errors.Is(err, errCallerGone):
 		return nil
 	case !out.started:
+		if answer, ok := callersFault(err); ok {
+			writeAnswer(writer, answer, ch.id)
+			return nil
+		}
 		return r.refuse(writer, err)
 	}
 	r.logger.Warn("answer broken off", requestFields(ch, err)...)
@@ -101,6 +105,9 @@
 		if err == nil || errors.Is(err, errCallerGone) {
 			return err
 		}
+		if _, ok := callersFault(err); ok {
+			return err
+		}
 		if err := r.mayRetry(ctx, ch, found, err); err != nil {
 			return err
 		}
@@ -119,6 +126,7 @@
 		}
 		r.finish(ch, at, err, firstToken)
 	}()
+	r.fetchCache(ctx, ch, at)
 	stream, err := r.openStream(ctx, ch, out, at)
 	if err != nil {
 		return err
--- /dev/null
+++ b/router/workspaces.go
@@ -0,0 +1,38 @@
+package router
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+// workspaceLimits counts the requests in progress of each workspace that has a
+// limit.
+type workspaceLimits struct {
+	counts sync.Map // workspace id -> *atomic.Int64
+}
+
+// enter counts a request. The returned function ends it; it is nil when the
+// workspace has reached its limit.
+func (l *workspaceLimits) enter(workspace *api.Workspace) func() {
+	if workspace.MaxInflight <= 0 {
+		return func() {}
+	}
+	value, _ := l.counts.LoadOrStore(workspace.ID, &atomic.Int64{})
+	count := value.(*atomic.Int64)
+	if count.Add(1) > int64(workspace.MaxInflight) {
+		count.Add(-1)
+		return nil
+	}
+	return func() { count.Add(-1) }
+}
+
+func workspaceFull() error {
+	return &refusal{
+		reason:     api.RefusalWorkspaceShare,
+		notRun:     true,
+		detail:     "the workspace has reached its limit of requests in progress at this router",
+		retryAfter: readinessInterval,
+	}
+}
