Test permits, former homes and the instance list

Cause: these parts of the router had no failure tests. Change: tests for late and expired permits, hand-over to a new owner, the former home of a chat, and leaving instances during an outage.

--- /dev/null
+++ b/router/instances_test.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+type fakeLister struct {
+	list api.InstanceList
+	err  error
+}
+
+func (l *fakeLister) Instances(context.Context) (api.InstanceList, error) { return l.list, l.err }
+
+// Guards against a leaving instance that its owner is not told of, one that was
+// never listed and is taken for gone, and an outage that brings one back.
+func TestInstanceReaderTellsOwners(t *testing.T) {
+	state := fleet.State{Revision: 1, Zones: []api.Zone{{ID: "z"}}, Models: []api.Model{{ID: "m"}}}
+	for _, id := range []string{"a", "b", "new"} {
+		state.Endpoints = append(state.Endpoints, api.Endpoint{ID: "e-" + id, Instance: id, Zone: "z", Models: []string{"m"}})
+	}
+	view := fleet.NewView(state)
+	lister := &fakeLister{list: api.InstanceList{Instances: []api.Instance{{ID: "a"}, {ID: "b"}}}}
+	var told []api.InstanceState
+	now := time.Now()
+	reader := &instanceReader{
+		lister:  lister,
+		network: &fakeNetwork{owner: "self"},
+		local:   func(update api.InstanceStates) { told = append(told, update.Instances...) },
+		view:    func() *fleet.View { return view },
+		logger:  zap.NewNop(),
+		now:     func() time.Time { return now },
+	}
+	read := func() []api.InstanceState {
+		told = nil
+		now = now.Add(time.Second)
+		reader.read(context.Background())
+		return told
+	}
+	assert.Equal(t, len(read()), 0)
+	lister.list.Instances = []api.Instance{{ID: "a", Leaving: true}}
+	assert.DeepEqual(t, read(), []api.InstanceState{{ID: "a", Leaving: true}, {ID: "b", Gone: true}})
+	assert.Equal(t, len(read()), 0)
+	lister.err = platform.ErrUnavailable
+	assert.Equal(t, len(read()), 0)
+	lister.err = nil
+	now = now.Add(instanceRefresh)
+	assert.Equal(t, len(read()), 2)
+	lister.list.Instances = []api.Instance{{ID: "a"}, {ID: "b"}}
+	assert.DeepEqual(t, read(), []api.InstanceState{{ID: "a"}, {ID: "b"}})
+}
--- /dev/null
+++ b/router/permits_test.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+// fakeNetwork is a peer whose answers tests control.
+type fakeNetwork struct {
+	mu      sync.Mutex
+	owner   string
+	delay   time.Duration
+	reply   api.PeerMessage
+	err     error
+	sent    []api.PeerMessage
+	sentTo  []string
+	arrived chan struct{}
+}
+
+func (n *fakeNetwork) Self() string { return "self" }
+
+func (n *fakeNetwork) OwnerOf(string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owner
+}
+
+func (n *fakeNetwork) Call(ctx context.Context, _ string, _ api.PeerMessage) (api.PeerMessage, error) {
+	select {
+	case <-time.After(n.delay):
+		return n.reply, n.err
+	case <-ctx.Done():
+		return api.PeerMessage{}, ctx.Err()
+	}
+}
+
+func (n *fakeNetwork) Send(router string, msg api.PeerMessage) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent = append(n.sent, msg)
+	n.sentTo = append(n.sentTo, router)
+	if n.arrived != nil {
+		n.arrived <- struct{}{}
+	}
+	return nil
+}
+
+func grantReply(permit uint64, startBy time.Duration) api.PeerMessage {
+	return api.PeerMessage{PermitReply: &api.PermitReply{Permit: permit, StartByMs: int(startBy / time.Millisecond)}}
+}
+
+func newPermitClient(network Network) *permitClient {
+	return &permitClient{network: network, timeout: 20 * time.Millisecond, now: time.Now}
+}
+
+// Guards against a permit that arrives after its request has moved on and then
+// blocks the endpoint for its hold time.
+func TestLatePermitIsReturned(t *testing.T) {
+	network := &fakeNetwork{
+		owner:   "peer",
+		delay:   80 * time.Millisecond,
+		reply:   grantReply(7, time.Second),
+		arrived: make(chan struct{}, 1),
+	}
+	client := newPermitClient(network)
+	p, denied := client.acquire(context.Background(), api.PermitRequest{Endpoint: "e"}, 0)
+	assert.Assert(t, p == nil)
+	assert.Equal(t, denied.reason, api.RefusalOwnerUnreachable)
+	<-network.arrived
+	assert.DeepEqual(t, network.sent[0].PermitRelease.Permits, []uint64{7})
+}
+
+// Guards against work that starts on a permit past its start-by time, which runs
+// from the sending of the request.
+func TestExpiredPermitIsNotUsed(t *testing.T) {
+	network := &fakeNetwork{owner: "peer", delay: 10 * time.Millisecond, reply: grantReply(7, 5*time.Millisecond)}
+	client := newPermitClient(network)
+	p, denied := client.acquire(context.Background(), api.PermitRequest{Endpoint: "e"}, 0)
+	assert.Assert(t, p == nil)
+	assert.Equal(t, denied.reason, api.RefusalPermitExpired)
+	assert.Equal(t, len(network.sent), 1)
+}
+
+// Guards against a new owner that does not count the work started under its
+// predecessor.
+func TestPermitsAreHandedToNewOwner(t *testing.T) {
+	network := &fakeNetwork{owner: "peer", reply: grantReply(7, time.Second)}
+	client := newPermitClient(network)
+	p, denied := client.acquire(context.Background(), api.PermitRequest{Endpoint: "e", Workspace: "w"}, 0)
+	assert.Assert(t, denied == nil)
+	network.mu.Lock()
+	network.owner = "other"
+	network.mu.Unlock()
+	client.ownersChanged()
+	assert.Equal(t, network.sentTo[0], "other")
+	assert.DeepEqual(t, network.sent[0].PermitAdopt.Held, []api.HeldPermit{{Permit: 7, Workspace: "w"}})
+	client.release(p, api.PermitRelease{})
+	assert.Equal(t, network.sentTo[1], "other")
+}
--- /dev/null
+++ b/router/poolhistory_test.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+	"github.com/hornbeamproxy/hornbeamproxy/placement"
+)
+
+func viewOf(revision uint64, ids ...string) *fleet.View {
+	state := fleet.State{
+		Revision: revision,
+		Zones:    []api.Zone{{ID: "z"}},
+		Models:   []api.Model{{ID: "m"}},
+	}
+	for _, id := range ids {
+		state.Endpoints = append(state.Endpoints, api.Endpoint{ID: id, Zone: "z", Models: []string{"m"}})
+	}
+	return fleet.NewView(state)
+}
+
+func formerIDs(t *testing.T, h *poolHistory, view *fleet.View) map[string]bool {
+	t.Helper()
+	pool, ok := view.Pool("m")
+	assert.Assert(t, ok)
+	ids := map[string]bool{}
+	for _, e := range h.former(pool) {
+		ids[e.ID] = true
+	}
+	return ids
+}
+
+// Guards against a former home that is computed from the wrong pool: one that
+// still has the endpoint that joined, or lacks the one that left.
+func TestFormerPool(t *testing.T) {
+	now := time.Now()
+	var history poolHistory
+	empty, first := viewOf(0), viewOf(1, "a", "b")
+	history.update(now, empty, first)
+	assert.Equal(t, len(formerIDs(t, &history, first)), 0)
+
+	joined := viewOf(2, "a", "b", "c")
+	history.update(now, first, joined)
+	assert.DeepEqual(t, formerIDs(t, &history, joined), map[string]bool{"a": true, "b": true})
+
+	left := viewOf(3, "b", "c")
+	history.update(now, joined, left)
+	assert.DeepEqual(t, formerIDs(t, &history, left), map[string]bool{"a": true, "b": true})
+
+	later := now.Add(historyWindow + time.Second)
+	history.update(later, left, left)
+	assert.Equal(t, len(formerIDs(t, &history, left)), 0)
+}
+
+// Guards against a chat whose cache is looked for at an endpoint that never was
+// its home.
+func TestFormerHomeIsTheHomeBeforeTheChange(t *testing.T) {
+	now := time.Now()
+	var history poolHistory
+	before, after := viewOf(1, "a", "b", "c"), viewOf(2, "a", "b", "c", "d")
+	d := &dispatcher{policy: placement.Rendezvous{}, now: time.Now}
+	d.index.Store(newCandidateIndex(before, &history))
+	homes := map[uint64]string{}
+	for key := range uint64(200) {
+		w := &work{pool: mustPool(t, before), key: key}
+		d.candidates(w)
+		homes[key] = w.home
+	}
+	history.update(now, before, after)
+	d.index.Store(newCandidateIndex(after, &history))
+	for key := range uint64(200) {
+		w := &work{pool: mustPool(t, after), key: key}
+		d.candidates(w)
+		assert.Equal(t, w.cachedAt.ID, homes[key], fmt.Sprint("key ", key))
+	}
+}
+
+func mustPool(t *testing.T, view *fleet.View) *fleet.Pool {
+	t.Helper()
+	pool, ok := view.Pool("m")
+	assert.Assert(t, ok)
+	return pool
+}
