--- a/router/instances.go
+++ b/router/instances.go
@@ -100,6 +100,16 @@
 	return states
 }
 
+// isNews says whether a state has to be sent. A live instance is news only after
+// it was something else.
+func (r *instanceReader) isNews(state api.InstanceState, refresh bool) bool {
+	last, told := r.told[state.ID]
+	if state.Leaving || state.Gone {
+		return refresh || last != state
+	}
+	return told && last != state
+}
+
 // tell sends each admission owner the instances of its endpoints that have
 // changed, or, at a refresh, that are not live.
 func (r *instanceReader) tell(states map[string]api.InstanceState, refresh bool) {
@@ -110,8 +120,7 @@
 		if !known {
 			continue
 		}
-		changed := r.told[state.ID] != state && (state.Leaving || state.Gone || r.told[state.ID].ID != "")
-		if !changed && !(refresh && (state.Leaving || state.Gone)) {
+		if !r.isNews(state, refresh) {
 			continue
 		}
 		owner := r.network.OwnerOf(endpointOwnerName(endpoints[i].ID))
