Add failure records: book, copies, merge and the morning report

No package kept failures yet.

Change: package records with the pure part. The schema's Record gains times and last_unix_ms for failures that come and go.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -907,6 +907,9 @@
 	// Kind corresponds to the JSON schema field "kind".
 	Kind RecordKind `json:"kind" toml:"kind" cbor:"kind"`
 
+	// When it began the last time; 0 means since_unix_ms.
+	LastUnixMs int `json:"last_unix_ms,omitempty,omitzero" toml:"last_unix_ms,omitempty" cbor:"last_unix_ms,omitempty"`
+
 	// What is left for a person; empty when nothing.
 	Remaining string `json:"remaining,omitempty,omitzero" toml:"remaining,omitempty" cbor:"remaining,omitempty"`
 
@@ -925,6 +928,9 @@
 	// What happened.
 	Text string `json:"text" toml:"text" cbor:"text"`
 
+	// How often it began; 0 means once.
+	Times int `json:"times,omitempty,omitzero" toml:"times,omitempty" cbor:"times,omitempty"`
+
 	// 0 while it lasts.
 	UntilUnixMs int `json:"until_unix_ms,omitempty,omitzero" toml:"until_unix_ms,omitempty" cbor:"until_unix_ms,omitempty"`
 
--- /dev/null
+++ b/records/codec.go
@@ -0,0 +1,134 @@
+package records
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+)
+
+const (
+	// MaxBatchBytes bounds an encoded batch to a quarter of the largest value of
+	// the object API, so that one write stays short.
+	MaxBatchBytes = 256 << 10
+	// batchOverheadBytes covers the fields of a batch around its records.
+	batchOverheadBytes = 512
+	// maxTextBytes bounds each sentence of a record, and maxNameBytes each name.
+	maxTextBytes = 512
+	maxNameBytes = 256
+	// maxIDBytes leaves room for a router name with two numbers.
+	maxIDBytes = maxNameBytes + 64
+	// maxReasons is above the number of reasons in schema/reason.json.
+	maxReasons = 128
+	// maxUnixMs is the end of the year 9999, the last that JSON times can hold.
+	maxUnixMs = 253_402_300_799_999
+	// maxBatchRecords is above what fits into MaxBatchBytes at 60 bytes a record.
+	maxBatchRecords = 4096
+)
+
+// ErrInvalidBatch says that a stored or received batch breaks the format or its
+// bounds.
+var ErrInvalidBatch = errors.New("records: invalid batch")
+
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxArrayElements: maxBatchRecords,
+		MaxMapPairs:      maxReasons,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+var encoder = mustEncoder()
+
+// mustEncoder returns a canonical encoder, because the merge compares encoded
+// records and map order must not matter.
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// EncodeBatch returns the stored form of a batch.
+func EncodeBatch(batch api.RecordBatch) ([]byte, error) {
+	data, err := encoder.Marshal(batch)
+	if err != nil {
+		return nil, fmt.Errorf("encode records: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeBatch reads the stored form of a batch. Errors: ErrInvalidBatch.
+func DecodeBatch(data []byte) (api.RecordBatch, error) {
+	var batch api.RecordBatch
+	if len(data) > MaxBatchBytes {
+		return batch, fmt.Errorf("%w: %d bytes", ErrInvalidBatch, len(data))
+	}
+	if err := decoder.Unmarshal(data, &batch); err != nil {
+		return api.RecordBatch{}, fmt.Errorf("%w: %w", ErrInvalidBatch, err)
+	}
+	if err := checkBatch(batch); err != nil {
+		return api.RecordBatch{}, err
+	}
+	return batch, nil
+}
+
+// checkBatch also refuses records of another router than the batch's, so that
+// the bound per origin cannot be evaded.
+func checkBatch(batch api.RecordBatch) error {
+	if batch.Router == "" || len(batch.Router) > maxNameBytes {
+		return fmt.Errorf("%w: router name of %d bytes", ErrInvalidBatch, len(batch.Router))
+	}
+	if len(batch.Records) > maxBatchRecords {
+		return fmt.Errorf("%w: %d records", ErrInvalidBatch, len(batch.Records))
+	}
+	for _, record := range batch.Records {
+		if record.Router != batch.Router {
+			return fmt.Errorf("%w: record of router %q in a batch of %q", ErrInvalidBatch, record.Router, batch.Router)
+		}
+		if err := checkRecord(record); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkRecord(r api.Record) error {
+	switch {
+	case r.ID == "" || len(r.ID) > maxIDBytes:
+		return fmt.Errorf("%w: record id of %d bytes", ErrInvalidBatch, len(r.ID))
+	case r.Kind == "" || len(r.Kind) > maxNameBytes:
+		return fmt.Errorf("%w: record kind of %d bytes", ErrInvalidBatch, len(r.Kind))
+	case len(r.Subject) > maxNameBytes || len(r.Zone) > maxNameBytes:
+		return fmt.Errorf("%w: names of record %q are too long", ErrInvalidBatch, r.ID)
+	case max(len(r.Text), len(r.Effect), len(r.Action), len(r.Remaining)) > maxTextBytes:
+		return fmt.Errorf("%w: texts of record %q are too long", ErrInvalidBatch, r.ID)
+	case r.SinceUnixMs < 0 || r.UntilUnixMs < 0 || r.LastUnixMs < 0 || r.Times < 0:
+		return fmt.Errorf("%w: negative number in record %q", ErrInvalidBatch, r.ID)
+	case max(r.SinceUnixMs, r.UntilUnixMs, r.LastUnixMs) > maxUnixMs:
+		return fmt.Errorf("%w: time of record %q is out of range", ErrInvalidBatch, r.ID)
+	case len(r.Counts) > maxReasons:
+		return fmt.Errorf("%w: %d counts in record %q", ErrInvalidBatch, len(r.Counts), r.ID)
+	}
+	return nil
+}
+
+// encodedSize returns the bytes of a record within a batch.
+func encodedSize(record api.Record) int {
+	data, err := encoder.Marshal(record)
+	if err != nil {
+		return MaxBatchBytes
+	}
+	return len(data)
+}
