--- /dev/null
+++ b/records/read.go
@@ -0,0 +1,111 @@
+package records
+
+import (
+	"context"
+	"errors"
+	"net/url"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+const (
+	keyPrefix = "records/"
+	// readMargin covers records that are written some seconds after midnight and
+	// clocks that differ between routers.
+	readMargin = time.Hour
+	// keyCharacters are the characters that an escaped router name and the rest
+	// of a key are made of.
+	keyCharacters = "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_.~%+/"
+)
+
+func dayPrefix(day string) string { return keyPrefix + day + "/" }
+
+func routerPrefix(day, router string) string { return dayPrefix(day) + url.QueryEscape(router) + "/" }
+
+// routerOfKey returns the router that a key belongs to, or the key itself.
+func routerOfKey(key string) string {
+	parts := strings.Split(key, "/")
+	if len(parts) < 4 {
+		return key
+	}
+	router, err := url.QueryUnescape(parts[2])
+	if err != nil {
+		return key
+	}
+	return router
+}
+
+// Result is what Read found.
+type Result struct {
+	// Records has one copy of each record.
+	Records []api.Record
+	// Unread names the routers, or the key prefixes, whose records could not be
+	// read.
+	Unread []string
+}
+
+// Read reads the records of all days from the day of since to today. An error
+// says that nothing at all could be read; the result then still names what is
+// missing.
+func Read(ctx context.Context, store platform.Store, since time.Time) (Result, error) {
+	return readDays(ctx, store, Days(since.Add(-readMargin), time.Now().Add(readMargin)))
+}
+
+func readDays(ctx context.Context, store platform.Store, days []string) (Result, error) {
+	set := newRecordSet()
+	unread := map[string]bool{}
+	failed := 0
+	var last error
+	for _, day := range days {
+		err := listAll(ctx, store, dayPrefix(day), unread, func(object platform.Object) {
+			batch, err := DecodeBatch(object.Value)
+			if err != nil {
+				unread["router "+routerOfKey(object.Key)] = true
+				return
+			}
+			set.add(batch.Records...)
+		})
+		if err != nil {
+			failed++
+			last = err
+		}
+	}
+	result := Result{Records: set.sorted()}
+	for name := range unread {
+		result.Unread = append(result.Unread, name)
+	}
+	sort.Strings(result.Unread)
+	if failed < len(days) {
+		last = nil
+	}
+	return result, last
+}
+
+// listAll visits all objects under a prefix. A list that exceeds the client's
+// bound is divided by the next character of the key, because the names of
+// routers that are gone are not known. Prefixes that fail are added to unread.
+func listAll(ctx context.Context, store platform.Store, prefix string, unread map[string]bool, visit func(platform.Object)) error {
+	objects, err := store.List(ctx, prefix)
+	if err == nil {
+		for _, object := range objects {
+			visit(object)
+		}
+		return nil
+	}
+	if !errors.Is(err, platform.ErrTooLarge) || len(prefix) > 4*maxNameBytes {
+		unread["objects "+prefix] = true
+		return err
+	}
+	for _, character := range keyCharacters {
+		if err := ctx.Err(); err != nil {
+			unread["objects "+prefix] = true
+			return err
+		}
+		_ = listAll(ctx, store, prefix+string(character), unread, visit) // noted in unread
+	}
+	return nil
+}
