--- /dev/null
+++ b/cmd/hornbeamproxy/report_test.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/labstack/echo/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/admin"
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/records"
+)
+
+type bookReport struct{ book *records.Book }
+
+func (b bookReport) Report(_ context.Context, since time.Time) (records.Report, error) {
+	now := time.Now()
+	return records.Build(b.book.Records(), since, now, now), nil
+}
+
+// Guards against an exit code by which a script misses what is left for a
+// person, or takes a missing answer for a quiet night.
+func TestReportCommand(t *testing.T) {
+	book := records.NewBook(records.BookOptions{Router: "r1", Incarnation: 1})
+	now := time.Now()
+	book.Event(api.RecordKindOrderFailed, "load chat", "", now.Add(-3*time.Hour), "engine-1 refuses it", "", "", "look at engine-1")
+	book.Event(api.RecordKindIsolated, "r1", "", now.Add(-time.Hour), "no peer answers", "", "stopped new work", "")
+	e := echo.New()
+	admin.RegisterReport(e.Group(""), bookReport{book})
+	server := httptest.NewServer(e)
+	defer server.Close()
+	for _, c := range []struct {
+		args []string
+		code int
+		text string
+	}{
+		{[]string{"--since", "12h"}, 1, "Left for a person: look at engine-1."},
+		{[]string{"--since", "2h"}, 0, "Router r1 isolated"},
+		{[]string{"--since", "12h", "--output", "json"}, 1, `"needs_person": true`},
+		{[]string{"--since", "soon"}, 2, "not a time"},
+		{[]string{"--since=-2h"}, 2, "above 0"},
+		{[]string{"--since", "2000h"}, 2, "31 days"},
+		{[]string{}, 2, "required flag"},
+		{[]string{"--since", "2h", "--output", "xml"}, 2, "enum"},
+		{[]string{"--since", "2h", "--admin", "http://127.0.0.1:1"}, 2, "refused"},
+		{[]string{"--since", "2h", "--token-env", "HORNBEAMPROXY_TEST_UNSET"}, 2, "is empty"},
+	} {
+		out := &bytes.Buffer{}
+		app := kingpin.New("hornbeamproxy", "").Terminate(nil)
+		addReportCommandTo(app, out, time.Now)
+		args := append([]string{"report"}, c.args...)
+		if len(c.args) < 3 || c.args[2] != "--admin" {
+			args = append(args, "--admin", server.URL)
+		}
+		_, err := app.Parse(args)
+		code := 0
+		if err != nil {
+			out.WriteString(err.Error())
+			code = exitCode(err)
+		}
+		assert.Equal(t, code, c.code, "%v: %s", c.args, out)
+		assert.Assert(t, bytes.Contains(out.Bytes(), []byte(c.text)), "%v: %s", c.args, out)
+	}
+}
+
+// Guards against a night that begins on the wrong day.
+func TestParseSince(t *testing.T) {
+	now := time.Date(2026, 12, 4, 7, 30, 0, 0, time.FixedZone("", 6*3600)) // 01:30 UTC
+	for text, want := range map[string]string{
+		"18:00":                     "2026-12-03T18:00:00Z",
+		"01:30":                     "2026-12-04T01:30:00Z",
+		"01:31":                     "2026-12-03T01:31:00Z",
+		"12h":                       "2026-12-03T13:30:00Z",
+		"2026-12-03T20:00:00+02:00": "2026-12-03T18:00:00Z",
+	} {
+		at, err := parseSince(text, now)
+		assert.NilError(t, err)
+		assert.Equal(t, at.Format(time.RFC3339), want, text)
+	}
+	for _, text := range []string{"", "24:00", "0s", "2026-12-05T00:00:00Z", "yesterday"} {
+		_, err := parseSince(text, now)
+		assert.Assert(t, err != nil, text)
+	}
+}
