Keep all records at a shutdown during an outage

Cause: two faults at shutdown. Only the first 256 KB of unwritten records and the first 64 KB of held copies were sent to peers; the rest was neither sent nor counted.

Change: Flush sends all records in messages of 64 KB, tries sends and writes without answer three times, and counts records with too few copies as records.missing_copies. Delays come from a seeded source, so that a failed run can be repeated. A report no longer merges while it holds the lock that recording needs.

--- a/records/book.go
+++ b/records/book.go
@@ -19,9 +19,6 @@
 	// LostCopies counts copies held for other routers that were dropped. The
 	// origin may still have written them.
 	LostCopies = "copies"
-	// LostAtShutdown counts records that neither the object API nor a peer took
-	// at shutdown.
-	LostAtShutdown = "shutdown"
 )
 
 // BookOptions are the settings of a Book.
--- a/records/clean.go
+++ b/records/clean.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -42,8 +41,8 @@
 	version uint64
 }
 
-func (c *cleaner) init(now time.Time) {
-	c.next = now.Add(rand.N(cleanInterval))
+func (c *cleaner) init(next time.Time) {
+	c.next = next
 	c.deletes = rate.NewLimiter(deletesPerSecond, 1)
 }
 
@@ -64,7 +63,7 @@
 	if now.Before(c.next) {
 		return
 	}
-	c.next = now.Add(cleanInterval + rand.N(cleanInterval/4))
+	c.next = now.Add(cleanInterval + k.upTo(cleanInterval/4))
 	claimed, err := k.claimCleaning(ctx, now)
 	if err != nil {
 		k.opts.Logger.Debug("old records not cleaned", zap.Error(err))
--- a/records/keeper.go
+++ b/records/keeper.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/url"
 	"sync"
@@ -57,6 +58,10 @@
 	flushTimeout  = 5 * time.Second
 	// shutdownMessageBytes bounds one message to a peer at shutdown.
 	shutdownMessageBytes = 64 << 10
+	// shutdownTries and shutdownPause repeat sends and writes without answer at
+	// shutdown.
+	shutdownTries = 3
+	shutdownPause = 20 * time.Millisecond
 )
 
 // Sender sends one-way messages to peers.
@@ -81,6 +86,8 @@
 	Logger *zap.Logger
 	// Retention is how long records stay in the object API. Default 14 days.
 	Retention time.Duration
+	// Seed makes the random delays repeatable. Default a random seed.
+	Seed uint64
 	// Now is the clock. Default time.Now.
 	Now func() time.Time
 	// Book holds the bounds of the router's own records; its Router and
@@ -98,6 +105,7 @@
 	held *Held
 
 	work       sync.Mutex // one step or flush at a time; guards the rest
+	random     *rand.Rand
 	day        string
 	nextCount  time.Time
 	due        time.Time // of the next write; zero without changes
@@ -133,6 +141,9 @@
 	if opts.Routers == nil {
 		opts.Routers = func() int { return 350 }
 	}
+	if opts.Seed == 0 {
+		opts.Seed = rand.Uint64()
+	}
 	if opts.Retention <= 0 {
 		opts.Retention = 14 * 24 * time.Hour
 	}
@@ -145,13 +156,19 @@
 		writes:    rate.NewLimiter(rate.Every(writeInterval), writeBurst),
 		handover:  rate.NewLimiter(handoverBytesPerSecond, handoverBurstBytes),
 		heldReads: rate.NewLimiter(rate.Every(heldInterval), 1),
-		holdFor:   holdWait + rand.N(holdJitter),
+		random:    rand.New(rand.NewPCG(opts.Seed, 0)),
 	}
-	k.cleaner.init(opts.Now())
+	k.holdFor = holdWait + k.upTo(holdJitter)
+	k.cleaner.init(opts.Now().Add(k.upTo(cleanInterval)))
 	k.count(opts.Now(), true) // starts the first interval
 	return k
 }
 
+// upTo returns a random delay below d.
+func (k *Keeper) upTo(d time.Duration) time.Duration {
+	return time.Duration(k.random.Int64N(int64(max(d, 1))))
+}
+
 // Open records that a failure began; see Book.Open.
 func (k *Keeper) Open(kind api.RecordKind, subject, zone, text, effect, action, remaining string) string {
 	k.mu.Lock()
@@ -294,7 +311,7 @@
 		k.due, k.handDue = time.Time{}, time.Time{}
 	case k.due.IsZero():
 		spread := time.Duration(max(k.opts.Routers(), 1)) * time.Second / fleetWritesPerSecond
-		k.due = now.Add(writeDelay + rand.N(spread))
+		k.due = now.Add(writeDelay + k.upTo(spread))
 		k.handDue = now.Add(handoverDelay)
 	}
 }
@@ -376,7 +393,7 @@
 		k.opts.Logger.Warn("records cannot be written now", zap.Error(err))
 	}
 	k.backoff = min(max(2*k.backoff, firstBackoff), maxBackoff)
-	k.nextTry = now.Add(k.backoff/2 + rand.N(k.backoff/2))
+	k.nextTry = now.Add(k.backoff/2 + k.upTo(k.backoff/2))
 	k.lastFailed = now
 }
 
@@ -508,24 +525,30 @@
 			err = k.writeHeldOf(ctx, now, router, func() bool { return true })
 		}
 		if err != nil {
-			k.passOn(router)
+			k.passOn(ctx, router)
 		}
 	}
 	if err == nil {
 		return nil
 	}
-	return k.sendAll(now, err)
+	return k.sendAll(ctx, err)
 }
 
 func (k *Keeper) flushOwn(ctx context.Context, now time.Time) error {
-	for {
+	for failures := 0; ; {
 		if k.pending == nil {
 			k.pending = k.nextBatch(now)
 		}
 		if k.pending == nil {
 			return nil
 		}
-		if err := k.writePending(ctx, now); err != nil {
+		err := k.writePending(ctx, now)
+		if err == nil {
+			continue
+		}
+		failures++
+		again := errors.Is(err, platform.ErrAmbiguous) || errors.Is(err, errKeyTaken)
+		if !again || failures == shutdownTries || !pause(ctx, shutdownPause) {
 			return err
 		}
 	}
@@ -538,43 +561,87 @@
 }
 
 // passOn sends the copies held for a router to two peers.
-func (k *Keeper) passOn(router string) {
+func (k *Keeper) passOn(ctx context.Context, router string) {
+	k.mu.Lock()
+	list := k.held.Records(router)
+	k.mu.Unlock()
+	k.sendToPeers(ctx, router, list)
+}
+
+// sendToPeers sends records of one router to the peers other than it, and
+// returns how many copies of each id were taken.
+func (k *Keeper) sendToPeers(ctx context.Context, router string, list []api.Record) map[string]int {
+	copies := map[string]int{}
+	wanted := 0
 	for _, peer := range k.opts.Peers() {
-		k.mu.Lock()
-		batch := k.held.Batch(router, shutdownMessageBytes)
-		k.mu.Unlock()
-		if peer != router && len(batch.Records) > 0 {
-			k.send(peer, batch)
+		if peer == router {
+			continue
+		}
+		wanted++
+		for _, record := range k.sendList(ctx, peer, router, list) {
+			copies[record.ID]++
+		}
+	}
+	for _, record := range list {
+		if copies[record.ID] < wanted {
+			k.opts.Metrics.Counter("records.missing_copies").Inc(1)
+		}
+	}
+	return copies
+}
+
+// sendList sends records of one router in messages of bounded size, until one is
+// not taken, and returns what was sent.
+func (k *Keeper) sendList(ctx context.Context, peer, router string, list []api.Record) []api.Record {
+	var sent []api.Record
+	for len(sent) < len(list) {
+		batch := packBatch(router, list[len(sent):], shutdownMessageBytes)
+		if len(batch.Records) == 0 || !k.sendRepeatedly(ctx, peer, batch) {
+			break
+		}
+		sent = append(sent, batch.Records...)
+	}
+	return sent
+}
+
+// sendRepeatedly tries again after a pause, because a full queue empties soon and
+// there is no later chance at shutdown.
+func (k *Keeper) sendRepeatedly(ctx context.Context, peer string, batch api.RecordBatch) bool {
+	for try := 1; ; try++ {
+		if k.send(peer, batch) {
+			return true
 		}
+		if try == shutdownTries || !pause(ctx, shutdownPause) {
+			return false
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
 // sendAll sends all unwritten records to two peers at shutdown. cause is why
 // they could not be written.
-func (k *Keeper) sendAll(now time.Time, cause error) error {
-	sent := map[string]bool{}
+func (k *Keeper) sendAll(ctx context.Context, cause error) error {
 	k.mu.Lock()
-	unsaved := k.book.Batch(MaxBatchBytes)
+	unsaved := k.book.Batch(math.MaxInt).Records
 	k.mu.Unlock()
-	for _, peer := range k.opts.Peers() {
-		for rest := unsaved.Records; len(rest) > 0; {
-			batch := packBatch(k.opts.Router, rest, shutdownMessageBytes)
-			if !k.send(peer, batch) {
-				break
-			}
-			for _, record := range batch.Records {
-				sent[record.ID] = true
-			}
-			rest = rest[len(batch.Records):]
-		}
-	}
-	lost := len(unsaved.Records) - len(sent)
+	copies := k.sendToPeers(ctx, k.opts.Router, unsaved)
+	lost := len(unsaved) - len(copies)
 	if lost == 0 {
 		return nil
 	}
 	k.opts.Metrics.Counter("records.lost").Inc(int64(lost))
-	for _, record := range unsaved.Records {
-		if !sent[record.ID] {
+	for _, record := range unsaved {
+		if copies[record.ID] == 0 {
 			k.opts.Logger.Error("record lost at shutdown", zap.Any("record", record))
 		}
 	}
@@ -589,13 +656,19 @@
 	if err != nil {
 		k.opts.Logger.Warn("report without the object API", zap.Error(err))
 	}
-	k.mu.Lock()
-	list := Merge(result.Records, k.book.Records())
-	for _, router := range k.held.Due(now, 0) {
-		list = Merge(list, k.held.Records(router))
-	}
-	k.mu.Unlock()
+	list := append(result.Records, k.unwritten(now)...)
 	report := Build(list, since, now, now)
 	report.SetUnread(result.Unread)
 	return report, nil
 }
+
+// unwritten returns the records of the book and the copies held for others.
+func (k *Keeper) unwritten(now time.Time) []api.Record {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := k.book.Records()
+	for _, router := range k.held.Due(now, 0) {
+		list = append(list, k.held.Records(router)...)
+	}
+	return list
+}
