Record failures for the morning report

Cause: the report existed, but the router recorded nothing. Change: endpoint, router, platform and isolation failures, broken answers, unknown outcomes and applied notes become records; what every router sees is recorded by one, chosen by rendezvous hashing. The note commands use the exit codes of the other commands.

--- a/cmd/hornbeamproxy/main.go
+++ b/cmd/hornbeamproxy/main.go
@@ -12,8 +12,12 @@
 
 // Exit codes of all commands.
 const (
-	exitProblems = 1 // the command found problems
-	exitUsage    = 2 // wrong usage, or nothing could be reached
+	// exitProblems says that the command found problems: a bad file, a note that
+	// was refused, a guarantee that did not hold, or work left for a person.
+	exitProblems = 1
+	// exitUsage says that the usage was wrong or that nothing could be reached. A
+	// note may have been accepted all the same.
+	exitUsage = 2
 )
 
 // Version is set by the linker.
@@ -42,6 +46,7 @@
 	addDemoCommand(app)
 	addSettingsCommands(app)
 	addNoteCommands(app)
+	addReportCommand(app)
 	addVersionCommand(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "hornbeamproxy:", err)
@@ -50,13 +55,13 @@
 }
 
 func exitCode(err error) int {
+	if err == nil {
+		return 0
+	}
 	var coded *exitError
 	if errors.As(err, &coded) {
 		return coded.code
 	}
-	if code := noteExitCode(err); code != 0 {
-		return code
-	}
 	return exitUsage
 }
 
--- a/cmd/hornbeamproxy/note.go
+++ b/cmd/hornbeamproxy/note.go
@@ -19,43 +19,12 @@
 )
 
 const (
-	// exitRefused says that the note has problems or lost a race.
-	exitRefused = 1
-	// exitUnreachable says that the command was used wrongly or that no answer
-	// was received. The note may have been accepted.
-	exitUnreachable = 2
 	// noteTimeout is longer than the router takes for an acceptance.
 	noteTimeout = 45 * time.Second
 	// maxAnswerBytes bounds the answer of a router.
 	maxAnswerBytes = 16 << 20
 )
 
-// noteError is the error of a note command with its exit code.
-type noteError struct {
-	code int
-	err  error
-}
-
-// Error returns the text for the operator.
-func (e *noteError) Error() string { return e.err.Error() }
-
-// Unwrap returns the cause.
-func (e *noteError) Unwrap() error { return e.err }
-
-// noteExitCode returns the exit code for an error of the command line. All
-// errors but those of a refused note are usage errors or missing answers.
-func noteExitCode(err error) int {
-	var failed *noteError
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &failed):
-		return failed.code
-	default:
-		return exitUnreachable
-	}
-}
-
 // noteCommands holds the flags and arguments of the note commands.
 type noteCommands struct {
 	out       io.Writer
@@ -68,7 +37,7 @@
 }
 
 // addNoteCommands adds the commands for release notes. Their errors carry an
-// exit code for noteExitCode.
+// exit code for exitCode.
 func addNoteCommands(app *kingpin.Application) {
 	addNoteCommandsTo(app, os.Stdout)
 }
@@ -106,7 +75,7 @@
 func (n *noteCommands) submit(path, verb string) error {
 	data, err := readInput(n.file)
 	if err != nil {
-		return &noteError{code: exitUnreachable, err: err}
+		return &exitError{code: exitUsage, err: err}
 	}
 	var result notes.Result
 	if err := n.call(http.MethodPost, path, data, &result); err != nil {
@@ -200,11 +169,11 @@
 func (n *noteCommands) call(method, path string, body []byte, value any) error {
 	request, err := http.NewRequest(method, strings.TrimSuffix(n.admin, "/")+path, bytes.NewReader(body))
 	if err != nil {
-		return &noteError{code: exitUnreachable, err: err}
+		return &exitError{code: exitUsage, err: err}
 	}
 	token, err := n.token()
 	if err != nil {
-		return &noteError{code: exitUnreachable, err: err}
+		return &exitError{code: exitUsage, err: err}
 	}
 	if token != "" {
 		request.Header.Set("Authorization", "Bearer "+token)
@@ -212,18 +181,18 @@
 	client := http.Client{Timeout: noteTimeout, CheckRedirect: keepToken}
 	response, err := client.Do(request)
 	if err != nil {
-		return &noteError{code: exitUnreachable, err: err}
+		return &exitError{code: exitUsage, err: err}
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return &noteError{code: exitUnreachable, err: err}
+		return &exitError{code: exitUsage, err: err}
 	}
 	if response.StatusCode != http.StatusOK {
 		return n.refusal(response.Status, data)
 	}
 	if err := json.Unmarshal(data, value); err != nil {
-		return &noteError{code: exitUnreachable, err: fmt.Errorf("answer of the router: %w", err)}
+		return &exitError{code: exitUsage, err: fmt.Errorf("answer of the router: %w", err)}
 	}
 	return nil
 }
@@ -254,17 +223,17 @@
 func (n *noteCommands) refusal(status string, data []byte) error {
 	var p admin.NoteProblem
 	if err := json.Unmarshal(data, &p); err != nil || p.Reason == "" {
-		return &noteError{code: exitUnreachable, err: fmt.Errorf("the router answered %s", status)}
+		return &exitError{code: exitUsage, err: fmt.Errorf("the router answered %s", status)}
 	}
 	if n.output == "json" {
 		if err := n.print(p, nil); err != nil {
-			return &noteError{code: exitUnreachable, err: err}
+			return &exitError{code: exitUsage, err: err}
 		}
 	}
-	code := exitUnreachable
+	code := exitUsage
 	switch p.Reason {
 	case admin.ReasonNoteInvalid, admin.ReasonLostRace, admin.ReasonSuperseded:
-		code = exitRefused
+		code = exitProblems
 	}
-	return &noteError{code: code, err: errors.New(p.Detail)}
+	return &exitError{code: code, err: errors.New(p.Detail)}
 }
--- a/cmd/hornbeamproxy/note_test.go
+++ b/cmd/hornbeamproxy/note_test.go
@@ -80,7 +80,7 @@
 		if err != nil {
 			out.WriteString(err.Error())
 		}
-		assert.Equal(t, noteExitCode(err), c.code, "%v: %s", c.args, out)
+		assert.Equal(t, exitCode(err), c.code, "%v: %s", c.args, out)
 		assert.Assert(t, bytes.Contains(out.Bytes(), []byte(c.text)), "%v: %s", c.args, out)
 	}
 }
@@ -91,6 +91,6 @@
 		app := kingpin.New("hornbeamproxy", "").Terminate(nil)
 		addNoteCommands(app)
 		_, err := app.Parse(args)
-		assert.Equal(t, noteExitCode(err), exitUnreachable, "%v", args)
+		assert.Equal(t, exitCode(err), exitUsage, "%v", args)
 	}
 }
--- a/router/network.go
+++ b/router/network.go
@@ -149,13 +149,19 @@
 	live := map[string]bool{}
 	for _, member := range r.cluster.Members() {
 		live[member.ID] = true
-		r.everSeen[member.ID] = true
+		r.everSeen[member.ID] = member
 	}
 	var dead []string
-	for id := range r.everSeen {
-		if !live[id] {
-			dead = append(dead, id)
-			r.owner.routerLost(id)
+	for id, member := range r.everSeen {
+		if live[id] {
+			continue
+		}
+		dead = append(dead, id)
+		r.owner.routerLost(id)
+		if !member.Leaving {
+			r.failures.routerLost(member)
+			member.Leaving = true // recorded once
+			r.everSeen[id] = member
 		}
 	}
 	r.claimOwner.SetDead(dead)
--- a/router/owner.go
+++ b/router/owner.go
@@ -50,7 +50,7 @@
 	metrics   *telemetry.Metrics
 	now       func() time.Time
 	isolated  func() bool
-	onState   func(e *api.Endpoint, from, to endpointstate.State)
+	failures  *failures
 	gates     *admission.Set
 	waiting   sync.Map // request id -> chan admission.Outcome
 	requestID atomic.Uint64
@@ -133,6 +133,7 @@
 	delete(o.owned, id)
 	outcomes, _ := o.gates.Remove(id)
 	o.deliver(outcomes)
+	o.failures.endpointDropped(id)
 }
 
 // configure applies the endpoint's part of the fleet state.
@@ -162,9 +163,7 @@
 		return
 	}
 	o.logger.Info("endpoint state changed", zap.String("endpoint", e.ID), zap.Stringer("from", from), zap.Stringer("to", state))
-	if o.onState != nil {
-		o.onState(e, from, state)
-	}
+	o.failures.endpointChanged(e, from, state)
 }
 
 // wantLease acquires the cold lease of an endpoint that needs it, and releases it
--- a/router/peers.go
+++ b/router/peers.go
@@ -25,6 +25,8 @@
 	case msg.ClaimUpdate != nil:
 		reply := r.claimOwner.HandleUpdate(ctx, *msg.ClaimUpdate)
 		return &api.PeerMessage{ClaimReply: &reply}
+	case msg.Records != nil:
+		r.keeper.HandleBatch(from, *msg.Records)
 	case msg.InstanceStates != nil:
 		r.owner.HandleInstances(*msg.InstanceStates)
 	case msg.NotesRequest != nil:
--- a/router/router.go
+++ b/router/router.go
@@ -27,9 +27,11 @@
 	"github.com/hornbeamproxy/hornbeamproxy/engine"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/lease"
+	"github.com/hornbeamproxy/hornbeamproxy/membership"
 	"github.com/hornbeamproxy/hornbeamproxy/notes"
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/records"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -64,7 +66,7 @@
 	engine     *engine.Client
 	cluster    *peerNetwork
 	peerServer *http.Server
-	everSeen   map[string]bool // used by followPeers only
+	everSeen   map[string]membership.Member // used by followPeers only
 	syncer     *notes.Syncer
 	acceptor   *notes.Acceptor
 	dispatch   *dispatcher
@@ -84,6 +86,8 @@
 	history    poolHistory
 	workspaces workspaceLimits
 	moves      *cacheMover
+	keeper     *records.Keeper
+	failures   *failures
 	refreshMu  sync.Mutex
 	stopLoops  context.CancelFunc
 	loopsDone  chan struct{}
@@ -101,7 +105,7 @@
 		retries:   newRetries(c.Settings.Retry, c.Metrics, time.Now),
 		handleKey: deriveKey(c.Secrets.PeerSecret, "stream handles"),
 		idPrefix:  c.Settings.Router.ID + "-" + rand.Text()[:8] + "-",
-		everSeen:  map[string]bool{},
+		everSeen:  map[string]membership.Member{},
 		now:       time.Now,
 	}
 	r.syncer = notes.NewSyncer(notes.SyncerOptions{Store: c.Store, Peers: r, Metrics: c.Metrics, Logger: c.Logger})
@@ -111,6 +115,7 @@
 	}
 	r.moves = newCacheMover(r.engine, c.Settings.Limits.CacheMoveBytesPerSecond, c.Metrics)
 	r.buildClaims()
+	r.buildRecords(c)
 	r.buildAdmission()
 	r.instances = &instanceReader{
 		lister:  c.Instances,
@@ -165,6 +170,7 @@
 		metrics:  r.metrics,
 		now:      r.now,
 		isolated: r.isolated,
+		failures: r.failures,
 		gates:    admission.NewSet(),
 		owned:    map[string]*ownedEndpoint{},
 	}
@@ -236,6 +242,11 @@
 	r.drains.update(r.now(), after)
 	r.refreshOwnership()
 	r.logger.Info("revision applied", zap.Uint64("revision", after.Revision()))
+	for _, note := range r.syncer.Recent() {
+		if note.Revision == after.Revision() {
+			r.failures.noteApplied(after, note.Note.Title)
+		}
+	}
 }
 
 // refreshOwnership takes and drops gates and claim shards after a change of the
@@ -291,6 +302,7 @@
 	var group run.Group
 	loops := []func(context.Context) error{
 		r.cluster.Run, r.followPeers, r.syncer.Run, r.owner.run, r.permits.run, r.claims.run,
+		r.keeper.Run, r.watchConditions,
 	}
 	if r.instances.lister != nil {
 		loops = append(loops, r.instances.run)
@@ -334,6 +346,9 @@
 		case <-ctx.Done():
 		}
 	}
+	if err := r.keeper.Flush(ctx); err != nil {
+		r.logger.Warn("records not written", zap.Error(err))
+	}
 	if err := r.leases.Close(ctx); err != nil {
 		r.logger.Warn("leases not released", zap.Error(err))
 	}
--- a/router/service.go
+++ b/router/service.go
@@ -283,13 +283,13 @@
 		r.claims.complete(claim, outcomeOf(answer))
 		return answer, nil
 	}
-	return engine.Answer{}, r.settleFailed(ctx, claim, err)
+	return engine.Answer{}, r.settleFailed(ctx, call, claim, err)
 }
 
 // settleFailed records what a failed call means for its key. "Not run" is said
 // only after the claim's release is durable, so that the caller's next try is
 // not refused because of this one.
-func (r *Router) settleFailed(ctx context.Context, claim *claim, cause error) error {
+func (r *Router) settleFailed(ctx context.Context, call *serviceCall, claim *claim, cause error) error {
 	refused := asRefusal(cause)
 	if !refused.mayHaveRun {
 		if r.claims.release(ctx, claim) {
@@ -300,6 +300,7 @@
 		return refused
 	}
 	r.claims.complete(claim, nil)
+	r.failures.outcomeUnknown(call)
 	return refused
 }
 
--- a/router/status.go
+++ b/router/status.go
@@ -6,6 +6,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/admin"
 	"github.com/hornbeamproxy/hornbeamproxy/admission"
 	"github.com/hornbeamproxy/hornbeamproxy/notes"
+	"github.com/hornbeamproxy/hornbeamproxy/records"
 )
 
 // State implements admin.Router.
@@ -39,6 +40,9 @@
 // Acceptor returns the acceptor of release notes.
 func (r *Router) Acceptor() *notes.Acceptor { return r.acceptor }
 
+// Records returns the keeper of failure records.
+func (r *Router) Records() *records.Keeper { return r.keeper }
+
 // Syncer returns the syncer of release notes.
 func (r *Router) Syncer() *notes.Syncer { return r.syncer }
 
--- a/router/stream.go
+++ b/router/stream.go
@@ -91,6 +91,7 @@
 	}
 	r.logger.Warn("answer broken off", requestFields(ch, err)...)
 	r.countRefusal(err)
+	r.failures.answerBroken(ch, asRefusal(err).reason)
 	out.fail(asRefusal(err))
 	return nil
 }
--- a/server/server.go
+++ b/server/server.go
@@ -76,6 +76,7 @@
 	}
 	operators, group := admin.New(r, registry, o.Secrets.AdminToken)
 	admin.RegisterNotes(group, r.Acceptor(), r.Syncer(), r)
+	admin.RegisterReport(group, r.Records())
 	s := &server{
 		options: o,
 		metrics: registry,
