claims: give every shard instance its own batch ids

A shard that was freed and taken again by the same process counted its batches from 1 under the same prefix. When its write then lost a race with another owner, it found an old batch of its own in the head, took the lost write for committed and granted the key a second time.

The prefix is now drawn for each shard instance instead of once per process.

--- a/claims/owner.go
+++ b/claims/owner.go
@@ -78,7 +78,6 @@
 	cfg   OwnerConfig
 	store platform.Store
 	clock Clock
-	start string
 	dead  atomic.Pointer[map[string]bool]
 
 	mu     sync.Mutex
@@ -106,7 +105,6 @@
 		cfg:    cfg,
 		store:  store,
 		clock:  clock,
-		start:  rand.Text(),
 		shards: map[int]*runner{},
 		ctx:    ctx,
 		cancel: cancel,
@@ -220,8 +218,10 @@
 
 func (o *Owner) newRunner(number int) *runner {
 	shard := NewShard(Config{
-		Shard:           number,
-		Owner:           o.cfg.Router + "-" + o.start,
+		Shard: number,
+		// A shard that is freed and taken again counts its batches from 1, so
+		// batch ids of one process would repeat without a new random part.
+		Owner:           o.cfg.Router + "-" + rand.Text(),
 		CommitInterval:  o.cfg.CommitInterval,
 		Retention:       o.cfg.Retention,
 		UnknownAfter:    o.cfg.UnknownAfter,
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -38,8 +38,8 @@
 // Config holds the settings of one shard.
 type Config struct {
 	Shard int
-	// Owner starts every batch id; it must differ between processes and between
-	// two starts of one process.
+	// Owner starts every batch id; it must differ between any two Shards, also
+	// between two for the same shard in one process.
 	Owner          string
 	CommitInterval time.Duration
 	Retention      time.Duration
