Plan orders to endpoints by comparing reports with the desired state

Release notes changed the desired models, adapters and versions, but nothing told the endpoints.

Plan yields the orders to send now and the state of each step. It bounds the missing capacity of each pool and the loads a second, and sends only under a lease that covers the whole sending. Progress holds the orders of one term.

--- /dev/null
+++ b/orders/plan_test.go
@@ -0,0 +1,125 @@
+package orders
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/lease"
+)
+
+// TestTwoHolders guards against a wrong final state, too much missing capacity and
+// loads above the weight store's rate when holders are paused past their lease and
+// orders arrive late, at endpoints that check fencing numbers and that don't.
+func TestTwoHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]float64{0.2, 4}).Draw(t, "loads per second"))
+		for range 1200 {
+			s.step()
+		}
+		s.faults = false
+		// At the lower rate, two loads at each of eight endpoints take 80 s, after
+		// the outage, a pause, the lease's change and a slow retry of 30 s in all.
+		for range 1200 {
+			s.step()
+		}
+		if !s.settled() {
+			t.Fatalf("endpoints differ from the wanted state 120 s after the last fault")
+		}
+	})
+}
+
+func readyReport(at time.Time, version string) Report {
+	return Report{At: at, LoadReport: api.LoadReport{
+		Models: []string{"m"}, Adapters: []string{"a"}, Version: version, Readiness: api.ReadinessReady,
+	}}
+}
+
+// planOne plans for one endpoint without fencing checks, ten seconds into a term.
+func planOne(report Report, change func(now time.Time, p *Progress, l *lease.Lease)) Decision {
+	now := time.Unix(1000, 0)
+	p := NewProgress(now.Add(-10*time.Second), 3, Limits{})
+	l := lease.Lease{Held: true, Term: 3, ValidUntil: now.Add(5 * time.Second)}
+	if report.At.IsZero() {
+		report.At = now
+	}
+	if change != nil {
+		change(now, p, &l)
+	}
+	view := simView(1, "v2", 2)
+	reports := map[string]Report{"e000": readyReport(now, "v2"), "e001": report}
+	return Plan(now, Limits{}, view, reports, p, l)
+}
+
+// TestNoOrder guards against orders that are sent without a lease that covers the
+// sending, during the handover, on an old report, or during the backoff.
+func TestNoOrder(t *testing.T) {
+	base := readyReport(time.Time{}, "v1")
+	assert.Equal(t, len(planOne(base, nil).Sends), 1)
+	cases := map[string]func(time.Time, *Progress, *lease.Lease){
+		"lease ends during the sending": func(now time.Time, _ *Progress, l *lease.Lease) { l.ValidUntil = now.Add(time.Second) },
+		"other term":                    func(_ time.Time, _ *Progress, l *lease.Lease) { l.Term++ },
+		"handover": func(now time.Time, p *Progress, _ *lease.Lease) {
+			*p = *NewProgress(now.Add(-time.Second), 3, Limits{})
+		},
+		"load of the last holder": func(now time.Time, p *Progress, _ *lease.Lease) {
+			*p = *NewProgress(now.Add(-3*time.Second), 3, Limits{})
+		},
+		"report from before handover": func(now time.Time, p *Progress, _ *lease.Lease) { p.handoverAt = now },
+		"backoff":                     func(now time.Time, p *Progress, _ *lease.Lease) { p.of("e001").retryAt = now.Add(1) },
+		"rate limit":                  func(now time.Time, p *Progress, _ *lease.Lease) { p.nextLoadAt = now.Add(1) },
+		"other endpoint busy":         func(_ time.Time, p *Progress, _ *lease.Lease) { p.of("e000").active = true },
+	}
+	for name, change := range cases {
+		d := planOne(base, change)
+		assert.Equal(t, len(d.Sends), 0, name)
+		assert.Equal(t, d.Steps[1].State, StepWaiting, name)
+	}
+	old := readyReport(time.Unix(1000, 0).Add(-11*time.Second), "v1")
+	late := func(now time.Time, p *Progress, _ *lease.Lease) { p.handoverAt = now.Add(-time.Minute) }
+	assert.Equal(t, planOne(old, late).Steps[1].Reason, "report is too old")
+}
+
+// TestFailedStep guards against a failure that is never shown, and against an
+// endless series of fast retries.
+func TestFailedStep(t *testing.T) {
+	limits := Limits{}.withDefaults()
+	now := time.Unix(1000, 0)
+	p := NewProgress(now, 1, limits)
+	view := simView(1, "v2", 1)
+	reports := map[string]Report{}
+	sends := 0
+	for range 300 {
+		now = now.Add(time.Second)
+		reports["e000"] = readyReport(now, "v1")
+		p.Observe(now, limits, view, reports)
+		held := lease.Lease{Held: true, Term: 1, ValidUntil: now.Add(6 * time.Second)}
+		for _, s := range Plan(now, limits, view, reports, p, held).Sends {
+			sends++
+			p.Sending(now, limits, s)
+			p.Sent(now, limits, s.Endpoint, Refused, "out of memory")
+		}
+	}
+	d := Plan(now, limits, view, reports, p, lease.Lease{})
+	assert.Equal(t, sends, limits.MaxFailures)
+	assert.Equal(t, d.Steps[0].State, StepFailed)
+	assert.Equal(t, d.Steps[0].Reason, "out of memory")
+}
+
+func BenchmarkPlan600(b *testing.B) {
+	now := time.Unix(1000, 0)
+	view := simView(1, "v2", 600)
+	reports := map[string]Report{}
+	for _, e := range view.State().Endpoints {
+		reports[e.ID] = readyReport(now, "v1")
+	}
+	p := NewProgress(now.Add(-time.Minute), 1, Limits{})
+	held := lease.Lease{Held: true, Term: 1, ValidUntil: now.Add(5 * time.Second)}
+	b.ReportAllocs()
+	for b.Loop() {
+		Plan(now, Limits{}, view, reports, p, held)
+	}
+}
