--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -637,6 +637,36 @@
 	FencingNumber uint64 `json:"fencing_number,omitempty,omitzero" toml:"fencing_number,omitempty" cbor:"fencing_number,omitempty"`
 }
 
+// Orders that follow from release notes, object status/orders. Written by the
+// holder of the control lease.
+type OrderStatus struct {
+	// Steps left out to bound the size.
+	Omitted int `json:"omitted,omitempty,omitzero" toml:"omitted,omitempty" cbor:"omitted,omitempty"`
+
+	// Revision that the endpoints were compared with.
+	Revision uint64 `json:"revision" toml:"revision" cbor:"revision"`
+
+	// Router corresponds to the JSON schema field "router".
+	Router string `json:"router" toml:"router" cbor:"router"`
+
+	// Steps that are not done, by endpoint.
+	Steps []OrderStep `json:"steps" toml:"steps" cbor:"steps"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term uint64 `json:"term" toml:"term" cbor:"term"`
+}
+
+type OrderStep struct {
+	// Endpoint corresponds to the JSON schema field "endpoint".
+	Endpoint string `json:"endpoint" toml:"endpoint" cbor:"endpoint"`
+
+	// Failed corresponds to the JSON schema field "failed".
+	Failed bool `json:"failed,omitempty,omitzero" toml:"failed,omitempty" cbor:"failed,omitempty"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason" toml:"reason" cbor:"reason"`
+}
+
 type PeerError struct {
 	// The request was not handed to any handler.
 	NotRun bool `json:"not_run,omitempty,omitzero" toml:"not_run,omitempty" cbor:"not_run,omitempty"`
@@ -828,6 +858,9 @@
 	// Lease corresponds to the JSON schema field "lease".
 	Lease *LeaseRecord `json:"lease,omitempty,omitzero" toml:"lease,omitempty" cbor:"lease,omitempty"`
 
+	// Orders corresponds to the JSON schema field "orders".
+	Orders *OrderStatus `json:"orders,omitempty,omitzero" toml:"orders,omitempty" cbor:"orders,omitempty"`
+
 	// Records corresponds to the JSON schema field "records".
 	Records *RecordBatch `json:"records,omitempty,omitzero" toml:"records,omitempty" cbor:"records,omitempty"`
 
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -25,7 +25,8 @@
 	// ReportAge is the age beyond which a report yields no order. Default 10s.
 	ReportAge time.Duration
 	// CapacityAge is the age beyond which an endpoint counts as missing. It must
-	// exceed the time of a sweep over all endpoints. Default 10m.
+	// exceed the time of a sweep over all endpoints, which Controller bounds to 15m
+	// at 600. Default 20m.
 	CapacityAge time.Duration
 	// SettleTimeout is how long an accepted order may stay without effect in the
 	// report. Default 10m.
@@ -43,7 +44,7 @@
 	setDefault(&l.LoadsPerSecond, 0.5)
 	setDefault(&l.MissingFraction, 0.1)
 	setDefault(&l.ReportAge, 10*time.Second)
-	setDefault(&l.CapacityAge, 10*time.Minute)
+	setDefault(&l.CapacityAge, 20*time.Minute)
 	setDefault(&l.SettleTimeout, 10*time.Minute)
 	setDefault(&l.RetryMin, time.Second)
 	setDefault(&l.RetryMax, 30*time.Second)
@@ -99,8 +100,9 @@
 	Sends []Send
 	// Steps has one entry for each endpoint that gets orders, in order of id.
 	Steps []Step
-	// Poll lists the endpoints whose report decides on a next order.
-	Poll []string
+	// Busy lists the endpoints that are missing because of an order, Differ those
+	// whose next order waits. Their reports decide on the orders to come.
+	Busy, Differ []string
 }
 
 // Plan compares the desired state with the reports. It changes none of its
@@ -248,6 +250,9 @@
 	id := w.endpoint.ID
 	step := Step{Name: id, State: StepWaiting}
 	running := pl.running(id)
+	if running.busy(pl.now) {
+		pl.decision.Busy = append(pl.decision.Busy, id)
+	}
 	report, known := pl.reports[id]
 	order, differs := api.Order{}, false
 	if known {
@@ -258,13 +263,12 @@
 		step.State, step.Reason = StepFailed, "its models have different versions and the endpoint names none"
 	case running.active:
 		step.Reason = "order in progress: " + describe(running.order)
-		pl.decision.Poll = append(pl.decision.Poll, id)
 	case !known:
 		step.Reason = "no report yet"
 	case !differs:
 		step.State = StepDone
 	default:
-		pl.decision.Poll = append(pl.decision.Poll, id)
+		pl.decision.Differ = append(pl.decision.Differ, id)
 		step.Reason = pl.obstacle(w, report, running, order)
 		if step.Reason == "" {
 			pl.send(w, running, order)
--- a/orders/progress.go
+++ b/orders/progress.go
@@ -28,7 +28,7 @@
 	Accepted Result = iota
 	// Refused was answered by the endpoint and has no effect.
 	Refused
-	// NotSent has not left the router.
+	// NotSent was held back by the check of the lease and is no failure.
 	NotSent
 	// Unknown may have been carried out, or may still be.
 	Unknown
@@ -126,7 +126,9 @@
 		r.reason = reason
 		r.showsFrom = now.Add(limits.OrderTimeout)
 		r.failsAt = r.showsFrom
-	default:
+	case NotSent:
+		r.active = false
+	case Refused:
 		r.fail(now, limits, reason)
 	}
 }
