Test controllers over HTTP with a frozen holder

Two controllers share one store and four stand-in engines. The holder freezes with orders on the way, and those arrive after the new holder has given others. Engines that check fencing numbers refuse them; the others take them and are corrected. A second test bounds the status object.

--- /dev/null
+++ b/orders/controller_test.go
@@ -0,0 +1,216 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/engine"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+	"github.com/hornbeamproxy/hornbeamproxy/lease"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+// freezer stops a router's calls. Orders that it was about to send are kept and
+// delivered on thaw, whatever has become of their context.
+type freezer struct {
+	platform.Store
+	*engine.Client
+	frozen atomic.Bool
+	mu     sync.Mutex
+	held   []heldOrder
+}
+
+func (f *freezer) Get(ctx context.Context, key string) (platform.Object, error) {
+	if f.frozen.Load() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return f.Store.Get(ctx, key)
+}
+
+func (f *freezer) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	if f.frozen.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	return f.Store.Put(ctx, key, value, ifVersion)
+}
+
+func (f *freezer) Order(ctx context.Context, url string, o api.Order) (api.OrderResult, error) {
+	if !f.frozen.Load() {
+		return f.Client.Order(ctx, url, o)
+	}
+	f.mu.Lock()
+	f.held = append(f.held, heldOrder{url, func() (api.OrderResult, error) {
+		return f.Client.Order(context.WithoutCancel(ctx), url, o)
+	}})
+	f.mu.Unlock()
+	<-ctx.Done()
+	return api.OrderResult{}, ctx.Err()
+}
+
+func (f *freezer) heldOrders() []heldOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.held)
+}
+
+type heldOrder struct {
+	url     string
+	deliver func() (api.OrderResult, error)
+}
+
+type testFleet struct {
+	t       *testing.T
+	engines []*standin.Engine
+	state   fleet.State
+	view    atomic.Pointer[fleet.View]
+}
+
+func newTestFleet(t *testing.T) *testFleet {
+	f := &testFleet{t: t}
+	for i := range 4 {
+		id, checks := fmt.Sprintf("e%d", i), i%2 == 1
+		e := standin.NewEngine(standin.EngineConfig{ID: id, Models: []string{"m"}, ChecksFencing: checks})
+		server := httptest.NewServer(e)
+		t.Cleanup(func() { server.Close(); e.Close() })
+		f.engines = append(f.engines, e)
+		f.state.Endpoints = append(f.state.Endpoints, api.Endpoint{
+			ID: id, URL: server.URL, Models: []string{"m"}, ChecksFencing: checks,
+		})
+	}
+	return f
+}
+
+func (f *testFleet) checksFencing(url string) bool {
+	return slices.ContainsFunc(f.state.Endpoints, func(e api.Endpoint) bool { return e.URL == url && e.ChecksFencing })
+}
+
+func (f *testFleet) want(version string) {
+	f.state.Revision++
+	f.state.Models = []api.Model{{ID: "m", Version: version}}
+	f.view.Store(fleet.NewView(f.state))
+}
+
+// start runs the controller of one router until the test ends.
+func (f *testFleet) start(router string, store platform.Store) (*Controller, *freezer) {
+	frozen := &freezer{Store: store, Client: engine.New(engine.Options{})}
+	config := lease.Config{Router: router, Lifetime: 3 * time.Second, Margin: 200 * time.Millisecond}
+	manager := lease.NewManager(frozen, config, nil, nil)
+	c := NewController(Config{
+		Router: router, Store: frozen, Leases: manager, Endpoints: frozen, View: f.view.Load,
+		Limits:   Limits{OrderTimeout: 500 * time.Millisecond, LoadsPerSecond: 10, MissingFraction: 0.5, SettleTimeout: time.Second, RetryMin: 100 * time.Millisecond},
+		Interval: 20 * time.Millisecond, PollInterval: 50 * time.Millisecond, PollBytesPerSecond: 1 << 20,
+		StatusInterval: 50 * time.Millisecond,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	f.t.Cleanup(func() {
+		cancel()
+		assert.ErrorIs(f.t, <-done, context.Canceled)
+		closeCtx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		assert.NilError(f.t, manager.Close(closeCtx))
+		frozen.Close()
+	})
+	return c, frozen
+}
+
+func (f *testFleet) versionIs(version string) bool {
+	client := engine.New(engine.Options{})
+	defer client.Close()
+	for i := range f.state.Endpoints {
+		report, err := client.Load(context.Background(), f.state.Endpoints[i].URL)
+		if err != nil || report.Version != version {
+			return false
+		}
+	}
+	return true
+}
+
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("timed out: %s", what)
+}
+
+// TestFrozenHolder guards against a wrong final version when a holder freezes with
+// orders on the way that arrive long after a new holder has given others, and
+// against a status that other routers can't read.
+func TestFrozenHolder(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	t.Run("fleet", func(t *testing.T) {
+		f, store := newTestFleet(t), platform.NewMemory()
+		f.want("v1")
+		a, frozen := f.start("a", store)
+		waitFor(t, "first version", func() bool { return f.versionIs("v1") })
+		frozen.frozen.Store(true)
+		f.want("v2")
+		waitFor(t, "orders of the frozen holder", func() bool { return len(frozen.heldOrders()) >= 2 })
+		f.want("v3")
+		f.start("b", store)
+		waitFor(t, "version of the new holder", func() bool { return f.versionIs("v3") })
+		for _, held := range frozen.heldOrders() {
+			result, err := held.deliver()
+			assert.NilError(t, err)
+			assert.Equal(t, result.Accepted, !f.checksFencing(held.url))
+		}
+		late := func(o api.Order) bool { return o.Version == "v2" }
+		assert.Assert(t, slices.ContainsFunc(f.engines[0].Orders(), late), "no late order took effect")
+		frozen.frozen.Store(false)
+		waitFor(t, "version after late orders", func() bool { return f.versionIs("v3") })
+		waitFor(t, "status at the router without the lease", func() bool {
+			steps := a.Status(3)
+			for _, step := range steps {
+				if step.State != StepDone {
+					return false
+				}
+			}
+			return len(steps) == len(f.engines)
+		})
+		for i, e := range f.engines {
+			last := uint64(0)
+			for _, o := range e.Orders() {
+				assert.Assert(t, o.FencingNumber >= last || !f.state.Endpoints[i].ChecksFencing, "engine took an old order")
+				last = o.FencingNumber
+			}
+		}
+	})
+}
+
+// TestStatusSize guards against a status object above the limit of the object API.
+func TestStatusSize(t *testing.T) {
+	store := platform.NewMemory()
+	c := NewController(Config{Store: store, View: func() *fleet.View { return simView(1, "v1", 600) }})
+	long := make([]byte, 1000)
+	for i := range long {
+		long[i] = 0xc3
+	}
+	steps := make([]Step, 5000)
+	for i := range steps {
+		steps[i] = Step{Name: fmt.Sprintf("%0128d", i), State: StepFailed, Reason: string(long)}
+	}
+	status := encodeSteps(steps)
+	status.Revision = 1
+	_, err := c.putStatus(context.Background(), status, 0)
+	assert.NilError(t, err)
+	object, err := store.Get(context.Background(), StatusKey)
+	assert.NilError(t, err)
+	assert.Assert(t, len(object.Value) < platform.MaxValueBytes/2, "status has %d bytes", len(object.Value))
+	assert.Equal(t, len(c.Status(1)), 601)
+}
