Count endpoints that are known from elsewhere to be missing

Config.Missing takes what the router knows from request errors, gossip and the instance list, and Plan counts such endpoints as missing.

--- a/orders/controller.go
+++ b/orders/controller.go
@@ -39,6 +39,10 @@
 	Endpoints Endpoints
 	// View returns the newest applied state.
 	View func() *fleet.View
+	// Missing says whether an endpoint is known from elsewhere to be down, cold or
+	// leaving; may be nil. The sweep alone notices that only after minutes in a
+	// large fleet. It must not block.
+	Missing func(endpoint string) bool
 	// Interval between comparisons. Default 250ms.
 	Interval time.Duration
 	// PollInterval is the shortest time between polls of one endpoint. Default 1s.
@@ -72,6 +76,9 @@
 	setDefault(&c.PollTimeout, 2*time.Second)
 	setDefault(&c.PollBytesPerSecond, 2*pollBytes)
 	setDefault(&c.StatusInterval, 3*time.Second)
+	if c.Missing == nil {
+		c.Missing = func(string) bool { return false }
+	}
 	if c.OnError == nil {
 		c.OnError = func(error) {}
 	}
@@ -154,6 +161,10 @@
 		c.status.version = 0
 	}
 	view := c.config.View()
+	for id, report := range c.reports {
+		report.Missing = c.config.Missing(id)
+		c.reports[id] = report
+	}
 	c.progress.Observe(now, c.config.Limits, view, c.reports)
 	decision := Plan(now, c.config.Limits, view, c.reports, c.progress, held)
 	for _, s := range decision.Sends {
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -194,7 +194,7 @@
 	id := w.endpoint.ID
 	r, ok := pl.reports[id]
 	old := pl.now.Sub(r.At) > pl.limits.CapacityAge || !r.At.After(pl.progress.handoverAt)
-	unable := r.Down || r.Readiness != api.ReadinessReady || !servesAny(w, r)
+	unable := r.Down || r.Missing || r.Readiness != api.ReadinessReady || !servesAny(w, r)
 	return !ok || old || unable || pl.running(id).busy(pl.now)
 }
 
--- a/orders/progress.go
+++ b/orders/progress.go
@@ -18,6 +18,9 @@
 	At time.Time
 	// Down says that the newest poll failed.
 	Down bool
+	// Missing says that the endpoint is known from elsewhere, such as errors of
+	// requests or the instance list, to be down, cold or leaving.
+	Missing bool
 }
 
 // Result is the outcome of sending an order.
