Send orders from the router that holds the control lease

Cause: the controller of orders was not part of the router. Change: one router, chosen by rendezvous hashing, asks for the control lease and runs the controller; settings for the weight store's rate and for the capacity that may be missing; steps in note status; failed orders are recorded.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -676,6 +676,15 @@
 	FencingNumber uint64 `json:"fencing_number,omitempty,omitzero" toml:"fencing_number,omitempty" cbor:"fencing_number,omitempty"`
 }
 
+type OrderSettings struct {
+	// Rate limit of the weight store in loads a second. Default 0.5.
+	LoadsPerSecond float64 `json:"loads_per_second,omitempty,omitzero" toml:"loads_per_second,omitempty" cbor:"loads_per_second,omitempty"`
+
+	// Part of a pool's endpoints that may be missing at a time because of orders; at
+	// least one may. Default 0.1.
+	MaxMissingFraction float64 `json:"max_missing_fraction,omitempty,omitzero" toml:"max_missing_fraction,omitempty" cbor:"max_missing_fraction,omitempty"`
+}
+
 // Orders that follow from release notes, object status/orders. Written by the
 // holder of the control lease.
 type OrderStatus struct {
@@ -1182,6 +1191,9 @@
 	// Log corresponds to the JSON schema field "log".
 	Log *LogSettings `json:"log,omitempty,omitzero" toml:"log,omitempty" cbor:"log,omitempty"`
 
+	// Orders corresponds to the JSON schema field "orders".
+	Orders *OrderSettings `json:"orders,omitempty,omitzero" toml:"orders,omitempty" cbor:"orders,omitempty"`
+
 	// Peers corresponds to the JSON schema field "peers".
 	Peers PeerSettings `json:"peers" toml:"peers" cbor:"peers"`
 
--- a/config/config.go
+++ b/config/config.go
@@ -66,6 +66,7 @@
 		Limits: &api.LimitSettings{},
 		Claims: &api.ClaimSettings{},
 		Retry:  &api.RetrySettings{},
+		Orders: &api.OrderSettings{},
 		Log:    &api.LogSettings{},
 	}
 	decoder := newDecoder(file, text)
@@ -148,6 +149,8 @@
 	setDuration(&s.Retry.BaseDelay, 20*time.Millisecond)
 	setDuration(&s.Retry.MaxDelay, time.Second)
 	setInt(&s.Retry.MaxAttempts, 5)
+	setFloat(&s.Orders.LoadsPerSecond, 0.5)
+	setFloat(&s.Orders.MaxMissingFraction, 0.1)
 	if s.Log.Level == "" {
 		s.Log.Level = "info"
 	}
--- a/config/validate.go
+++ b/config/validate.go
@@ -28,6 +28,8 @@
 	d.validateLimits(s)
 	d.validateClaims(s)
 	d.validateRetry(s)
+	d.floatRange("orders.loads_per_second", s.Orders.LoadsPerSecond, 0.001, 1000)
+	d.floatRange("orders.max_missing_fraction", s.Orders.MaxMissingFraction, 0.001, 1)
 	d.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 }
 
--- a/router/failures.go
+++ b/router/failures.go
@@ -15,6 +15,10 @@
 // conditionInterval is how often lasting conditions of this router are checked.
 const conditionInterval = time.Second
 
+// orderCheckEvery is the number of checks after which the orders' status, which
+// is read from the object API, is looked at.
+const orderCheckEvery = 15
+
 // failures turns what the router notices into records for the morning report.
 type failures struct {
 	keeper *records.Keeper
@@ -128,13 +132,16 @@
 func (r *Router) watchConditions(ctx context.Context) error {
 	ticker := time.NewTicker(conditionInterval)
 	defer ticker.Stop()
-	for {
+	for checks := 1; ; checks++ {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			r.failures.platform(r.storeHealthy())
-			r.failures.isolation(r.isolated())
+		}
+		r.failures.platform(r.storeHealthy())
+		r.failures.isolation(r.isolated())
+		if checks%orderCheckEvery == 0 {
+			r.recordFailedOrders(r.view().Revision())
 		}
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -29,6 +29,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/lease"
 	"github.com/hornbeamproxy/hornbeamproxy/membership"
 	"github.com/hornbeamproxy/hornbeamproxy/notes"
+	"github.com/hornbeamproxy/hornbeamproxy/orders"
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/records"
@@ -87,6 +88,7 @@
 	workspaces workspaceLimits
 	moves      *cacheMover
 	keeper     *records.Keeper
+	control    *orders.Controller
 	failures   *failures
 	refreshMu  sync.Mutex
 	stopLoops  context.CancelFunc
@@ -117,6 +119,7 @@
 	r.buildClaims()
 	r.buildRecords(c)
 	r.buildAdmission()
+	r.buildControl()
 	r.instances = &instanceReader{
 		lister:  c.Instances,
 		network: r.cluster,
@@ -302,7 +305,7 @@
 	var group run.Group
 	loops := []func(context.Context) error{
 		r.cluster.Run, r.followPeers, r.syncer.Run, r.owner.run, r.permits.run, r.claims.run,
-		r.keeper.Run, r.watchConditions,
+		r.keeper.Run, r.watchConditions, r.runControl,
 	}
 	if r.instances.lister != nil {
 		loops = append(loops, r.instances.run)
--- a/router/status.go
+++ b/router/status.go
@@ -45,7 +45,3 @@
 
 // Syncer returns the syncer of release notes.
 func (r *Router) Syncer() *notes.Syncer { return r.syncer }
-
-// Steps implements admin.StatusSource. A note has no steps until orders to
-// endpoints follow from it.
-func (r *Router) Steps(uint64) []admin.Step { return nil }
