Let notes remove withdrawn parts, and keep one number of claim shards

Two routers with different claims.shards would each look for a key in their own shard and could both grant it. Change: a note's removed list forgets parts that an earlier note withdrew and that nothing refers to. The first router stores the number of shards; a router with another one refuses keyed calls as not run.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -59,6 +59,12 @@
 	Events []CacheEvent `json:"events" toml:"events" cbor:"events"`
 }
 
+// Number of claim shards of the fleet, object claims/config. It is written once.
+type ClaimConfig struct {
+	// Shards corresponds to the JSON schema field "shards".
+	Shards int `json:"shards" toml:"shards" cbor:"shards"`
+}
+
 // Head of one claim shard, object claims/<shard>/head.
 type ClaimHead struct {
 	// Ids of the last 64 committed batches, oldest first.
@@ -540,6 +546,9 @@
 	// Parts that exist; each is replaced whole.
 	Changed *NoteParts `json:"changed,omitempty,omitzero" toml:"changed,omitempty" cbor:"changed,omitempty"`
 
+	// Removed corresponds to the JSON schema field "removed".
+	Removed *NoteRemovals `json:"removed,omitempty,omitzero" toml:"removed,omitempty" cbor:"removed,omitempty"`
+
 	// One line that the morning report shows.
 	Title string `json:"title" toml:"title" cbor:"title"`
 
@@ -579,6 +588,25 @@
 	Zones []Zone `json:"zones,omitempty,omitzero" toml:"zones,omitempty" cbor:"zones,omitempty"`
 }
 
+// Parts withdrawn by an earlier note that are forgotten, so that the state does
+// not grow. Nothing may refer to them.
+type NoteRemovals struct {
+	// Endpoints corresponds to the JSON schema field "endpoints".
+	Endpoints []string `json:"endpoints,omitempty,omitzero" toml:"endpoints,omitempty" cbor:"endpoints,omitempty"`
+
+	// Models corresponds to the JSON schema field "models".
+	Models []string `json:"models,omitempty,omitzero" toml:"models,omitempty" cbor:"models,omitempty"`
+
+	// Services corresponds to the JSON schema field "services".
+	Services []string `json:"services,omitempty,omitzero" toml:"services,omitempty" cbor:"services,omitempty"`
+
+	// Workspaces corresponds to the JSON schema field "workspaces".
+	Workspaces []string `json:"workspaces,omitempty,omitzero" toml:"workspaces,omitempty" cbor:"workspaces,omitempty"`
+
+	// Zones corresponds to the JSON schema field "zones".
+	Zones []string `json:"zones,omitempty,omitzero" toml:"zones,omitempty" cbor:"zones,omitempty"`
+}
+
 type NoteWithdrawals struct {
 	// model:adapter, or adapter for all models that list it.
 	Adapters []string `json:"adapters,omitempty,omitzero" toml:"adapters,omitempty" cbor:"adapters,omitempty"`
@@ -904,6 +932,9 @@
 
 // Values that the routers keep in the platform's object API, as CBOR.
 type PlatformObjects struct {
+	// ClaimConfig corresponds to the JSON schema field "claim_config".
+	ClaimConfig *ClaimConfig `json:"claim_config,omitempty,omitzero" toml:"claim_config,omitempty" cbor:"claim_config,omitempty"`
+
 	// Claims corresponds to the JSON schema field "claims".
 	Claims *ClaimHead `json:"claims,omitempty,omitzero" toml:"claims,omitempty" cbor:"claims,omitempty"`
 
--- /dev/null
+++ b/claims/shardcount_test.go
@@ -0,0 +1,19 @@
+package claims
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+// Guards against two routers that look for a key in different shards, so that
+// both grant it.
+func TestCheckShards(t *testing.T) {
+	ctx, store := context.Background(), platform.NewMemory()
+	assert.NilError(t, CheckShards(ctx, store, 64))
+	assert.NilError(t, CheckShards(ctx, store, 64))
+	assert.ErrorIs(t, CheckShards(ctx, store, 32), ErrShardCount)
+}
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -66,6 +66,9 @@
 		withdraw(problems, &next, *note.Withdrawn)
 		next.DrainSeconds = note.Withdrawn.DrainSeconds
 	}
+	if note.Removed != nil {
+		remove(problems, &next, *note.Removed)
+	}
 	return next
 }
 
--- a/fleet/check.go
+++ b/fleet/check.go
@@ -38,12 +38,34 @@
 		problems.add("author", "has %d bytes, at most %d are allowed", len(note.Author), maxAuthorBytes)
 	}
 	if countParts(note) == 0 {
-		problems.add("", "the note adds, changes and withdraws nothing")
+		problems.add("", "the note adds, changes, withdraws and removes nothing")
 	}
 	if note.Withdrawn != nil && note.Withdrawn.DrainSeconds < 0 {
 		problems.add("withdrawn.drain_seconds", "must not be negative")
 	}
 	checkBoth(problems, note)
+	checkRemovals(problems, note)
+}
+
+// checkRemovals reports parts that one note both withdraws and removes: their
+// running work needs its drain time between the two.
+func checkRemovals(problems *Problems, note api.Note) {
+	w, r := note.Withdrawn, note.Removed
+	if w == nil || r == nil {
+		return
+	}
+	sameNote := func(kind string, withdrawn, removed []string) {
+		for i, name := range removed {
+			if slices.Contains(withdrawn, name) {
+				problems.add(itemPath("removed", kind, i), "%q is withdrawn by the same note", name)
+			}
+		}
+	}
+	sameNote("zones", w.Zones, r.Zones)
+	sameNote("endpoints", w.Endpoints, r.Endpoints)
+	sameNote("models", w.Models, r.Models)
+	sameNote("services", w.Services, r.Services)
+	sameNote("workspaces", w.Workspaces, r.Workspaces)
 }
 
 func countParts(note api.Note) int {
@@ -55,6 +77,9 @@
 		count += len(w.Zones) + len(w.Instances) + len(w.Endpoints) + len(w.Models)
 		count += len(w.Adapters) + len(w.Versions) + len(w.Services) + len(w.Workspaces)
 	}
+	if r := note.Removed; r != nil {
+		count += len(r.Zones) + len(r.Endpoints) + len(r.Models) + len(r.Services) + len(r.Workspaces)
+	}
 	return count
 }
 
--- a/notes/errors.go
+++ b/notes/errors.go
@@ -78,6 +78,13 @@
 		list = appendNames(list, "withdraws", "services", w.Services)
 		list = appendNames(list, "withdraws", "workspaces", w.Workspaces)
 	}
+	if r := note.Removed; r != nil {
+		list = appendNames(list, "removes", "zones", r.Zones)
+		list = appendNames(list, "removes", "endpoints", r.Endpoints)
+		list = appendNames(list, "removes", "models", r.Models)
+		list = appendNames(list, "removes", "services", r.Services)
+		list = appendNames(list, "removes", "workspaces", r.Workspaces)
+	}
 	return strings.Join(list, "; ")
 }
 
--- a/router/claim.go
+++ b/router/claim.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/claims"
 )
@@ -20,10 +23,15 @@
 type claimClient struct {
 	network  Network
 	local    claimAnswerer
+	logger   *zap.Logger
 	shards   int
 	timeout  time.Duration
 	now      func() time.Time
 	attempts *claims.Attempts
+	// check compares the number of shards with the fleet's; checked is set once
+	// it has agreed.
+	check   func(context.Context) error
+	checked atomic.Bool
 }
 
 // claim is one attempt to run a call under its idempotency key.
@@ -42,14 +50,17 @@
 // other result is a refusal that is truly "not run": an attempt whose answer
 // did not arrive is abandoned first, so that it can't run later.
 func (c *claimClient) acquire(ctx context.Context, call *serviceCall) (*claim, api.ClaimReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if !c.shardsAgree(ctx) {
+		return nil, api.ClaimReply{}, claimRefusal(api.RefusalClaimUnavailable, "the fleet's claim shards are not known")
+	}
 	key := call.workspace.ID + "/" + call.service + "/" + call.key
 	request, ok := c.attempts.Begin(claims.ShardOf(key, c.shards), key, call.bodyDigest())
 	if !ok {
 		return nil, api.ClaimReply{}, claimRefusal(api.RefusalClaimUnavailable, "too many claims are open at this router")
 	}
 	cl := &claim{request: request}
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	for {
 		reply, ok := c.ask(ctx, cl)
 		if ok && reply.Result != api.ClaimResultUnavailable {
@@ -63,6 +74,20 @@
 	}
 }
 
+// shardsAgree returns whether this router's number of shards is the fleet's. It
+// asks the object API until it has got an answer once.
+func (c *claimClient) shardsAgree(ctx context.Context) bool {
+	if c.checked.Load() {
+		return true
+	}
+	if err := c.check(ctx); err != nil {
+		c.logger.Error("claims are refused", zap.Error(err))
+		return false
+	}
+	c.checked.Store(true)
+	return true
+}
+
 func (c *claimClient) decide(cl *claim, reply api.ClaimReply) error {
 	if reply.Result == api.ClaimResultGranted {
 		if !c.attempts.Granted(c.now(), cl.request) {
--- a/router/router.go
+++ b/router/router.go
@@ -150,6 +150,8 @@
 	r.claims = &claimClient{
 		network:  r.cluster,
 		local:    r.claimOwner,
+		logger:   r.logger,
+		check:    func(ctx context.Context) error { return claims.CheckShards(ctx, r.store, settings.Shards) },
 		shards:   settings.Shards,
 		timeout:  settings.Timeout.Duration,
 		now:      r.now,
