--- a/router/claim.go
+++ b/router/claim.go
@@ -67,7 +67,7 @@
 			err := c.decide(cl, reply)
 			return cl, reply, err
 		}
-		if !c.pause(ctx) {
+		if !pause(ctx, claimRetryDelay) {
 			c.attempts.Abandon(c.now(), cl.request.Attempt)
 			return nil, api.ClaimReply{}, claimRefusal(api.RefusalClaimUnavailable, "the key could not be claimed")
 		}
@@ -125,17 +125,6 @@
 	return &refusal{reason: reason, notRun: true, detail: detail, retryAfter: time.Second}
 }
 
-func (c *claimClient) pause(ctx context.Context) bool {
-	timer := time.NewTimer(claimRetryDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // ask sends the request to the shard's owner. The same attempt may be asked
 // about again, because an attempt runs at most once.
 func (c *claimClient) ask(ctx context.Context, cl *claim) (api.ClaimReply, bool) {
@@ -166,7 +155,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
 	defer cancel()
 	for !c.attempts.Reported(cl.request.Attempt) {
-		if !c.pause(ctx) {
+		if !pause(ctx, claimRetryDelay) {
 			return false
 		}
 	}
--- a/router/control.go
+++ b/router/control.go
@@ -47,18 +47,11 @@
 // runControl runs the controller of orders while this router is the one that
 // asks for the control lease.
 func (r *Router) runControl(ctx context.Context) error {
-	ticker := time.NewTicker(controlCheck)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
+	return every(ctx, controlCheck, func() {
 		if r.ownsControl() {
-			r.controlWhileOwner(ctx, ticker.C)
+			r.controlWhileOwner(ctx)
 		}
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
-	}
-	return nil
+	})
 }
 
 func (r *Router) ownsControl() bool {
@@ -67,7 +60,7 @@
 
 // controlWhileOwner returns once the controller has ended, which releases the
 // lease.
-func (r *Router) controlWhileOwner(ctx context.Context, tick <-chan time.Time) {
+func (r *Router) controlWhileOwner(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	done := make(chan struct{})
@@ -75,11 +68,7 @@
 		defer close(done)
 		_ = r.control.Run(ctx) // ends with the context only
 	}()
-	for ctx.Err() == nil && r.ownsControl() {
-		select {
-		case <-ctx.Done():
-		case <-tick:
-		}
+	for r.ownsControl() && pause(ctx, controlCheck) {
 	}
 	stop()
 	<-done
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -205,14 +205,7 @@
 	if d.now().Add(placePause).After(until) {
 		return false
 	}
-	timer := time.NewTimer(placePause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause(ctx, placePause)
 }
 
 func (d *dispatcher) refused(reason api.Refusal) error {
--- a/router/failures.go
+++ b/router/failures.go
@@ -130,20 +130,15 @@
 // watchConditions records outages of the object API and isolation of this
 // router until the context ends.
 func (r *Router) watchConditions(ctx context.Context) error {
-	ticker := time.NewTicker(conditionInterval)
-	defer ticker.Stop()
-	for checks := 1; ; checks++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	checks := 0
+	return every(ctx, conditionInterval, func() {
 		r.failures.platform(r.storeHealthy())
 		r.failures.isolation(r.isolated())
+		checks++
 		if checks%orderCheckEvery == 0 {
 			r.recordFailedOrders(r.view().Revision())
 		}
-	}
+	})
 }
 
 func (r *Router) storeHealthy() bool {
--- a/router/instances.go
+++ b/router/instances.go
@@ -46,20 +46,13 @@
 }
 
 func (r *instanceReader) run(ctx context.Context) error {
-	ticker := time.NewTicker(instanceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return every(ctx, instanceInterval, func() {
 		if r.network.OwnerOf(instancesName) != r.network.Self() {
 			r.seen, r.told = nil, nil
-			continue
+			return
 		}
 		r.read(ctx)
-	}
+	})
 }
 
 func (r *instanceReader) read(ctx context.Context) {
--- a/router/permits.go
+++ b/router/permits.go
@@ -188,16 +188,7 @@
 
 // run renews the permits in use until the context ends.
 func (c *permitClient) run(ctx context.Context) error {
-	ticker := time.NewTicker(permitRenewInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.renewAll(ctx)
-		}
-	}
+	return every(ctx, permitRenewInterval, func() { c.renewAll(ctx) })
 }
 
 func (c *permitClient) renewAll(ctx context.Context) {
--- a/router/retries.go
+++ b/router/retries.go
@@ -74,12 +74,8 @@
 		}
 	}
 	r.metrics.Retried(decision.Reason)
-	timer := time.NewTimer(decision.After)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if pause(ctx, decision.After) {
 		return nil
-	case <-ctx.Done():
-		return &refusal{reason: api.RefusalDeadlineExceeded, notRun: !try.BytesSent, detail: "the deadline has passed", cause: cause}
 	}
+	return &refusal{reason: api.RefusalDeadlineExceeded, notRun: !try.BytesSent, detail: "the deadline has passed", cause: cause}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -339,17 +339,11 @@
 func (r *Router) Flush(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
-	ticker := time.NewTicker(claimRetryDelay)
-	defer ticker.Stop()
 	for {
 		held, _ := r.claims.attempts.Unreported()
-		if held == 0 || ctx.Err() != nil {
+		if held == 0 || !pause(ctx, claimRetryDelay) {
 			break
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
 	}
 	if err := r.keeper.Flush(ctx); err != nil {
 		r.logger.Warn("records not written", zap.Error(err))
