Share the in-process fleet and let measurements replace placement

The measures need routers and stand-ins in one process, as the demo has them, with other placement policies and without admission limits as baselines.

The demo's fleet moves into package localfleet. server.Options and router.Config take a placement policy and a switch that grants every permit which the endpoint's state allows. Routers count their load polls, and a site's engine can be disconnected and reconnected.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -67,6 +67,9 @@
 // Request decides on a request. With queued true, the outcome is empty and comes
 // back from a later call.
 func (g *Gate) Request(now time.Time, r Request) (outcome Outcome, queued bool) {
+	if g.config.Unbounded {
+		return g.requestUnbounded(now, r), false
+	}
 	if r.ChatKey != 0 {
 		if target := g.moved.lookup(r.ChatKey); target != "" {
 			return Outcome{RequestID: r.ID, Router: r.Router, Redirect: target}, false
@@ -88,6 +91,13 @@
 	return Outcome{}, true
 }
 
+func (g *Gate) requestUnbounded(now time.Time, r Request) Outcome {
+	if reason := g.stopped(); reason != "" {
+		return refuse(r, reason)
+	}
+	return g.grant(now, r, now)
+}
+
 // queueRefusal returns why a request cannot be queued. limit and full are the
 // endpoint's limit and the reason that names it.
 func (g *Gate) queueRefusal(now time.Time, r Request, limit int, full api.Refusal) api.Refusal {
@@ -392,11 +402,8 @@
 
 // blocked returns why the endpoint gets no work at all, or "".
 func (g *Gate) blocked(now time.Time) api.Refusal {
-	switch g.settings.State {
-	case endpointstate.Withdrawn, endpointstate.Leaving:
-		return api.RefusalEndpointWithdrawn
-	case endpointstate.Down:
-		return api.RefusalEndpointDown
+	if reason := g.stopped(); reason != "" {
+		return reason
 	}
 	switch {
 	case g.settings.NoReports && !g.report.known:
@@ -414,6 +421,17 @@
 	return ""
 }
 
+// stopped returns why the endpoint's state allows no work, or "".
+func (g *Gate) stopped() api.Refusal {
+	switch g.settings.State {
+	case endpointstate.Withdrawn, endpointstate.Leaving:
+		return api.RefusalEndpointWithdrawn
+	case endpointstate.Down:
+		return api.RefusalEndpointDown
+	}
+	return ""
+}
+
 // coldBlocked checks the lease against the clock on each decision, so a router
 // that was paused beyond its lease grants nothing. Work that the former holder
 // granted is either in a report measured after GrantsFrom or can no longer start.
--- a/admission/types.go
+++ b/admission/types.go
@@ -39,6 +39,9 @@
 	ReportMaxAge time.Duration
 	// MovedChats is the number of moved chats remembered. Default 4096.
 	MovedChats int
+	// Unbounded grants every request unless the endpoint takes no work at all.
+	// It exists to measure placement without admission.
+	Unbounded bool
 }
 
 // Defaults of Config.
--- a/demo/caller.go
+++ b/demo/caller.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/hornbeamproxy/hornbeamproxy/localfleet"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 )
 
@@ -36,15 +37,15 @@
 
 var errIncomplete = errors.New("the answer has no end mark")
 
-// turn sends the next user message to a router and checks that the streamed
+// sendTurn sends the next user message to a router and checks that the streamed
 // answer is whole.
-func (f *fleet) turn(c *conversation, router *routerProcess, text string, tokens int) error {
+func sendTurn(f *localfleet.Fleet, c *conversation, router *localfleet.Router, text string, tokens int) error {
 	c.messages = append(c.messages, message{Role: "user", Content: text})
 	body, err := json.Marshal(chatRequest{Model: standin.SiteModel, Stream: true, MaxTokens: tokens, Messages: c.messages})
 	if err != nil {
 		return err
 	}
-	got, err := f.stream(router, c.key, c.id, body)
+	got, err := stream(f, router, c.key, c.id, body)
 	if err != nil {
 		return err
 	}
@@ -60,14 +61,14 @@
 }
 
 // stream runs a streamed completion and returns its text.
-func (f *fleet) stream(router *routerProcess, key, chat string, body []byte) (string, error) {
-	request, err := http.NewRequest(http.MethodPost, router.callers+"/v1/chat/completions", bytes.NewReader(body))
+func stream(f *localfleet.Fleet, router *localfleet.Router, key, chat string, body []byte) (string, error) {
+	request, err := http.NewRequest(http.MethodPost, router.CallersURL+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
 		return "", err
 	}
 	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set("Hornbeam-Chat-Id", chat)
-	response, err := f.client.Do(request)
+	response, err := f.Client.Do(request)
 	if err != nil {
 		return "", err
 	}
@@ -119,12 +120,12 @@
 }
 
 // hold asks the plain service for a hold under an idempotency key.
-func (f *fleet) hold(router *routerProcess, key, idempotencyKey string) (holdResult, error) {
+func hold(f *localfleet.Fleet, router *localfleet.Router, key, idempotencyKey string) (holdResult, error) {
 	body, err := json.Marshal(standin.HoldRequest{Item: "goatskin", Quantity: 1})
 	if err != nil {
 		return holdResult{}, err
 	}
-	target := router.callers + "/services/" + standin.SiteService + "/holds"
+	target := router.CallersURL + "/services/" + standin.SiteService + "/holds"
 	request, err := http.NewRequest(http.MethodPost, target, bytes.NewReader(body))
 	if err != nil {
 		return holdResult{}, err
@@ -132,7 +133,7 @@
 	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Idempotency-Key", idempotencyKey)
-	response, err := f.client.Do(request)
+	response, err := f.Client.Do(request)
 	if err != nil {
 		return holdResult{}, err
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -1,3 +1,5 @@
+// Package demo plays a short scenario against routers and stand-ins in one
+// process, all on loopback, and checks that every guarantee held.
 package demo
 
 import (
@@ -11,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/localfleet"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 )
 
@@ -41,7 +44,7 @@
 // scenario is the state of one run.
 type scenario struct {
 	out    io.Writer
-	fleet  *fleet
+	fleet  *localfleet.Fleet
 	chats  []*conversation
 	broken bool
 }
@@ -56,8 +59,8 @@
 		MaxInflight: 16,
 		Engine:      standin.EngineConfig{TTFT: 30 * time.Millisecond, TokenInterval: 2 * time.Millisecond},
 	})
-	f, err := startFleet(site, zones, o.Logger)
-	defer func() { err = errors.Join(err, f.close()) }()
+	f, err := localfleet.Start(localfleet.Options{Site: site, Zones: zones, Logger: o.Logger})
+	defer func() { err = errors.Join(err, f.Close()) }()
 	if err != nil {
 		return err
 	}
@@ -78,7 +81,7 @@
 }
 
 func (s *scenario) play() error {
-	if err := s.fleet.accept(s.fleet.routers[0], s.fleet.site.Note()); err != nil {
+	if err := s.fleet.Accept(s.fleet.Routers[0], s.fleet.Site.Note()); err != nil {
 		return err
 	}
 	s.say("The release note that adds the site is accepted.")
@@ -111,16 +114,16 @@
 
 // awaitService waits until every router answers.
 func (s *scenario) awaitService() error {
-	deadline := time.Now().Add(startTimeout)
-	for i, r := range s.fleet.routers {
+	deadline := time.Now().Add(localfleet.StartTimeout)
+	for i, r := range s.fleet.Routers {
 		probe := &conversation{id: fmt.Sprintf("probe-%d", i), key: standin.WorkspaceKey(0)}
 		for {
-			err := s.fleet.turn(probe, r, "Are you there?", 1)
+			err := sendTurn(s.fleet, probe, r, "Are you there?", 1)
 			if err == nil {
 				break
 			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("%s does not answer: %w", r.id, err)
+				return fmt.Errorf("%s does not answer: %w", r.ID, err)
 			}
 			probe.messages = nil
 			time.Sleep(50 * time.Millisecond)
@@ -156,9 +159,9 @@
 	var waiting sync.WaitGroup
 	results := make([]error, len(s.chats))
 	for i, c := range s.chats {
-		router := s.fleet.routers[(i+turn)%len(s.fleet.routers)]
+		router := s.fleet.Routers[(i+turn)%len(s.fleet.Routers)]
 		waiting.Go(func() {
-			results[i] = s.fleet.turn(c, router, fmt.Sprintf("Question %d about the hides, please in some detail.", turn), 30)
+			results[i] = sendTurn(s.fleet, c, router, fmt.Sprintf("Question %d about the hides, please in some detail.", turn), 30)
 		})
 	}
 	waiting.Wait()
@@ -174,7 +177,7 @@
 }
 
 func (s *scenario) cacheTotals() (prompt, cached int) {
-	for _, engine := range s.fleet.site.Engines {
+	for _, engine := range s.fleet.Site.Engines {
 		counters := engine.Counters()
 		prompt += counters.PromptTokens
 		cached += counters.CachedTokens
@@ -187,7 +190,7 @@
 	s.say("\nAn engine is lost in the middle of an answer:")
 	c := &conversation{id: "long", key: standin.WorkspaceKey(0)}
 	result := make(chan error, 1)
-	go func() { result <- s.fleet.turn(c, s.fleet.routers[1], "A long answer, please.", 300) }()
+	go func() { result <- sendTurn(s.fleet, c, s.fleet.Routers[1], "A long answer, please.", 300) }()
 	time.Sleep(200 * time.Millisecond)
 	lost := s.busyEngine()
 	if lost == nil {
@@ -207,7 +210,7 @@
 }
 
 func (s *scenario) busyEngine() *standin.SiteEngine {
-	for _, engine := range s.fleet.site.Engines {
+	for _, engine := range s.fleet.Site.Engines {
 		if engine.Running() > 0 {
 			return engine
 		}
@@ -220,20 +223,20 @@
 	s.say("\nThe same hold is sent to all routers at once, and once more afterwards:")
 	const key = "hold-0001"
 	var waiting sync.WaitGroup
-	results := make([]holdResult, len(s.fleet.routers))
-	errs := make([]error, len(s.fleet.routers))
-	for i, r := range s.fleet.routers {
-		waiting.Go(func() { results[i], errs[i] = s.fleet.hold(r, standin.WorkspaceKey(0), key) })
+	results := make([]holdResult, len(s.fleet.Routers))
+	errs := make([]error, len(s.fleet.Routers))
+	for i, r := range s.fleet.Routers {
+		waiting.Go(func() { results[i], errs[i] = hold(s.fleet, r, standin.WorkspaceKey(0), key) })
 	}
 	waiting.Wait()
-	for i, r := range s.fleet.routers {
-		s.say("         %s answered %d (%s)", r.id, results[i].status, orNone(errs[i]))
+	for i, r := range s.fleet.Routers {
+		s.say("         %s answered %d (%s)", r.ID, results[i].status, orNone(errs[i]))
 	}
 	again, err := s.holdUntilDone(key)
 	if err != nil {
 		return err
 	}
-	s.check(s.fleet.site.RunsOfKey(key) == 1, "the hold ran %d time", s.fleet.site.RunsOfKey(key))
+	s.check(s.fleet.Site.RunsOfKey(key) == 1, "the hold ran %d time", s.fleet.Site.RunsOfKey(key))
 	s.check(again.replayed, "the repeat got the recorded outcome: %d %s", again.status, again.body)
 	return nil
 }
@@ -243,7 +246,7 @@
 	var result holdResult
 	var err error
 	for range 40 {
-		result, err = s.fleet.hold(s.fleet.routers[0], standin.WorkspaceKey(0), key)
+		result, err = hold(s.fleet, s.fleet.Routers[0], standin.WorkspaceKey(0), key)
 		if err != nil || result.replayed {
 			break
 		}
@@ -260,7 +263,7 @@
 	load := s.startLoad(stop)
 	accepted := time.Now()
 	note := api.Note{Title: "Withdraw " + zone, Author: "demo", Withdrawn: &api.NoteWithdrawals{Zones: []string{zone}}}
-	if err := s.fleet.accept(s.fleet.routers[0], note); err != nil {
+	if err := s.fleet.Accept(s.fleet.Routers[0], note); err != nil {
 		close(stop)
 		<-load
 		return err
@@ -268,7 +271,7 @@
 	time.Sleep(withdrawnAfter + watchFor)
 	close(stop)
 	result := <-load
-	late := s.fleet.site.StartsAfter(zone, accepted.Add(withdrawnAfter))
+	late := s.fleet.Site.StartsAfter(zone, accepted.Add(withdrawnAfter))
 	s.check(late == 0, "%d requests started in the zone later than %s after acceptance", late, withdrawnAfter)
 	s.say("         the last one started %s after acceptance", s.lastStart(zone).Sub(accepted).Round(time.Millisecond))
 	s.check(result.failed == 0, "%d answers whole, %d not, while the zone left", result.whole, result.failed)
@@ -277,7 +280,7 @@
 
 func (s *scenario) lastStart(zone string) time.Time {
 	var last time.Time
-	for _, engine := range s.fleet.site.Engines {
+	for _, engine := range s.fleet.Site.Engines {
 		if engine.Zone != zone {
 			continue
 		}
@@ -300,17 +303,17 @@
 		Author:  "demo",
 		Changed: &api.NoteParts{Zones: []api.Zone{{ID: zone, Region: "region-1"}}},
 	}
-	if err := s.fleet.accept(s.fleet.routers[1], note); err != nil {
+	if err := s.fleet.Accept(s.fleet.Routers[1], note); err != nil {
 		return err
 	}
 	stop := make(chan struct{})
 	load := s.startLoad(stop)
-	for s.fleet.site.StartsAfter(zone, accepted) == 0 && time.Since(accepted) < startTimeout {
+	for s.fleet.Site.StartsAfter(zone, accepted) == 0 && time.Since(accepted) < localfleet.StartTimeout {
 		time.Sleep(50 * time.Millisecond)
 	}
 	close(stop)
 	result := <-load
-	started := s.fleet.site.StartsAfter(zone, accepted)
+	started := s.fleet.Site.StartsAfter(zone, accepted)
 	s.check(started > 0, "the zone serves again, %s after acceptance", s.lastStart(zone).Sub(accepted).Round(time.Millisecond))
 	s.check(result.failed == 0, "%d answers whole, %d not, while the zone returned", result.whole, result.failed)
 	return nil
@@ -343,11 +346,11 @@
 
 // explain prints commands to try against the running fleet.
 func (s *scenario) explain() {
-	r := s.fleet.routers[0]
+	r := s.fleet.Routers[0]
 	s.say("\nThe fleet keeps running until Ctrl-C. To try:")
 	s.say("  curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":%q,\"stream\":true,\"max_tokens\":20,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'",
-		r.callers, standin.WorkspaceKey(0), standin.SiteModel)
+		r.CallersURL, standin.WorkspaceKey(0), standin.SiteModel)
 	s.say("  curl %s/services/%s/holds -H 'Authorization: Bearer %s' -H 'Idempotency-Key: k1' -d '{\"item\":\"goatskin\",\"quantity\":1}'",
-		r.callers, standin.SiteService, standin.WorkspaceKey(0))
-	s.say("  curl %s/state -H 'Authorization: Bearer %s'", r.admin, standin.SiteAdminToken)
+		r.CallersURL, standin.SiteService, standin.WorkspaceKey(0))
+	s.say("  curl %s/state -H 'Authorization: Bearer %s'", r.AdminURL, standin.SiteAdminToken)
 }
--- /dev/null
+++ b/localfleet/fleet.go
@@ -0,0 +1,181 @@
+// Package localfleet runs the routers of a site in one process, on loopback, for
+// the demo and for measurements.
+package localfleet
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/config"
+	"github.com/hornbeamproxy/hornbeamproxy/placement"
+	"github.com/hornbeamproxy/hornbeamproxy/server"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+)
+
+// StartTimeout bounds the start of one router.
+const StartTimeout = 20 * time.Second
+
+// maxIdlePerRouter bounds the callers' idle connections to one router.
+const maxIdlePerRouter = 64
+
+// Options of a fleet.
+type Options struct {
+	Site *standin.Site
+	// Zones holds the zone of each router; one router is started for each.
+	Zones  []string
+	Logger *zap.Logger
+	// Policy replaces the routers' placement policy; nil means their own.
+	Policy placement.Policy
+	// Unbounded switches the routers' admission limits off.
+	Unbounded bool
+}
+
+// Fleet is a site with routers in front of it.
+type Fleet struct {
+	Site    *standin.Site
+	Routers []*Router
+	Client  *http.Client
+}
+
+// Router is one router, run in this process.
+type Router struct {
+	ID, Zone string
+	// CallersURL and AdminURL are the base URLs of the listeners.
+	CallersURL, AdminURL string
+	Metrics              *telemetry.Metrics
+
+	stop context.CancelFunc
+	done chan error
+}
+
+// Start starts the routers one after the other, each in its zone. The caller
+// closes the fleet also after an error.
+func Start(o Options) (*Fleet, error) {
+	f := &Fleet{
+		Site:   o.Site,
+		Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePerRouter}},
+	}
+	var seeds []string
+	for i, zone := range o.Zones {
+		addresses, err := standin.FreeAddresses(3)
+		if err != nil {
+			return f, err
+		}
+		r, err := startRouter(o, fmt.Sprintf("router-%d", i+1), zone, addresses, seeds)
+		if err != nil {
+			return f, err
+		}
+		f.Routers = append(f.Routers, r)
+		seeds = append(seeds, addresses[1])
+	}
+	return f, nil
+}
+
+func startRouter(o Options, id, zone string, addresses, seeds []string) (*Router, error) {
+	settings, err := routerSettings(o, id, zone, addresses, seeds)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &Router{
+		ID:         id,
+		Zone:       zone,
+		CallersURL: "http://" + addresses[0],
+		AdminURL:   "http://" + addresses[2],
+		Metrics:    telemetry.NewMetrics(),
+		stop:       stop,
+		done:       make(chan error, 1),
+	}
+	started := make(chan struct{})
+	options := server.Options{
+		Settings: settings,
+		Secrets: config.Secrets{
+			PlatformToken: standin.SitePlatformToken,
+			PeerSecret:    standin.SitePeerSecret,
+			AdminToken:    standin.SiteAdminToken,
+		},
+		Logger:    o.Logger,
+		Metrics:   r.Metrics,
+		Policy:    o.Policy,
+		Unbounded: o.Unbounded,
+		Started:   func() { close(started) },
+	}
+	go func() { r.done <- server.Run(ctx, options) }()
+	select {
+	case <-started:
+		return r, nil
+	case err := <-r.done:
+		stop()
+		return nil, fmt.Errorf("start %s: %w", id, err)
+	case <-time.After(StartTimeout):
+		stop()
+		return nil, fmt.Errorf("start %s: not ready after %s", id, StartTimeout)
+	}
+}
+
+func routerSettings(o Options, id, zone string, addresses, seeds []string) (*api.Settings, error) {
+	text, err := toml.Marshal(map[string]any{
+		"router":   map[string]any{"id": id, "zone": zone},
+		"listen":   map[string]any{"callers": addresses[0], "peers": addresses[1], "admin": addresses[2]},
+		"platform": map[string]any{"url": o.Site.PlatformServer.URL},
+		"peers":    map[string]any{"seeds": append([]string{}, seeds...), "secret_env": "UNUSED"},
+		"admin":    map[string]any{"token_env": "UNUSED"},
+		"limits":   map[string]any{"load_poll_interval": "100ms", "withdraw_within": "3s"},
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode settings: %w", err)
+	}
+	return config.Parse(id, text)
+}
+
+// Close shuts all routers down at once and then ends the site. It returns the
+// errors of routers that did not stop cleanly.
+func (f *Fleet) Close() error {
+	errs := make([]error, len(f.Routers))
+	var waiting sync.WaitGroup
+	for i, r := range f.Routers {
+		r.stop()
+		waiting.Go(func() { errs[i] = <-r.done })
+	}
+	waiting.Wait()
+	f.Client.CloseIdleConnections()
+	f.Site.Close()
+	return errors.Join(errs...)
+}
+
+// Accept accepts a release note through a router's admin listener.
+func (f *Fleet) Accept(r *Router, note api.Note) error {
+	body, err := toml.Marshal(note)
+	if err != nil {
+		return fmt.Errorf("encode note: %w", err)
+	}
+	request, err := http.NewRequest(http.MethodPost, r.AdminURL+"/notes/accept", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+standin.SiteAdminToken)
+	response, err := f.Client.Do(request)
+	if err != nil {
+		return fmt.Errorf("accept note: %w", err)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("accept note: %w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("accept note: status %d: %s", response.StatusCode, answer)
+	}
+	return nil
+}
--- a/router/owner.go
+++ b/router/owner.go
@@ -50,6 +50,7 @@
 	metrics   *telemetry.Metrics
 	now       func() time.Time
 	isolated  func() bool
+	unbounded bool
 	onState   func(e *api.Endpoint, from, to endpointstate.State)
 	gates     *admission.Set
 	waiting   sync.Map // request id -> chan admission.Outcome
@@ -117,6 +118,7 @@
 		LoadMultiple: o.settings.Limits.LoadMultiple,
 		QueueLength:  o.settings.Limits.QueueLength,
 		PoolMaxAge:   poolMaxAge,
+		Unbounded:    o.unbounded,
 	})
 	o.owned[e.ID] = owned
 	owned.machine.SetPolling(o.now(), e.Service == "")
@@ -242,6 +244,7 @@
 	sent := o.now()
 	callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
 	load, err := o.loads.Load(callCtx, e.URL)
+	o.metrics.Counter("load.polls").Inc(1)
 	cancel()
 	// The figures may be as old as the call; the cold limit depends on their
 	// age not being understated.
--- a/router/router.go
+++ b/router/router.go
@@ -51,6 +51,10 @@
 	Store    platform.Store
 	Logger   *zap.Logger
 	Metrics  *telemetry.Metrics
+	// Policy ranks the endpoints for a request; nil means rendezvous hashing.
+	Policy placement.Policy
+	// Unbounded switches the admission limits off, to measure placement alone.
+	Unbounded bool
 }
 
 // Router is one router of the fleet.
@@ -104,7 +108,7 @@
 		return nil, fmt.Errorf("cluster: %w", err)
 	}
 	r.buildClaims()
-	r.buildAdmission()
+	r.buildAdmission(c)
 	r.syncer.OnChange(func(_, after *fleet.View) { r.viewChanged(after) })
 	return r, nil
 }
@@ -134,24 +138,29 @@
 	}
 }
 
-func (r *Router) buildAdmission() {
+func (r *Router) buildAdmission(c Config) {
+	policy := c.Policy
+	if policy == nil {
+		policy = placement.Rendezvous{}
+	}
 	leaseConfig := lease.Config{
 		Router:   r.settings.Router.ID,
 		Nonce:    randomNonce(),
 		Lifetime: r.settings.Limits.ColdLease.Duration,
 	}
 	r.owner = &admissionOwner{
-		self:     r.settings.Router.ID,
-		network:  r.cluster,
-		loads:    r.engine,
-		pools:    r.cluster,
-		settings: r.settings,
-		logger:   r.logger,
-		metrics:  r.metrics,
-		now:      r.now,
-		isolated: r.isolated,
-		gates:    admission.NewSet(),
-		owned:    map[string]*ownedEndpoint{},
+		self:      r.settings.Router.ID,
+		network:   r.cluster,
+		loads:     r.engine,
+		pools:     r.cluster,
+		settings:  r.settings,
+		logger:    r.logger,
+		metrics:   r.metrics,
+		now:       r.now,
+		isolated:  r.isolated,
+		unbounded: c.Unbounded,
+		gates:     admission.NewSet(),
+		owned:     map[string]*ownedEndpoint{},
 	}
 	r.leases = lease.NewManager(r.store, leaseConfig, r.owner.leaseChanged, r.leaseFailed)
 	r.owner.leases = r.leases
@@ -162,7 +171,7 @@
 		now:     r.now,
 	}
 	r.dispatch = &dispatcher{
-		policy:    placement.Rendezvous{},
+		policy:    policy,
 		permits:   r.permits,
 		metrics:   r.metrics,
 		queueWait: r.settings.Limits.QueueWait.Duration,
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/admin"
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/config"
+	"github.com/hornbeamproxy/hornbeamproxy/placement"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/router"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
@@ -31,6 +32,12 @@
 	Settings *api.Settings
 	Secrets  config.Secrets
 	Logger   *zap.Logger
+	// Metrics is the router's registry; nil means a new one.
+	Metrics *telemetry.Metrics
+	// Policy replaces rendezvous hashing, to measure against other policies.
+	Policy placement.Policy
+	// Unbounded switches the admission limits off, to measure placement alone.
+	Unbounded bool
 	// Started is called when the router takes requests; it may be nil.
 	Started func()
 }
@@ -59,16 +66,21 @@
 }
 
 func newServer(o Options) (*server, error) {
-	registry := telemetry.NewMetrics()
+	registry := o.Metrics
+	if registry == nil {
+		registry = telemetry.NewMetrics()
+	}
 	clientConfig := platform.DefaultClientConfig(o.Settings.Platform.URL, o.Secrets.PlatformToken)
 	clientConfig.Timeout = o.Settings.Platform.Timeout.Duration
 	store := platform.NewClient(clientConfig, http.DefaultTransport, registry)
 	r, err := router.New(router.Config{
-		Settings: o.Settings,
-		Secrets:  o.Secrets,
-		Store:    store,
-		Logger:   o.Logger,
-		Metrics:  registry,
+		Settings:  o.Settings,
+		Secrets:   o.Secrets,
+		Store:     store,
+		Logger:    o.Logger,
+		Metrics:   registry,
+		Policy:    o.Policy,
+		Unbounded: o.Unbounded,
 	})
 	if err != nil {
 		return nil, err
--- a/standin/site.go
+++ b/standin/site.go
@@ -111,6 +111,24 @@
 	e.Server.Close()
 }
 
+// Disconnect breaks the engine's connections and refuses new ones until
+// Reconnect; the engine itself goes on.
+func (e *SiteEngine) Disconnect() {
+	_ = e.Server.Listener.Close()
+	e.Server.CloseClientConnections()
+}
+
+// Reconnect listens at the engine's address again.
+func (e *SiteEngine) Reconnect() error {
+	listener, err := net.Listen("tcp", e.Server.Listener.Addr().String())
+	if err != nil {
+		return fmt.Errorf("reconnect %s: %w", e.ID, err)
+	}
+	e.Server.Listener = listener
+	go func() { _ = e.Server.Config.Serve(listener) }()
+	return nil
+}
+
 // WorkspaceKey returns the API key of a workspace.
 func WorkspaceKey(i int) string { return fmt.Sprintf("key-of-workspace-%d", i) }
 
