Add the measures and the measure command

The targets of the design had no command that measures them.

hornbeamproxy measure (make measure) runs cache reuse, load skew, control traffic, service while a zone leaves, and added latency against routers and stand-ins in one process, with baselines, and prints one table with the target, the verdict and each user's weight.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_LINT = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SCHEMAS = $(wildcard schema/*.json)
 
-.PHONY: build test generate check-generated format check-format lint
+.PHONY: build test measure generate check-generated format check-format lint
 
 build:
 	go build -o bin/hornbeamproxy ./cmd/hornbeamproxy
@@ -9,6 +9,10 @@
 test:
 	go test $(TESTFLAGS) ./...
 
+# The exit status is 1 when this build misses a target.
+measure: build
+	bin/hornbeamproxy measure
+
 generate:
 	cd tools && go tool go-jsonschema --only-models --struct-name-from-title \
 		--tags json,toml,cbor --capitalization ID --capitalization URL --package api \
--- a/cmd/hornbeamproxy/main.go
+++ b/cmd/hornbeamproxy/main.go
@@ -40,6 +40,7 @@
 	})
 	addServeCommand(app)
 	addDemoCommand(app)
+	addMeasureCommand(app)
 	addSettingsCommands(app)
 	addNoteCommands(app)
 	addVersionCommand(app)
--- /dev/null
+++ b/measure/chat.go
@@ -0,0 +1,155 @@
+package measure
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatBody struct {
+	Model     string    `json:"model"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+	Messages  []message `json:"messages"`
+}
+
+// chat is a chat that returns turn after turn.
+type chat struct {
+	workspace int
+	id        string
+	turns     int
+	body      chatBody
+}
+
+// question is the text of each user message: about 50 tokens of a stand-in.
+var question = strings.Repeat("Which hides are left? ", 9)
+
+func newChat(workspace int, id string, answerTokens int) *chat {
+	c := &chat{workspace: workspace, id: id}
+	c.body = chatBody{Model: standin.SiteModel, Stream: true, MaxTokens: answerTokens}
+	c.ask()
+	return c
+}
+
+// ask adds the next user message, which differs between chats.
+func (c *chat) ask() {
+	c.turns++
+	text := fmt.Sprintf("%s %d: %s", c.id, c.turns, question)
+	c.body.Messages = append(c.body.Messages, message{"user", text})
+}
+
+// heard adds an answer and the next question.
+func (c *chat) heard(text string) {
+	c.body.Messages = append(c.body.Messages, message{"assistant", text})
+	c.ask()
+}
+
+// answer is what a caller got for one turn.
+type answer struct {
+	text      string
+	firstByte time.Duration
+	// prompt and cached are the token counts that the engine reports.
+	prompt, cached int
+	err            error
+}
+
+var errIncomplete = errors.New("the answer has no end mark")
+
+// send runs one turn of a chat at a base URL of a router or an engine.
+func (b *bench) send(ctx context.Context, base string, c *chat) answer {
+	body, err := json.Marshal(c.body)
+	if err != nil {
+		return answer{err: err}
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+standin.WorkspaceKey(c.workspace))
+	request.Header.Set("Hornbeam-Chat-Id", c.id)
+	request.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", c.id, c.turns))
+	started := time.Now()
+	response, err := b.Client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(response.Body)
+		return answer{err: fmt.Errorf("status %d: %s", response.StatusCode, text)}
+	}
+	return readAnswer(response.Body, started)
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens int `json:"prompt_tokens"`
+		Details      struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// readAnswer reads a stream to its end mark. The first byte is that of the body,
+// because an engine sends its header before the first token.
+func readAnswer(body io.Reader, started time.Time) answer {
+	var a answer
+	var text strings.Builder
+	reader := bufio.NewReader(body)
+	if _, err := reader.Peek(1); err != nil {
+		return answer{err: err}
+	}
+	a.firstByte = time.Since(started)
+	lines := bufio.NewScanner(reader)
+	for lines.Scan() {
+		data, isData := strings.CutPrefix(lines.Text(), "data: ")
+		if !isData {
+			continue
+		}
+		if data == "[DONE]" {
+			_, _ = io.Copy(io.Discard, reader) // lets the connection be used again
+			a.text = text.String()
+			return a
+		}
+		var c chunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			return answer{err: fmt.Errorf("chunk %q: %w", data, err)}
+		}
+		for _, choice := range c.Choices {
+			text.WriteString(choice.Delta.Content)
+		}
+		if c.Usage != nil {
+			a.prompt, a.cached = c.Usage.PromptTokens, c.Usage.Details.CachedTokens
+		}
+	}
+	return answer{err: errors.Join(errIncomplete, lines.Err())}
+}
+
+// promptTokens counts as the stand-in does: four tokens a message and one for
+// four bytes.
+func promptTokens(messages []message) int {
+	sum := 0
+	for _, m := range messages {
+		sum += 4 + len(m.Content)/4
+	}
+	return sum
+}
--- /dev/null
+++ b/measure/fleet.go
@@ -0,0 +1,244 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/localfleet"
+	"github.com/hornbeamproxy/hornbeamproxy/placement"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+// Names of the variants.
+const (
+	variantBuild       = "this build"
+	variantRoundRobin  = "round robin"
+	variantModulo      = "modulo hash"
+	variantUnbounded   = "hash without bound"
+	variantLeastLoaded = "least loaded"
+	variantIdeal       = "ideal"
+)
+
+const (
+	routerCount    = 8
+	serviceCount   = 4
+	workspaceCount = 10
+	// maxInflight is never reached, so that only the load bound limits.
+	maxInflight = 128
+	// cacheTokens holds the prompts of a whole run, so that no cache evicts and
+	// the ideal with unbounded caches is exact.
+	cacheTokens = 1 << 24
+	// reportLag is the age of the reports that least loaded decides on and that
+	// the engines give to all routers.
+	reportLag = 500 * time.Millisecond
+)
+
+// siteSize describes a site of section 1.3.
+type siteSize struct {
+	name    string
+	zones   []string
+	engines int
+}
+
+var allSites = []siteSize{
+	{"zhetisu", []string{"medeu", "bostandyk", "auezov", "turksib"}, 20},
+	{"tamarind", []string{"port-louis", "curepipe", "ebene", "rose-hill"}, 10},
+}
+
+func sitesNamed(names []string) ([]siteSize, error) {
+	var found []siteSize
+	for _, name := range names {
+		for _, site := range allSites {
+			if site.name == name {
+				found = append(found, site)
+			}
+		}
+	}
+	if len(found) != len(names) {
+		return nil, fmt.Errorf("measure: unknown site in %q", names)
+	}
+	return found, nil
+}
+
+// eachSite runs a part for all sites at once.
+func eachSite(sites []siteSize, part func(siteSize) error) error {
+	errs := make([]error, len(sites))
+	var waiting sync.WaitGroup
+	for i, site := range sites {
+		waiting.Go(func() { errs[i] = part(site) })
+	}
+	waiting.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// bench is a running fleet of one variant.
+type bench struct {
+	*localfleet.Fleet
+	lagged *laggedLoads
+	// notes counts the notes: a repeated title would name an old note.
+	notes int
+}
+
+// startBench starts a site with routers of the variant and waits until each
+// router knows its peers' load.
+func (r *runner) startBench(size siteSize, variant string, engine standin.EngineConfig, routers int) (*bench, error) {
+	engine.CacheTokens = cacheTokens
+	engine.MaxRunning = maxInflight
+	site := standin.NewSite(standin.SiteConfig{
+		Zones:       size.zones,
+		Engines:     size.engines,
+		Services:    serviceCount,
+		Workspaces:  workspaceCount,
+		MaxInflight: maxInflight,
+		Engine:      engine,
+	})
+	b := &bench{lagged: newLaggedLoads(site)}
+	options := localfleet.Options{Site: site, Logger: r.options.Logger}
+	for i := range routers {
+		options.Zones = append(options.Zones, size.zones[i%len(size.zones)])
+	}
+	options.Policy, options.Unbounded = b.policy(variant)
+	var err error
+	if b.Fleet, err = localfleet.Start(options); err != nil {
+		r.closeBench(b)
+		return nil, err
+	}
+	if err := b.Accept(b.Routers[0], site.Note()); err != nil {
+		r.closeBench(b)
+		return nil, err
+	}
+	if err := b.awaitService(); err != nil {
+		r.closeBench(b)
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *bench) policy(variant string) (policy placement.Policy, unbounded bool) {
+	switch variant {
+	case variantRoundRobin:
+		return &placement.RoundRobin{}, true
+	case variantModulo:
+		return placement.Modulo{}, true
+	case variantUnbounded:
+		return placement.Rendezvous{}, true
+	case variantLeastLoaded:
+		return b.lagged, true
+	}
+	return nil, false
+}
+
+// closeBench shuts the fleet down in the background.
+func (r *runner) closeBench(b *bench) {
+	b.lagged.close()
+	r.closing.Go(func() { _ = b.Close() })
+}
+
+// settleTime lets every owner poll its endpoints and gossip carry the counts.
+const settleTime = time.Second
+
+func (b *bench) awaitService() error {
+	deadline := time.Now().Add(localfleet.StartTimeout)
+	for i, router := range b.Routers {
+		for {
+			probe := newChat(0, fmt.Sprintf("probe-%d", i), 1)
+			answer := b.send(context.Background(), router.CallersURL, probe)
+			if answer.err == nil {
+				break
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s does not answer: %w", router.ID, answer.err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	time.Sleep(settleTime)
+	return nil
+}
+
+func (b *bench) title(text string) string {
+	b.notes++
+	return fmt.Sprintf("%s (%d)", text, b.notes)
+}
+
+func (b *bench) withdrawEndpoint(id string) error {
+	note := api.Note{Title: b.title("Withdraw " + id), Author: "measure", Withdrawn: &api.NoteWithdrawals{Endpoints: []string{id}}}
+	return b.Accept(b.Routers[0], note)
+}
+
+// returnEndpoint brings an endpoint back by the entry of the site's note.
+func (b *bench) returnEndpoint(id string) error {
+	note := api.Note{Title: b.title("Return " + id), Author: "measure", Changed: &api.NoteParts{}}
+	for _, e := range b.Site.Note().Added.Endpoints {
+		if e.ID == id {
+			note.Changed.Endpoints = []api.Endpoint{e}
+		}
+	}
+	return b.Accept(b.Routers[0], note)
+}
+
+// laggedLoads is the least-loaded policy on reports of the age reportLag.
+type laggedLoads struct {
+	stop chan struct{}
+	done chan struct{}
+
+	mu    sync.RWMutex
+	loads map[string]int
+}
+
+// lagStep is the time between two readings of all engines.
+const lagStep = 100 * time.Millisecond
+
+func newLaggedLoads(site *standin.Site) *laggedLoads {
+	l := &laggedLoads{stop: make(chan struct{}), done: make(chan struct{}), loads: map[string]int{}}
+	go l.follow(site)
+	return l
+}
+
+func (l *laggedLoads) follow(site *standin.Site) {
+	defer close(l.done)
+	ticker := time.NewTicker(lagStep)
+	defer ticker.Stop()
+	var history []map[string]int
+	for {
+		select {
+		case <-l.stop:
+			return
+		case <-ticker.C:
+		}
+		reading := make(map[string]int, len(site.Engines))
+		for _, engine := range site.Engines {
+			reading[engine.ID] = engine.Running()
+		}
+		history = append(history, reading)
+		if len(history) <= int(reportLag/lagStep) {
+			continue
+		}
+		l.mu.Lock()
+		l.loads = history[0]
+		l.mu.Unlock()
+		history = history[1:]
+	}
+}
+
+func (l *laggedLoads) close() {
+	close(l.stop)
+	<-l.done
+}
+
+// Rank implements placement.Policy.
+func (l *laggedLoads) Rank(dst []int, key uint64, endpoints []placement.Endpoint, limit int) []int {
+	l.mu.RLock()
+	loads := l.loads
+	l.mu.RUnlock()
+	policy := placement.LeastLoaded{Load: func(i int) int { return loads[endpoints[i].ID] }}
+	return policy.Rank(dst, key, endpoints, limit)
+}
--- /dev/null
+++ b/measure/latency.go
@@ -0,0 +1,93 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+const (
+	latencyCalls = 3000
+	// latencyWarmUp calls open the connections and are not counted.
+	latencyWarmUp    = 200
+	throughputRun    = 4 * time.Second
+	throughputCaller = 16
+	maxAdded         = 0.3
+)
+
+// latency compares calls through a router with calls to an engine, in turn, so
+// that both meet the same state of the machine. It is one caller without
+// contention at the first site.
+func (r *runner) latency(ctx context.Context, sites []siteSize) error {
+	r.closing.Wait()
+	size := sites[0]
+	b, err := r.startBench(size, variantBuild, standin.EngineConfig{}, routerCount)
+	if err != nil {
+		return err
+	}
+	defer r.closeBench(b)
+	var direct, routed []time.Duration
+	for i := range latencyCalls + latencyWarmUp {
+		engine := b.Site.Engines[i%len(b.Site.Engines)].Server.URL
+		router := b.Routers[i%len(b.Routers)].CallersURL
+		directly := b.send(ctx, engine, newChat(0, fmt.Sprintf("direct-%d", i), 1))
+		through := b.send(ctx, router, newChat(0, fmt.Sprintf("routed-%d", i), 1))
+		if directly.err != nil || through.err != nil {
+			return fmt.Errorf("direct: %w; routed: %w", directly.err, through.err)
+		}
+		if i >= latencyWarmUp {
+			direct = append(direct, directly.firstByte)
+			routed = append(routed, through.firstByte)
+		}
+	}
+	added := func(q float64) float64 { return milliseconds(quantile(routed, q) - quantile(direct, q)) }
+	r.table.add(NameLatency, size.name, "direct", "p50 first byte", milliseconds(quantile(direct, 0.5)), "ms")
+	r.table.add(NameLatency, size.name, "direct", "p99 first byte", milliseconds(quantile(direct, 0.99)), "ms")
+	r.table.judge(NameLatency, size.name, "p50 added to first byte", added(0.5), "ms", atMost(maxAdded, "< 0.3 ms"))
+	r.table.add(NameLatency, size.name, variantBuild, "p99 added to first byte", added(0.99), "ms")
+	return r.throughput(ctx, size, b)
+}
+
+// throughput finds the processor time that a router adds to a request: that of
+// the process with routers less that without, as callers and engines run in it.
+func (r *runner) throughput(ctx context.Context, size siteSize, b *bench) error {
+	direct, err := b.costOfCall(ctx, func(i int) string { return b.Site.Engines[i%len(b.Site.Engines)].Server.URL })
+	if err != nil {
+		return err
+	}
+	routed, err := b.costOfCall(ctx, func(i int) string { return b.Routers[i%len(b.Routers)].CallersURL })
+	if err != nil {
+		return err
+	}
+	r.table.add(NameLatency, size.name, "direct", "requests per core, with callers", float64(time.Second)/float64(direct), "1/s")
+	r.table.add(NameLatency, size.name, variantBuild, "requests per core, router only", float64(time.Second)/float64(routed-direct), "1/s")
+	return nil
+}
+
+// costOfCall returns the processor time of one call with its caller and engine.
+func (b *bench) costOfCall(ctx context.Context, target func(call int) string) (time.Duration, error) {
+	var calls atomic.Int64
+	var failed atomic.Pointer[error]
+	end := time.Now().Add(throughputRun)
+	before := processorTime()
+	var waiting sync.WaitGroup
+	for range throughputCaller {
+		waiting.Go(func() {
+			for time.Now().Before(end) && failed.Load() == nil {
+				i := int(calls.Add(1))
+				if a := b.send(ctx, target(i), newChat(i%workspaceCount, fmt.Sprintf("call-%d", i), 1)); a.err != nil {
+					failed.Store(&a.err)
+				}
+			}
+		})
+	}
+	waiting.Wait()
+	if err := failed.Load(); err != nil {
+		return 0, *err
+	}
+	return (processorTime() - before) / time.Duration(calls.Load()), nil
+}
--- /dev/null
+++ b/measure/measure.go
@@ -0,0 +1,221 @@
+// Package measure runs the four measures of the design, and the latency that a
+// router adds, against real routers and stand-ins in one process on loopback.
+// Baselines use the same routers with another placement policy and without
+// admission limits.
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// ErrMissed says that this build misses a target.
+var ErrMissed = errors.New("measure: a target is missed")
+
+// Names of the measures, as --only takes them.
+const (
+	NameCache   = "cache"
+	NameSkew    = "skew"
+	NameControl = "control"
+	NameZone    = "zone"
+	NameLatency = "latency"
+)
+
+// Names lists the measures in the order in which they run.
+var Names = []string{NameCache, NameSkew, NameControl, NameZone, NameLatency}
+
+// Options of one run.
+type Options struct {
+	// Sites are the names of the sites to measure.
+	Sites []string
+	// Only is the name of the one measure to run; empty means all.
+	Only   string
+	Seed   uint64
+	Logger *zap.Logger
+	// Progress receives a line before each part; it may be nil.
+	Progress io.Writer
+}
+
+// Verdicts of a row.
+const (
+	verdictMet    = "met"
+	verdictMissed = "missed"
+)
+
+// Row is one figure of the table.
+type Row struct {
+	Measure string  `json:"measure"`
+	Site    string  `json:"site"`
+	Variant string  `json:"variant"`
+	Figure  string  `json:"figure"`
+	Value   float64 `json:"value"`
+	Unit    string  `json:"unit"`
+	// Target and Verdict are empty for figures without a target.
+	Target  string `json:"target,omitempty"`
+	Verdict string `json:"verdict,omitempty"`
+	// Zhetisu and Tamarind are the weights that the users give to the measure.
+	Zhetisu  string `json:"zhetisu"`
+	Tamarind string `json:"tamarind"`
+}
+
+// weights returns what section 1.2 of the design says about a measure.
+func weights(measure string) (zhetisu, tamarind string) {
+	switch measure {
+	case NameSkew, NameControl:
+		return "more", "less"
+	case NameCache, NameZone:
+		return "less", "more"
+	}
+	return "-", "-"
+}
+
+// target is the bound of a figure.
+type target struct {
+	bound   float64
+	atLeast bool
+	text    string
+}
+
+func atLeast(bound float64, text string) target { return target{bound, true, text} }
+
+func atMost(bound float64, text string) target { return target{bound, false, text} }
+
+func (t target) verdict(value float64) string {
+	if t.atLeast && value >= t.bound || !t.atLeast && value <= t.bound {
+		return verdictMet
+	}
+	return verdictMissed
+}
+
+// table collects rows; it is safe for concurrent use.
+type table struct {
+	mu   sync.Mutex
+	rows []Row
+}
+
+func (t *table) add(measure, site, variant, figure string, value float64, unit string) {
+	row := Row{Measure: measure, Site: site, Variant: variant, Figure: figure, Value: value, Unit: unit}
+	row.Zhetisu, row.Tamarind = weights(measure)
+	t.append(row)
+}
+
+// judge adds a figure of this build that has a target.
+func (t *table) judge(measure, site, figure string, value float64, unit string, bound target) {
+	row := Row{Measure: measure, Site: site, Variant: variantBuild, Figure: figure, Value: value, Unit: unit}
+	row.Zhetisu, row.Tamarind = weights(measure)
+	row.Target = bound.text
+	row.Verdict = bound.verdict(value)
+	t.append(row)
+}
+
+func (t *table) append(row Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows = append(t.rows, row)
+}
+
+// sorted orders the rows by measure and site; sites run at the same time.
+func (t *table) sorted() []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := slices.Clone(t.rows)
+	slices.SortStableFunc(rows, func(a, b Row) int {
+		if byMeasure := slices.Index(Names, a.Measure) - slices.Index(Names, b.Measure); byMeasure != 0 {
+			return byMeasure
+		}
+		return -strings.Compare(a.Site, b.Site)
+	})
+	return rows
+}
+
+// runner holds what the measures of one run share.
+type runner struct {
+	options Options
+	table   table
+	// closing counts fleets that shut down in the background: a graceful
+	// shutdown takes withdraw_within, and an idle fleet disturbs no figure.
+	closing sync.WaitGroup
+}
+
+// Run runs the measures. It returns the rows with ErrMissed if this build
+// misses a target.
+func Run(ctx context.Context, o Options) ([]Row, error) {
+	r := &runner{options: o}
+	defer r.closing.Wait()
+	sites, err := sitesNamed(o.Sites)
+	if err != nil {
+		return nil, err
+	}
+	parts := []struct {
+		name string
+		run  func(context.Context, []siteSize) error
+	}{
+		{NameCache, r.cacheReuse},
+		{NameSkew, r.loadSkew},
+		{NameControl, r.controlTraffic},
+		{NameZone, r.zoneService},
+		{NameLatency, r.latency},
+	}
+	for _, part := range parts {
+		if o.Only != "" && o.Only != part.name {
+			continue
+		}
+		started := time.Now()
+		if err := part.run(ctx, sites); err != nil {
+			return nil, fmt.Errorf("measure %s: %w", part.name, err)
+		}
+		r.progress("%s measured in %s", part.name, time.Since(started).Round(time.Second))
+	}
+	rows := r.table.sorted()
+	if slices.ContainsFunc(rows, func(row Row) bool { return row.Verdict == verdictMissed }) {
+		return rows, ErrMissed
+	}
+	return rows, nil
+}
+
+func (r *runner) progress(format string, args ...any) {
+	if r.options.Progress != nil {
+		_, _ = fmt.Fprintf(r.options.Progress, format+"\n", args...)
+	}
+}
+
+// WriteText prints the rows as a table.
+func WriteText(w io.Writer, rows []Row) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(out, "measure\tsite\tvariant\tfigure\tvalue\tunit\ttarget\tverdict\tzhetisu\ttamarind")
+	for _, row := range rows {
+		_, _ = fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%.3f\t%s\t%s\t%s\t%s\t%s\n", row.Measure, row.Site, row.Variant,
+			row.Figure, row.Value, row.Unit, orDash(row.Target), orDash(row.Verdict), row.Zhetisu, row.Tamarind)
+	}
+	if err := out.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// WriteJSON prints the rows as a JSON array.
+func WriteJSON(w io.Writer, rows []Row) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(rows); err != nil {
+		return fmt.Errorf("write rows: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/measure/skew.go
@@ -0,0 +1,160 @@
+package measure
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+const (
+	skewWarmUp = 3500 * time.Millisecond
+	skewRun    = 5 * time.Second
+	skewThink  = 100 * time.Millisecond
+	skewSpread = 2500 * time.Millisecond
+	// skewBase and skewSurge callers an engine give a mean of 8 in flight with
+	// turns of 400 ms: one workspace goes from 0.25 to 2.5 callers.
+	skewBase      = 7.25
+	skewSurgeFrom = 0.25
+	skewSurgeTo   = 2.5
+	sampleStep    = 5 * time.Millisecond
+	loadMultiple  = 1.25
+	surgeUser     = 9
+)
+
+var skewVariants = []string{variantBuild, variantLeastLoaded, variantUnbounded, variantRoundRobin}
+
+func (r *runner) loadSkew(ctx context.Context, sites []siteSize) error {
+	for _, variant := range skewVariants {
+		err := eachSite(sites, func(size siteSize) error { return r.skewVariant(ctx, size, variant) })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *runner) skewVariant(ctx context.Context, size siteSize, variant string) error {
+	engine := cacheEngine
+	engine.LoadLag = reportLag
+	b, err := r.startBench(size, variant, engine, routerCount)
+	if err != nil {
+		return err
+	}
+	defer r.closeBench(b)
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	var turns trace
+	base := workload{
+		callers: int(skewBase * float64(size.engines)), think: skewThink, spread: skewSpread, answerTokens: answerTokens,
+		turns: cacheTurns, workspace: anyWorkspace, name: "base", seed: r.options.Seed,
+	}
+	surge := base
+	surge.workspace, surge.name, surge.callers = surgeUser, "surge", int(skewSurgeFrom*float64(size.engines))
+	groups := []*sync.WaitGroup{b.start(load, base, &turns), b.start(load, surge, &turns)}
+	time.Sleep(skewWarmUp)
+	sampler := startSampler(b.Site)
+	surge.callers = int((skewSurgeTo - skewSurgeFrom) * float64(size.engines))
+	surge.name, surge.spread = "surged", skewThink
+	began := time.Now()
+	groups = append(groups, b.start(load, surge, &turns))
+	time.Sleep(skewRun)
+	end := time.Now()
+	samples := sampler.close()
+	stop()
+	for _, group := range groups {
+		group.Wait()
+	}
+	r.addSkew(size, variant, b, samples, turns.between(began, end))
+	return nil
+}
+
+func (r *runner) addSkew(size siteSize, variant string, b *bench, samples []loadSample, turns []turn) {
+	var skews []float64
+	total := 0.0
+	inflight := 0
+	for _, sample := range samples {
+		skews = append(skews, sample.skew())
+		total += sample.skew()
+		inflight += sample.sum()
+	}
+	add := func(figure string, value float64, unit string) {
+		r.table.add(NameSkew, size.name, variant, figure, value, unit)
+	}
+	add("mean in flight", ratio(inflight, len(samples)*size.engines), "an engine")
+	add("mean of max/mean", total/float64(max(len(skews), 1)), "ratio")
+	add("p99 of max/mean", quantile(skews, 0.99), "ratio")
+	add("answered", answeredShare(turns), "share")
+	add("p95 first byte", milliseconds(quantile(firstBytes(turns), 0.95)), "ms")
+	over, admissions, highest := overBound(b.Site, samples)
+	add("highest above the bound", float64(highest), "requests")
+	if variant == variantBuild {
+		r.table.judge(NameSkew, size.name, "admissions above the bound", ratio(over, admissions), "share",
+			atMost(0, "0 above ceil(1.25 x mean)"))
+		return
+	}
+	add("admissions above the bound", ratio(over, admissions), "share")
+}
+
+// overBound counts the starts that brought an engine above the bound, with the
+// mean of the newest sample before the start.
+func overBound(site *standin.Site, samples []loadSample) (over, admissions, highest int) {
+	for _, engine := range site.Engines {
+		for _, start := range engine.Starts() {
+			at, _ := slices.BinarySearchFunc(samples, start.At, func(s loadSample, t time.Time) int { return s.at.Compare(t) })
+			if at == 0 || at == len(samples) {
+				continue
+			}
+			admissions++
+			// The started request is part of the mean.
+			excess := start.Concurrent - admissionBound(loadMultiple, samples[at-1].sum()+1, len(site.Engines))
+			if excess > 0 {
+				over++
+				highest = max(highest, excess)
+			}
+		}
+	}
+	return over, admissions, highest
+}
+
+// sampler reads the work in flight of all engines.
+type sampler struct {
+	stop    chan struct{}
+	done    chan struct{}
+	samples []loadSample
+}
+
+func startSampler(site *standin.Site) *sampler {
+	s := &sampler{stop: make(chan struct{}), done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		ticker := time.NewTicker(sampleStep)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-s.stop:
+				return
+			case <-ticker.C:
+				s.samples = append(s.samples, sampleOf(site))
+			}
+		}
+	}()
+	return s
+}
+
+func sampleOf(site *standin.Site) loadSample {
+	sample := loadSample{at: time.Now(), loads: make([]int, len(site.Engines))}
+	for i, engine := range site.Engines {
+		sample.loads[i] = engine.Running()
+	}
+	return sample
+}
+
+// close returns the samples, oldest first.
+func (s *sampler) close() []loadSample {
+	close(s.stop)
+	<-s.done
+	return s.samples
+}
