Take ended work off a lagging load report

Cause: a gate's load was the last report plus the permits granted since, and permits returned since stayed in it until the next report. With reports that are 500 ms old and 8 requests of 400 ms in flight, the gate saw about twice the load. The pool's mean was overstated in the same way, so the load bound let engines run above ceil(1.25 x mean).

Change: permits that were granted before the measurement and returned after it are taken off the report. Failed work stays in it because it may go on at the endpoint, and a cold endpoint's limit is computed as before. The load is still at least the number of permits in use.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
@@ -49,8 +50,20 @@
 	// report's figures because they were granted at cutoff or later.
 	grantedSince int
 	cutoff       time.Time
+	// returned holds the permits granted before the measurement and returned
+	// after it: the report's figures include their work, which has ended.
+	returned []returnedPermit
 }
 
+// returnedPermit is a permit whose work has ended.
+type returnedPermit struct {
+	granted, at time.Time
+}
+
+// maxReturned bounds the returned permits kept while reports fail to arrive.
+// Dropping one overstates the load until the next report.
+const maxReturned = 1024
+
 // NewGate returns a gate without permits. It grants nothing before the first
 // report, unless its settings say that the endpoint has none.
 func NewGate(config Config) *Gate {
@@ -165,6 +178,7 @@
 	}
 	g.remove(id, p)
 	if !info.Failed {
+		g.noteReturned(now, p)
 		if !p.granted.IsZero() {
 			g.service.add(now.Sub(p.granted))
 		}
@@ -176,6 +190,29 @@
 	return g.drain(now)
 }
 
+// noteReturned keeps a permit that the next reports may still count. Work that
+// failed may go on at the endpoint, so the caller leaves it out.
+func (g *Gate) noteReturned(now time.Time, p permit) {
+	if len(g.report.returned) < maxReturned {
+		g.report.returned = append(g.report.returned, returnedPermit{granted: p.granted, at: now})
+	}
+}
+
+// returnedSince counts the returned permits whose work the report includes. A
+// cold endpoint's limit is exact, so nothing is taken off its report.
+func (g *Gate) returnedSince() int {
+	if g.cold() {
+		return 0
+	}
+	count := 0
+	for _, r := range g.report.returned {
+		if r.granted.Before(g.report.measured) {
+			count++
+		}
+	}
+	return count
+}
+
 func (g *Gate) recordMove(info ReleaseInfo) {
 	switch {
 	case info.MovedChat == 0:
@@ -280,6 +317,7 @@
 	g.report.failed = false
 	g.report.load = load
 	g.report.measured = measured
+	g.report.returned = slices.DeleteFunc(g.report.returned, func(r returnedPermit) bool { return r.at.Before(measured) })
 	g.recountSince()
 	g.updateWarmth(now, previous)
 	g.recountSince()
@@ -371,13 +409,15 @@
 }
 
 // Inflight returns the endpoint's load: the greater of the permits counted here
-// and the last report with the permits granted since it was measured.
+// and the last report with the permits granted since it was measured and without
+// those returned since. A report that only grows until the next one would
+// overstate the load by the answers that end meanwhile, and the mean with it.
 func (g *Gate) Inflight() int {
 	own := len(g.permits)
 	if !g.report.known {
 		return own
 	}
-	return max(own, g.reportedWork()+g.report.grantedSince)
+	return max(own, g.reportedWork()+g.report.grantedSince-g.returnedSince())
 }
 
 // reportedWork includes requests that wait at the endpoint, as each of them
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -38,6 +38,31 @@
 	return r
 }
 
+// Guards against a load that counts answers which ended after a lagging report,
+// and against one that leaves out other owners' work or work that failed.
+func TestReturnedPermitsLeaveTheReportedLoad(t *testing.T) {
+	g := warmGate(16)
+	var permits []uint64
+	for range 4 {
+		o, _ := g.Request(at(time.Second), ask("w", "q", 0, start))
+		permits = append(permits, o.Grant.PermitID)
+	}
+	// Measured at 2 s, with two requests of another owner; known at 2.5 s.
+	lagging := ready(6)
+	lagging.AgeMs = 500
+	g.Release(at(2100*time.Millisecond), permits[0], ReleaseInfo{})
+	g.Report(at(2500*time.Millisecond), lagging)
+	assert.Equal(t, g.Inflight(), 5)
+	g.Release(at(2600*time.Millisecond), permits[1], ReleaseInfo{})
+	assert.Equal(t, g.Inflight(), 4)
+	g.Release(at(2700*time.Millisecond), permits[2], ReleaseInfo{Failed: true})
+	assert.Equal(t, g.Inflight(), 4)
+	g.Request(at(2800*time.Millisecond), ask("w", "q", 0, start))
+	assert.Equal(t, g.Inflight(), 5)
+	g.Report(at(3*time.Second), ready(4))
+	assert.Equal(t, g.Inflight(), 4)
+}
+
 // Guards against limits that are off by one, against a mean that is used when it
 // is too old, and against load of other owners that is not counted.
 func TestLimits(t *testing.T) {
