--- a/cmd/hornbeamproxy/main.go
+++ b/cmd/hornbeamproxy/main.go
@@ -44,6 +44,7 @@
 	})
 	addServeCommand(app)
 	addDemoCommand(app)
+	addMeasureCommand(app)
 	addSettingsCommands(app)
 	addNoteCommands(app)
 	addReportCommand(app)
--- a/router/router.go
+++ b/router/router.go
@@ -56,6 +56,10 @@
 	Instances instanceLister
 	Logger    *zap.Logger
 	Metrics   *telemetry.Metrics
+	// Policy ranks the endpoints for a request; nil means rendezvous hashing.
+	Policy placement.Policy
+	// Unbounded switches the admission limits off, to measure placement alone.
+	Unbounded bool
 }
 
 // Router is one router of the fleet.
@@ -118,7 +122,7 @@
 	r.moves = newCacheMover(r.engine, c.Settings.Limits.CacheMoveBytesPerSecond, c.Metrics)
 	r.buildClaims()
 	r.buildRecords(c)
-	r.buildAdmission()
+	r.buildAdmission(c)
 	r.buildControl()
 	r.instances = &instanceReader{
 		lister:  c.Instances,
@@ -159,25 +163,30 @@
 	}
 }
 
-func (r *Router) buildAdmission() {
+func (r *Router) buildAdmission(c Config) {
+	policy := c.Policy
+	if policy == nil {
+		policy = placement.Rendezvous{}
+	}
 	leaseConfig := lease.Config{
 		Router:   r.settings.Router.ID,
 		Nonce:    randomNonce(),
 		Lifetime: r.settings.Limits.ColdLease.Duration,
 	}
 	r.owner = &admissionOwner{
-		self:     r.settings.Router.ID,
-		network:  r.cluster,
-		loads:    r.engine,
-		pools:    r.cluster,
-		settings: r.settings,
-		logger:   r.logger,
-		metrics:  r.metrics,
-		now:      r.now,
-		isolated: r.isolated,
-		failures: r.failures,
-		gates:    admission.NewSet(),
-		owned:    map[string]*ownedEndpoint{},
+		self:      r.settings.Router.ID,
+		network:   r.cluster,
+		loads:     r.engine,
+		pools:     r.cluster,
+		settings:  r.settings,
+		logger:    r.logger,
+		metrics:   r.metrics,
+		now:       r.now,
+		isolated:  r.isolated,
+		failures:  r.failures,
+		unbounded: c.Unbounded,
+		gates:     admission.NewSet(),
+		owned:     map[string]*ownedEndpoint{},
 	}
 	r.leases = lease.NewManager(r.store, leaseConfig, r.owner.leaseChanged, r.leaseFailed)
 	r.owner.leases = r.leases
@@ -188,7 +197,7 @@
 		now:     r.now,
 	}
 	r.dispatch = &dispatcher{
-		policy:    placement.Rendezvous{},
+		policy:    policy,
 		permits:   r.permits,
 		metrics:   r.metrics,
 		queueWait: r.settings.Limits.QueueWait.Duration,
