notes: put an accepted note into force at the router that accepted it

A router learnt of a note that it had accepted itself only from its watch of the head. When the object API failed right after acceptance while no watch was open, for example in the pause after an earlier outage, no router knew the accepted note, so none could pass it on until the outage ended.

The acceptor now hands the committed state to the router's syncer before it answers, and peers get it through gossip.

--- a/notes/acceptor.go
+++ b/notes/acceptor.go
@@ -30,6 +30,8 @@
 	// Sleep waits between calls; nil means a timer. It returns the context's
 	// error when that ends first.
 	Sleep func(ctx context.Context, d time.Duration) error
+	// Syncer puts each accepted note into force at this router; it may be nil.
+	Syncer *Syncer
 }
 
 // Acceptor checks and accepts release notes. It holds no state between calls and
@@ -39,11 +41,12 @@
 	metrics *telemetry.Metrics
 	now     func() time.Time
 	sleep   func(ctx context.Context, d time.Duration) error
+	syncer  *Syncer
 }
 
 // NewAcceptor returns an acceptor.
 func NewAcceptor(o AcceptorOptions) *Acceptor {
-	a := &Acceptor{store: o.Store, metrics: o.Metrics, now: o.Now, sleep: o.Sleep}
+	a := &Acceptor{store: o.Store, metrics: o.Metrics, now: o.Now, sleep: o.Sleep, syncer: o.Syncer}
 	if a.metrics == nil {
 		a.metrics = telemetry.NewMetrics()
 	}
@@ -111,12 +114,21 @@
 	}
 	a.metrics.Counter("notes.accepted").Inc(1)
 	result.Revision, result.Digest = accepted.Revision, accepted.Digest
+	a.putIntoForce(accepted, c)
 	if err := a.Sweep(ctx); err != nil {
 		a.metrics.Counter("notes.sweep_errors").Inc(1)
 	}
 	return result, nil
 }
 
+// putIntoForce applies a committed note at this router, so that peers can get it
+// from here when the object API fails before any router has read the new head.
+func (a *Acceptor) putIntoForce(accepted api.AcceptedNote, c commit) {
+	if a.syncer != nil && accepted.Revision == c.accepted.Revision && accepted.Digest == c.accepted.Digest {
+		a.syncer.install(c.state, c.accepted.Digest, c.recent)
+	}
+}
+
 // prepare reads the head and its state and computes what to write.
 func (a *Acceptor) prepare(ctx context.Context, note api.Note) (position, Result, commit, error) {
 	id, err := fleet.NoteID(note)
--- a/notes/acceptor_test.go
+++ b/notes/acceptor_test.go
@@ -273,3 +273,18 @@
 	assert.Assert(t, len(delta) < 4096)
 	assert.Assert(t, len(whole) <= platform.MaxValueBytes)
 }
+
+// Guards against an accepted note that no router can pass on, because the object
+// API failed before any of them had read the new head.
+func TestAcceptedNoteIsInForceAtOnce(t *testing.T) {
+	store := platform.NewMemory()
+	syncer := NewSyncer(SyncerOptions{Store: store})
+	acceptor := NewAcceptor(AcceptorOptions{Store: store, Syncer: syncer})
+	for i := range 2 {
+		result, err := acceptor.Accept(context.Background(), addZone(fmt.Sprintf("zone-%d", i)))
+		assert.NilError(t, err)
+		assert.Equal(t, syncer.Revision(), result.Revision)
+		assert.Equal(t, syncer.Digest(), result.Digest)
+		assert.Equal(t, len(syncer.Recent()), i+1)
+	}
+}
--- a/notes/plan.go
+++ b/notes/plan.go
@@ -59,6 +59,7 @@
 type commit struct {
 	accepted  api.AcceptedNote
 	state     fleet.State
+	recent    []api.AcceptedNote
 	stateKey  string
 	stateData []byte
 	headData  []byte
@@ -93,7 +94,14 @@
 		return commit{}, err
 	}
 	key := stateKey(next.Revision, next.NoteID)
-	return commit{accepted: accepted, state: next, stateKey: key, stateData: data, headData: headData}, nil
+	return commit{
+		accepted:  accepted,
+		state:     next,
+		recent:    newHead.Recent,
+		stateKey:  key,
+		stateData: data,
+		headData:  headData,
+	}, nil
 }
 
 // appendRecent returns the last notes with one more. Notes that do not fit into
--- a/router/router.go
+++ b/router/router.go
@@ -99,7 +99,7 @@
 		now:       time.Now,
 	}
 	r.syncer = notes.NewSyncer(notes.SyncerOptions{Store: c.Store, Peers: r, Metrics: c.Metrics, Logger: c.Logger})
-	r.acceptor = notes.NewAcceptor(notes.AcceptorOptions{Store: c.Store, Metrics: c.Metrics})
+	r.acceptor = notes.NewAcceptor(notes.AcceptorOptions{Store: c.Store, Metrics: c.Metrics, Syncer: r.syncer})
 	if err := r.joinCluster(c); err != nil {
 		return nil, fmt.Errorf("cluster: %w", err)
 	}
