--- /dev/null
+++ b/integration/cold_test.go
@@ -0,0 +1,73 @@
+package integration_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+// Guards against more work at a cold engine than it can bear, counted over all
+// routers, while its admission owner is killed, is frozen past its lease, and while
+// routers that come, stall and go give the routers different views of the owners.
+func TestColdEngineIsNotOverloaded(t *testing.T) {
+	const bearable = 2
+	f := newFleet(t, fleetOptions{
+		site: standin.SiteConfig{
+			Zones: threeZones, Engines: 4, Workspaces: 1, MaxInflight: 16,
+			Engine: standin.EngineConfig{TTFT: 10 * time.Millisecond, TokenInterval: 3 * time.Millisecond, MaxRunning: 16},
+		},
+		routers:    8,
+		limits:     map[string]any{"cold_lease": "1s"},
+		beforeNote: func(f *Fleet) { f.site.Engines[0].SetReadiness(api.ReadinessCold, bearable) },
+	})
+	cold := f.site.Engines[0]
+	stop := make(chan struct{})
+	tally := &streamTally{}
+	wait := f.startCallers(t, 40, chatCall{chat: "cold", tokens: 30, tolerateAborts: true}, tally, stop)
+	works := func(when string) {
+		before := len(cold.Starts())
+		eventually(t, startTimeout, "the cold engine gets work "+when, func() bool { return len(cold.Starts()) > before+5 })
+	}
+	works("from the lease holder")
+	owner := f.ownerOf(cold.ID)
+	assert.Assert(t, owner != nil)
+	f.kill(owner)
+	f.start()
+	works("after its owner was killed")
+	owner = f.ownerOf(cold.ID)
+	assert.Assert(t, owner != nil)
+	owner.signal(syscall.SIGSTOP)
+	time.Sleep(5 * time.Second)
+	owner.signal(syscall.SIGCONT)
+	time.Sleep(2 * time.Second)
+	f.disturbViews(cold.ID)
+	works("after the owners changed")
+	close(stop)
+	wait()
+	counters := cold.Counters()
+	t.Logf("%d starts at the cold engine, at most %d at once; over all: %s", counters.Started, counters.MaxConcurrent, tally)
+	for _, start := range cold.Starts() {
+		assert.Check(t, start.Concurrent <= bearable, "%s started as number %d at %s", start.RequestID, start.Concurrent,
+			start.At.Format(time.StampMilli))
+	}
+	assert.Equal(t, counters.Overloaded, 0)
+}
+
+// disturbViews lets ownership of an endpoint change repeatedly: routers join, the
+// owner stalls for about the time after which others suspect it, and routers die.
+func (f *Fleet) disturbViews(endpoint string) {
+	for range 3 {
+		joined := f.start()
+		if owner := f.ownerOf(endpoint); owner != nil {
+			owner.signal(syscall.SIGSTOP)
+			time.Sleep(1800 * time.Millisecond)
+			owner.signal(syscall.SIGCONT)
+		}
+		f.kill(joined)
+	}
+}
--- /dev/null
+++ b/integration/whole_test.go
@@ -0,0 +1,263 @@
+package integration_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+// streamTally counts the results of many streams.
+type streamTally struct {
+	mu                            sync.Mutex
+	whole, failedVisibly, invalid int
+	reasons                       map[string]int
+}
+
+// add counts a result. Anything but a whole answer and a visible failure is an
+// error.
+func (s *streamTally) add(t *testing.T, result *chatResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case result.whole():
+		s.whole++
+	case result.failedVisibly():
+		s.failedVisibly++
+		if s.reasons == nil {
+			s.reasons = map[string]int{}
+		}
+		s.reasons[fmt.Sprintf("%d %s after %d events", result.status, result.problem.Reason, len(result.events))]++
+	default:
+		s.invalid++
+		t.Errorf("neither whole nor visibly failed: %s", result)
+	}
+}
+
+// share returns the share of whole answers.
+func (s *streamTally) share() float64 {
+	return float64(s.whole) / float64(s.whole+s.failedVisibly+s.invalid)
+}
+
+func (s *streamTally) String() string {
+	return fmt.Sprintf("%d whole, %d visibly failed %v, %d invalid", s.whole, s.failedVisibly, s.reasons, s.invalid)
+}
+
+// startCallers runs streams in closed loops, each caller at changing routers, until
+// stop is closed; the returned function waits for the last of them.
+func (f *Fleet) startCallers(t *testing.T, count int, call chatCall, tally *streamTally, stop <-chan struct{}) (wait func()) {
+	var waiting sync.WaitGroup
+	for i := range count {
+		waiting.Go(func() {
+			for turn := 0; ; turn++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				routers := f.all()
+				mine := call
+				mine.chat = fmt.Sprintf("%s-%d", call.chat, i)
+				mine.text = fmt.Sprintf(" turn %d", turn)
+				result := f.chat(routers[(i+turn)%len(routers)], mine)
+				if call.tolerateAborts && result.err != nil && !result.errorEvent {
+					continue
+				}
+				tally.add(t, result)
+			}
+		})
+	}
+	return waiting.Wait
+}
+
+// Guards against answers that are altered, mixed up or end early and look whole,
+// under every fault of a stream that an engine can have.
+func TestFaultyStreamsAreWholeOrVisiblyFailed(t *testing.T) {
+	t.Parallel()
+	random := rand.New(rand.NewPCG(seedOf(t, 31), 0))
+	const tokens = 40
+	f := newFleet(t, fleetOptions{
+		site: standin.SiteConfig{
+			Zones: threeZones, Engines: 6, Workspaces: 2, MaxInflight: 16,
+			Engine: standin.EngineConfig{TTFT: 5 * time.Millisecond, TokenInterval: time.Millisecond, MaxRunning: 16},
+		},
+		routers: 4,
+	})
+	stop := make(chan struct{})
+	tally := &streamTally{}
+	wait := f.startCallers(t, 24, chatCall{chat: "faulty", tokens: tokens}, tally, stop)
+	kinds := map[string]int{}
+	for range 400 {
+		name, faults := randomStreamFault(random, tokens)
+		kinds[name]++
+		f.site.Engines[random.IntN(len(f.site.Engines))].SetFaults(faults)
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(stop)
+	wait()
+	resumed, continued := 0, 0
+	for _, e := range f.site.Engines {
+		counters := e.Counters()
+		resumed += counters.Resumed
+		continued += counters.Continued
+	}
+	t.Logf("faults set %v; resumed %d, continued elsewhere %d; %s", kinds, resumed, continued, tally)
+	assert.Equal(t, tally.invalid, 0)
+	assert.Assert(t, tally.whole > 0)
+	assert.Assert(t, resumed > 0 && continued > 0, "the faults had no effect")
+}
+
+func randomStreamFault(random *rand.Rand, tokens int) (string, standin.EngineFaults) {
+	at := 1 + random.IntN(tokens+2)
+	faults := standin.EngineFaults{Times: 1 + random.IntN(3)}
+	switch random.IntN(8) {
+	case 0:
+		faults.CutAfter = at
+		return "cut", faults
+	case 1:
+		faults.Crossed = true
+		return "crossed", faults
+	case 2:
+		faults.LateBy = time.Duration(random.IntN(300)) * time.Millisecond
+		return "late", faults
+	case 3:
+		faults.DuplicateAt = at
+		return "duplicate", faults
+	case 4:
+		faults.MissingAt = at
+		return "missing", faults
+	case 5:
+		faults.NoEnd = true
+		return "no end", faults
+	case 6:
+		faults.Close = true
+		return "closed", faults
+	default:
+		faults.LateBy = time.Duration(random.IntN(300)) * time.Millisecond
+		faults.Crossed = true
+		return "late and crossed", faults
+	}
+}
+
+// Guards against answers that are lost with their engine although others could
+// finish them: with one engine killed each second, 99% must be whole.
+func TestAnswersAreWholeWhileEnginesDie(t *testing.T) {
+	t.Parallel()
+	random := rand.New(rand.NewPCG(seedOf(t, 32), 0))
+	f := newFleet(t, fleetOptions{
+		site: standin.SiteConfig{
+			Zones: threeZones, Engines: 8, Workspaces: 1, MaxInflight: 16,
+			Engine: standin.EngineConfig{TTFT: 10 * time.Millisecond, TokenInterval: 4 * time.Millisecond, MaxRunning: 16},
+		},
+		routers: 4,
+	})
+	stop := make(chan struct{})
+	tally := &streamTally{}
+	wait := f.startCallers(t, 32, chatCall{chat: "dying", tokens: 60}, tally, stop)
+	for range 12 {
+		time.Sleep(time.Second)
+		assert.NilError(t, f.replaceEngine(random.IntN(len(f.site.Engines))))
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	wait()
+	t.Logf("12 engines killed in 12 s: %s", tally)
+	assert.Equal(t, tally.invalid, 0)
+	assert.Assert(t, tally.whole+tally.failedVisibly >= 500, "too few answers for a share")
+	assert.Assert(t, tally.share() >= 0.99, "%.2f%% of the answers are whole", 100*tally.share())
+}
+
+// Guards against engines that go on working for a caller that went away, and
+// against streams that a caller can't take up again at another router.
+func TestCallersThatGoAndComeBack(t *testing.T) {
+	t.Parallel()
+	const tokens = 500
+	f := newFleet(t, fleetOptions{
+		site: standin.SiteConfig{
+			Zones: threeZones, Engines: 3, Workspaces: 2, MaxInflight: 16,
+			Engine: standin.EngineConfig{TokenInterval: 5 * time.Millisecond, KeepFor: 10 * time.Second},
+		},
+		routers: 3,
+	})
+	running := func() int {
+		total := 0
+		for _, e := range f.site.Engines {
+			total += e.Running()
+		}
+		return total
+	}
+	t.Run("work of a caller that goes away is cancelled", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		result := f.chat(f.all()[0], chatCall{chat: "going", tokens: tokens, ctx: ctx, onEvent: func(id int) {
+			if id == 20 {
+				cancel()
+			}
+		}})
+		assert.Assert(t, result.lastEvent() >= 20 && !result.whole())
+		// The engine alone would end the run only after KeepFor.
+		eventually(t, 2*time.Second, "the engine has ended the work", func() bool { return running() == 0 })
+	})
+	t.Run("the rest of a stream whose router died", func(t *testing.T) {
+		lost := f.all()[1]
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		first := f.chat(lost, chatCall{workspace: 1, chat: "returning", tokens: tokens, ctx: ctx, onEvent: func(id int) {
+			if id == 50 {
+				f.kill(lost)
+			}
+		}})
+		assert.Assert(t, first.err != nil && first.lastEvent() >= 50, "%s", first)
+		for _, r := range f.all() {
+			rest := f.resume(r, 1, first.handle, first.lastEvent())
+			joined := *rest
+			joined.events = append(append([]event{}, first.events...), rest.events...)
+			joined.want = first.want
+			assert.Assert(t, joined.whole(), "%s, then %s", first, rest)
+			assert.Equal(t, rest.events[0].id, first.lastEvent()+1)
+		}
+	})
+	t.Run("the handle of another workspace", func(t *testing.T) {
+		first := f.chat(f.all()[0], chatCall{workspace: 1, chat: "private", tokens: 20})
+		assert.Assert(t, first.whole())
+		other := f.resume(f.all()[1], 0, first.handle, 0)
+		assert.Equal(t, other.problem.Reason, "stream_not_found")
+		forged := f.resume(f.all()[1], 1, strings.Replace(first.handle, "~", "~x", 1), 0)
+		assert.Equal(t, forged.problem.Reason, "stream_not_found")
+	})
+}
+
+// Guards against a clean end of answers that no engine can complete.
+func TestAnswersThatNoEngineCompletesFailVisibly(t *testing.T) {
+	t.Parallel()
+	const tokens = 30
+	f := newFleet(t, fleetOptions{
+		site:    standin.SiteConfig{Zones: threeZones, Engines: 3, Workspaces: 1, MaxInflight: 16},
+		routers: 2,
+	})
+	for name, faults := range map[string]standin.EngineFaults{
+		"event missing": {MissingAt: 10},
+		"event twice":   {DuplicateAt: 10},
+		"no end":        {NoEnd: true},
+		"crossed":       {Crossed: true},
+		"no answer":     {Close: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, e := range f.site.Engines {
+				e.SetFaults(faults)
+			}
+			for i := range 8 {
+				result := f.chat(f.all()[i%2], chatCall{chat: fmt.Sprintf("%s-%d", name, i), tokens: tokens})
+				// After the id of a duplicate event has passed, a resumed stream is whole.
+				assert.Assert(t, result.failedVisibly() || name == "event twice" && result.whole(), "%s", result)
+			}
+		})
+	}
+}
