--- /dev/null
+++ b/docs/capacity_test.go
@@ -0,0 +1,258 @@
+package docs
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/cluster"
+	"github.com/hornbeamproxy/hornbeamproxy/engine"
+	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+	"github.com/hornbeamproxy/hornbeamproxy/peer"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+)
+
+// Sizes of the target fleet in CAPACITY.md.
+const (
+	targetRouters    = 350
+	targetEndpoints  = 600
+	targetWorkspaces = 3200
+)
+
+// BenchmarkPeerMessage reports the encoded size of the messages between routers,
+// without the frame of the WebSocket.
+func BenchmarkPeerMessage(b *testing.B) {
+	const endpoint, router, workspace = "chat-large-0417", "router-017", "workspace-1234"
+	const permit, id = uint64(417)<<32 + 123456, uint64(1234567)
+	key := workspace + "/orders/0f8fad5b-d9cb-469f-a165-000000001234"
+	attempt := router + "-" + strings.Repeat("0", 26)
+	digest := strings.Repeat("0", 64)
+	outcome := &api.ClaimOutcome{Status: 201, ContentType: "application/json", Body: make([]byte, 200)}
+	messages := map[string]api.PeerMessage{
+		"permit-request": {ID: id, PermitRequest: &api.PermitRequest{Endpoint: endpoint, Workspace: workspace, ChatKey: 1 << 63, Priority: 5, Revision: 441}},
+		"permit-reply":   {ID: id, Reply: true, PermitReply: &api.PermitReply{Permit: permit, StartByMs: 1000, HoldMs: 15000, Inflight: 17}},
+		"permit-release": {PermitRelease: &api.PermitRelease{Endpoint: endpoint, Permits: []uint64{permit}, FirstTokenMs: 417}},
+		"permit-renew-1": {ID: id, PermitRenew: &api.PermitRenew{Endpoint: endpoint, Permits: []uint64{permit}}},
+		"renew-reply":    {ID: id, Reply: true, PermitRenew: &api.PermitRenew{Endpoint: endpoint, Permits: []uint64{}}},
+		"claim-request":  {ID: id, ClaimRequest: &api.ClaimRequest{Key: key, Attempt: attempt, Router: router, BodyDigest: digest, Shard: 17}},
+		"claim-reply":    {ID: id, Reply: true, ClaimReply: &api.ClaimReply{Result: api.ClaimResultGranted}},
+		"claim-update":   {ID: id, ClaimUpdate: &api.ClaimUpdate{Key: key, Attempt: attempt, Router: router, BodyDigest: digest, Shard: 17, State: api.ClaimStateDone, Outcome: outcome}},
+	}
+	for name, message := range messages {
+		b.Run(name, func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				var err error
+				size, err = peer.Size(&message)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(size), "bytes/message")
+		})
+	}
+}
+
+// countingListener counts the bytes of all its connections in both directions.
+type countingListener struct {
+	net.Listener
+	in, out atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &countingConn{Conn: conn, listener: l}, err
+}
+
+type countingConn struct {
+	net.Conn
+	listener *countingListener
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.listener.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.listener.out.Add(int64(n))
+	return n, err
+}
+
+func serve(b *testing.B, handler http.Handler) (*countingListener, string) {
+	b.Helper()
+	server := httptest.NewUnstartedServer(handler)
+	listener := &countingListener{Listener: server.Listener}
+	server.Listener = listener
+	server.Start()
+	b.Cleanup(server.Close)
+	return listener, server.URL
+}
+
+// processorTime is that of the whole process.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkHTTPCall reports the bytes of the control calls over HTTP, headers
+// included and without those of TCP and IP, and the processor time of client and
+// stand-in together. A watch waits without news.
+func BenchmarkHTTPCall(b *testing.B) {
+	stand := standin.NewPlatform(standin.SitePlatformToken)
+	instances := make([]api.Instance, targetEndpoints)
+	for i := range instances {
+		instances[i] = api.Instance{ID: fmt.Sprintf("instance-%04d", i)}
+	}
+	stand.SetInstances(instances)
+	platformBytes, url := serve(b, stand)
+	client := platform.NewClient(platform.DefaultClientConfig(url, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())
+	model := standin.NewEngine(standin.EngineConfig{ID: "engine-1", Models: []string{"chat-large"}})
+	b.Cleanup(model.Close)
+	engineBytes, engineURL := serve(b, model)
+	engines := engine.New(engine.Options{})
+	lease, err := cbor.Marshal(api.LeaseRecord{Holder: "router-017-0123456789abcdef", Term: 12, Renewal: 123456})
+	assert.NilError(b, err)
+	var version uint64
+	ctx := context.Background()
+	for i := range targetRouters {
+		id := fmt.Sprintf("router-%03d", i)
+		value, err := cbor.Marshal(api.RouterRegistration{ID: id, Zone: "region-1-zone-0", PeerAddress: "10.11.12.13:8081", Incarnation: 1e12})
+		assert.NilError(b, err)
+		_, err = client.Put(ctx, cluster.RegistrationPrefix+id, value, 0)
+		assert.NilError(b, err)
+	}
+	for _, call := range []struct {
+		name    string
+		counted *countingListener
+		run     func() error
+	}{
+		{"load-poll", engineBytes, func() error { _, err := engines.Load(ctx, engineURL); return err }},
+		{"idle-watch", platformBytes, func() error {
+			_, _, err := client.Watch(ctx, "notes/head", 1<<40, 5*time.Millisecond)
+			return err
+		}},
+		{"lease-put", platformBytes, func() error {
+			var err error
+			version, err = client.Put(ctx, "leases/cold/chat-large-0417", lease, version)
+			return err
+		}},
+		{"registrations-350", platformBytes, func() error {
+			_, err := client.List(ctx, cluster.RegistrationPrefix)
+			return err
+		}},
+		{"instances-600", platformBytes, func() error { _, err := client.Instances(ctx); return err }},
+	} {
+		b.Run(call.name, func(b *testing.B) {
+			assert.NilError(b, call.run()) // opens the connection
+			before, used := call.counted.in.Load()+call.counted.out.Load(), processorTime()
+			for b.Loop() {
+				assert.NilError(b, call.run())
+			}
+			bytes := call.counted.in.Load() + call.counted.out.Load() - before
+			b.ReportMetric(float64(bytes)/float64(b.N), "bytes/call")
+			b.ReportMetric(float64(processorTime()-used)/float64(b.N), "cpu-ns/call")
+		})
+	}
+}
+
+func targetNote() api.Note {
+	parts := &api.NoteParts{
+		Zones:  []api.Zone{{ID: "region-1-zone-0", Region: "region-1"}},
+		Models: []api.Model{{ID: "chat-large"}, {ID: "chat-small"}, {ID: "drafts"}},
+	}
+	for i := range targetEndpoints {
+		parts.Endpoints = append(parts.Endpoints, api.Endpoint{
+			ID: fmt.Sprintf("endpoint-%04d", i), Instance: fmt.Sprintf("instance-%04d", i), Zone: "region-1-zone-0",
+			URL: fmt.Sprintf("http://10.0.%d.%d:8000", i/250, i%250), Models: []string{parts.Models[i%3].ID}, MaxInflight: 32,
+		})
+	}
+	for i := range targetWorkspaces {
+		parts.Workspaces = append(parts.Workspaces, api.Workspace{ID: fmt.Sprintf("workspace-%04d", i), KeySha256: fmt.Sprintf("%064x", i+1)})
+	}
+	return api.Note{Title: "target", Added: parts}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkFleetHeap reports the heap of the applied state with its view, read
+// from its encoded form as a router does. Run it with -benchtime 1x.
+func BenchmarkFleetHeap(b *testing.B) {
+	state, err := fleet.Apply(fleet.State{}, targetNote())
+	assert.NilError(b, err)
+	data, _, err := fleet.Encode(state)
+	assert.NilError(b, err)
+	for b.Loop() {
+		before := heapBytes()
+		var decoded fleet.State
+		assert.NilError(b, fleet.Unmarshal(data, &decoded))
+		view := fleet.NewView(decoded)
+		b.ReportMetric(float64(heapBytes()-before), "heap-B")
+		runtime.KeepAlive(view)
+	}
+	runtime.KeepAlive(data)
+	b.ReportMetric(float64(len(data)), "encoded-B")
+}
+
+// BenchmarkPeerConnection reports the memory of a connection between two
+// routers, half of what both ends take. Run it with -benchtime 1x.
+func BenchmarkPeerConnection(b *testing.B) {
+	const peers = 60
+	start := func(id string) (*peer.Transport, string) {
+		server := httptest.NewUnstartedServer(nil)
+		address := server.Listener.Addr().String()
+		handler := peer.HandlerFunc(func(context.Context, string, api.PeerMessage) *api.PeerMessage {
+			return &api.PeerMessage{NotesReply: &api.NotesReply{}}
+		})
+		transport, err := peer.NewTransport(peer.Options{RouterID: id, Address: address, Secret: []byte("benchmark"), Handler: handler})
+		assert.NilError(b, err)
+		mux := http.NewServeMux()
+		mux.Handle(peer.Path, transport)
+		server.Config.Handler = mux
+		server.Start()
+		b.Cleanup(func() { transport.Close(); server.Close() })
+		return transport, address
+	}
+	for b.Loop() {
+		hub, _ := start("hub")
+		addresses := make([]string, peers)
+		for i := range addresses {
+			_, addresses[i] = start(fmt.Sprintf("router-%d", i))
+		}
+		before := memoryInUse()
+		for _, address := range addresses {
+			_, err := hub.Call(context.Background(), address, api.PeerMessage{NotesRequest: &api.NotesRequest{}})
+			assert.NilError(b, err)
+		}
+		b.ReportMetric(float64(memoryInUse()-before)/(2*peers), "B/connection-end")
+	}
+}
+
+// memoryInUse is heap and stacks.
+func memoryInUse() uint64 {
+	heap := heapBytes()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return heap + stats.StackInuse
+}
