Measure the router process and the notes' head for the capacity page

Cause: the memory sum left out the process itself, and the bytes of notes left out the head that every router reads after each change.

Change: BenchmarkRouterProcess starts the built binary with the state of the target size and reads its resident memory and processor time; BenchmarkNoteHead encodes a head with 32 usual notes.

--- a/docs/capacity_test.go
+++ b/docs/capacity_test.go
@@ -6,6 +6,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -20,6 +23,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/cluster"
 	"github.com/hornbeamproxy/hornbeamproxy/engine"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
+	"github.com/hornbeamproxy/hornbeamproxy/notes"
 	"github.com/hornbeamproxy/hornbeamproxy/peer"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
@@ -179,7 +183,7 @@
 	for i := range targetEndpoints {
 		parts.Endpoints = append(parts.Endpoints, api.Endpoint{
 			ID: fmt.Sprintf("endpoint-%04d", i), Instance: fmt.Sprintf("instance-%04d", i), Zone: "region-1-zone-0",
-			URL: fmt.Sprintf("http://10.0.%d.%d:8000", i/250, i%250), Models: []string{parts.Models[i%3].ID}, MaxInflight: 32,
+			URL: fmt.Sprintf("http://127.0.%d.%d:9", i/250, i%250+1), Models: []string{parts.Models[i%3].ID}, MaxInflight: 32,
 		})
 	}
 	for i := range targetWorkspaces {
@@ -256,3 +260,81 @@
 	runtime.ReadMemStats(&stats)
 	return heap + stats.StackInuse
 }
+
+// BenchmarkNoteHead reports the size of the notes' head with 32 usual notes.
+func BenchmarkNoteHead(b *testing.B) {
+	store := platform.NewMemory()
+	acceptor := notes.NewAcceptor(notes.AcceptorOptions{Store: store})
+	accept := func(note api.Note) {
+		_, err := acceptor.Accept(context.Background(), note)
+		assert.NilError(b, err)
+	}
+	size := 0
+	for b.Loop() {
+		accept(targetNote())
+		for i := range 32 {
+			endpoint := targetNote().Added.Endpoints[i]
+			endpoint.MaxInflight++
+			accept(api.Note{
+				Title:   fmt.Sprintf("Raise the limit of endpoint %d", i),
+				Author:  "operator",
+				Changed: &api.NoteParts{Endpoints: []api.Endpoint{endpoint}},
+			})
+		}
+		object, err := store.Get(context.Background(), notes.HeadKey)
+		assert.NilError(b, err)
+		size = len(object.Value)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
+
+// BenchmarkRouterProcess reports the resident memory and the processor time of a
+// router that has the state of the target size, no peer, no caller, and so owns
+// all 600 endpoints, none of which answers. Run it with -benchtime 1x.
+func BenchmarkRouterProcess(b *testing.B) {
+	const settling, measured = 10 * time.Second, 20 * time.Second
+	bin, err := buildBinary()
+	assert.NilError(b, err, bin)
+	site := newSite(demoZones)
+	defer site.Close()
+	client := platform.NewClient(platform.DefaultClientConfig(site.PlatformServer.URL, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())
+	_, err = notes.NewAcceptor(notes.AcceptorOptions{Store: client}).Accept(context.Background(), targetNote())
+	assert.NilError(b, err)
+	addresses, err := standin.FreeAddresses(3)
+	assert.NilError(b, err)
+	file := filepath.Join(b.TempDir(), "router.toml")
+	text := settingsAt(addresses, site.PlatformServer.URL)
+	text = strings.Replace(text, "[platform]\n", "[platform]\ntoken_env = \"T\"\n", 1)
+	assert.NilError(b, os.WriteFile(file, []byte(text), 0o600))
+	for b.Loop() {
+		command := exec.Command(filepath.Join(bin, "hornbeamproxy"), "serve", "--settings", file)
+		command.Env = append(os.Environ(), "S="+standin.SitePeerSecret, "T="+standin.SitePlatformToken)
+		assert.NilError(b, command.Start())
+		time.Sleep(settling)
+		before := processTicks(b, command.Process.Pid)
+		time.Sleep(measured)
+		used := processTicks(b, command.Process.Pid) - before
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", command.Process.Pid))
+		assert.NilError(b, err)
+		var kilobytes float64
+		_, rest, _ := strings.Cut(string(status), "VmRSS:")
+		_, err = fmt.Sscan(rest, &kilobytes)
+		assert.NilError(b, err)
+		b.ReportMetric(kilobytes/1024, "resident-MB")
+		b.ReportMetric(used*10/measured.Seconds(), "cpu-ms/s")
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	}
+}
+
+// processTicks returns the processor time of a process in hundredths of a second.
+func processTicks(b *testing.B, pid int) float64 {
+	b.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	assert.NilError(b, err)
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	var user, system float64
+	_, err = fmt.Sscan(fields[11]+" "+fields[12], &user, &system)
+	assert.NilError(b, err)
+	return user + system
+}
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -340,6 +340,15 @@
 	}
 }
 
+// settingsAt returns the settings of a router that shuts down quickly.
+func settingsAt(addresses []string, platformURL string) string {
+	replacer := strings.NewReplacer(
+		"127.0.0.1:1", addresses[0], "127.0.0.1:2", addresses[1], "127.0.0.1:3", addresses[2],
+		"http://127.0.0.1:4", platformURL,
+	)
+	return replacer.Replace(minimalSettings) + "[limits]\nwithdraw_within = \"500ms\"\n"
+}
+
 // startRouter runs one router before a site whose note is accepted, and returns
 // the address of its operators' listener.
 func startRouter(t *testing.T, zones []string) string {
@@ -347,10 +356,7 @@
 	site := newSite(zones)
 	addresses, err := standin.FreeAddresses(3)
 	assert.NilError(t, err)
-	settings, err := config.Parse("router", []byte(strings.NewReplacer(
-		"127.0.0.1:1", addresses[0], "127.0.0.1:2", addresses[1], "127.0.0.1:3", addresses[2],
-		"http://127.0.0.1:4", site.PlatformServer.URL,
-	).Replace(minimalSettings)+"[limits]\nwithdraw_within = \"500ms\"\n"))
+	settings, err := config.Parse("router", []byte(settingsAt(addresses, site.PlatformServer.URL)))
 	assert.NilError(t, err)
 	_, err = notes.NewAcceptor(notes.AcceptorOptions{Store: platform.NewClient(platform.DefaultClientConfig(site.PlatformServer.URL, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())}).Accept(t.Context(), site.Note())
 	assert.NilError(t, err)
