Count the pool's load by permits and queues, and keep a reserve below the load bound

Cause: TestLoadPerEngineIsBounded found starts above ceil(1.25 x mean). The pool's mean summed the greater of two counts per endpoint, which is biased upwards; a request that has ended is still present at its engine for a moment; and a burst from idle was let in one request per engine and gossip round. Change: the pool's load is the sum of permits and of requests that wait for one, and admission uses 0.6 of the distance between the mean and the bound.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -420,6 +420,11 @@
 	return max(own, g.reportedWork()+g.report.grantedSince-g.returnedSince())
 }
 
+// Permits returns the number of permits in use. It is the gate's share of the
+// pool's load: unlike Inflight, which is the greater of two counts, its sum over
+// the gates is not biased upwards.
+func (g *Gate) Permits() int { return len(g.permits) }
+
 // reportedWork includes requests that wait at the endpoint, as each of them
 // uses a permit.
 func (g *Gate) reportedWork() int {
@@ -515,6 +520,11 @@
 	return min(configured, reported)
 }
 
+// boundReserve is the part of the distance between the mean and the bound that
+// admission uses. The rest covers the time in which an ended request is still
+// present at its endpoint, and the age of the mean.
+const boundReserve = 0.6
+
 // loadBound returns the load bound, and false when the pool's load is not known
 // or too old.
 func (g *Gate) loadBound(now time.Time) (int, bool) {
@@ -522,7 +532,8 @@
 		return 0, false
 	}
 	mean := float64(g.pool.Inflight+1) / float64(g.pool.Ready)
-	bound := max(math.Ceil(mean), math.Floor(g.config.LoadMultiple*mean))
+	multiple := 1 + boundReserve*(g.config.LoadMultiple-1)
+	bound := max(math.Ceil(mean), math.Floor(multiple*mean))
 	return int(bound), true
 }
 
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -77,14 +77,18 @@
 		{"no pool", PoolLoad{}, 0, 0, 8, api.RefusalEndpointFull},
 		{"mean below one", PoolLoad{Inflight: 0, Ready: 4}, 0, 0, 1, api.RefusalLoadMultiple},
 		{"ceiling of mean", PoolLoad{Inflight: 9, Ready: 4}, 0, 0, 3, api.RefusalLoadMultiple},
-		{"floor of multiple", PoolLoad{Inflight: 19, Ready: 4}, 0, 0, 6, api.RefusalLoadMultiple},
+		{"floor of multiple", PoolLoad{Inflight: 19, Ready: 4}, 0, 0, 5, api.RefusalLoadMultiple},
+		{"part of multiple", PoolLoad{Inflight: 27, Ready: 4}, 0, 0, 8, api.RefusalLoadMultiple},
 		{"never above max", PoolLoad{Inflight: 99, Ready: 4}, 0, 0, 8, api.RefusalEndpointFull},
-		{"reported load", PoolLoad{Inflight: 19, Ready: 4}, 4, 0, 2, api.RefusalLoadMultiple},
+		{"reported load", PoolLoad{Inflight: 19, Ready: 4}, 4, 0, 1, api.RefusalLoadMultiple},
 		{"old pool", PoolLoad{Inflight: 0, Ready: 4}, 0, 4 * time.Second, 8, api.RefusalEndpointFull},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			g := warmGate(8)
+			if test.name == "part of multiple" {
+				g = warmGate(9)
+			}
 			g.Report(start, ready(test.running))
 			g.SetPool(start, test.pool)
 			granted := 0
--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -973,7 +973,8 @@
 	// Base URL of the platform's object API.
 	URL string `json:"url" toml:"url" cbor:"url"`
 
-	// How long one watch call waits. Default 30s.
+	// How long one watch call waits; shorter than limits.withdraw_within, so that a
+	// router without peers keeps its contact. Default 2s.
 	WatchWait Duration `json:"watch_wait,omitempty,omitzero" toml:"watch_wait,omitempty" cbor:"watch_wait,omitempty"`
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -122,12 +122,12 @@
 
 func applyDefaults(s *api.Settings) {
 	setDuration(&s.Platform.Timeout, 2*time.Second)
-	setDuration(&s.Platform.WatchWait, 30*time.Second)
 	setDuration(&s.Peers.GossipInterval, 200*time.Millisecond)
 	setInt(&s.Peers.Fanout, 3)
 	setInt(&s.Peers.ControlBytesPerSecond, 1500)
 	setFloat(&s.Limits.LoadMultiple, 1.25)
 	setDuration(&s.Limits.WithdrawWithin, 3*time.Second)
+	setDuration(&s.Platform.WatchWait, min(2*time.Second, s.Limits.WithdrawWithin.Duration*2/3))
 	setDuration(&s.Limits.PermitTimeout, 150*time.Millisecond)
 	setInt(&s.Limits.QueueLength, 64)
 	setDuration(&s.Limits.QueueWait, 5*time.Second)
--- a/config/validate.go
+++ b/config/validate.go
@@ -36,6 +36,9 @@
 func (d *decoder) validateLimits(s *api.Settings) {
 	d.durationRange("platform.timeout", s.Platform.Timeout, 10*time.Millisecond, time.Minute)
 	d.durationRange("platform.watch_wait", s.Platform.WatchWait, 100*time.Millisecond, 5*time.Minute)
+	if s.Platform.WatchWait.Duration >= s.Limits.WithdrawWithin.Duration {
+		d.addOnce("platform.watch_wait", fmt.Sprintf("%s is not shorter than limits.withdraw_within, %s", s.Platform.WatchWait, s.Limits.WithdrawWithin))
+	}
 	d.intRange("peers.fanout", s.Peers.Fanout, 1, 16)
 	d.durationRange("peers.gossip_interval", s.Peers.GossipInterval, 20*time.Millisecond, 10*time.Second)
 	d.intRange("peers.control_bytes_per_second", s.Peers.ControlBytesPerSecond, 100, 1<<20)
--- a/router/callers.go
+++ b/router/callers.go
@@ -51,10 +51,10 @@
 	return nil
 }
 
-// countRefusal counts a request that gets no answer, apart from refused permits.
+// countRefusal counts a request that gets no answer.
 func (r *Router) countRefusal(err error) {
 	refused := asRefusal(err)
-	r.metrics.Counter("requests.refused." + string(refused.reason)).Inc(1)
+	r.metrics.Refused(refused.reason)
 }
 
 func requestFields(ch *chat, err error) []zap.Field {
--- a/router/chat.go
+++ b/router/chat.go
@@ -122,7 +122,7 @@
 		}
 		r.fetchCache(ctx, ch, found)
 		started := r.now()
-		answer, err := r.engine.Completion(ctx, ch.streamRequest(r, found.endpoint.URL))
+		answer, err := r.completeAt(ctx, ch, found)
 		if err == nil && answer.Status >= http.StatusInternalServerError {
 			err = &engine.Error{Kind: engine.ErrStatus, Status: answer.Status, Sent: true}
 		}
@@ -136,6 +136,16 @@
 	}
 }
 
+func (r *Router) completeAt(ctx context.Context, ch *chat, at *placed) (engine.Answer, error) {
+	if !at.permit.startable(r.now()) {
+		return engine.Answer{}, errPermitExpired
+	}
+	return r.engine.Completion(ctx, ch.streamRequest(r, at.endpoint.URL))
+}
+
+// errPermitExpired says that the start-by time passed before the work started.
+var errPermitExpired = errors.New("router: the permit expired before the work started")
+
 // fetchCache moves the cache of a returning chat to the endpoint that it goes to.
 // The permit's start-by time bounds it.
 func (r *Router) fetchCache(ctx context.Context, ch *chat, at *placed) {
@@ -148,10 +158,6 @@
 	r.moves.move(ctx, ch.key, from, at.endpoint)
 }
 
-// startReserve is the part of a permit's start-by time that is left for the
-// start itself.
-const startReserve = 200 * time.Millisecond
-
 // finish returns the permit and tells the home endpoint's owner about a chat
 // that was served elsewhere.
 func (r *Router) finish(ch *chat, at *placed, err error, firstToken time.Duration) {
@@ -214,12 +220,17 @@
 }
 
 func wasSent(err error) bool {
+	if errors.Is(err, errPermitExpired) {
+		return false
+	}
 	var failure *engine.Error
 	return !errors.As(err, &failure) || failure.Sent
 }
 
 func retryReason(cause error) api.RetryReason {
 	switch {
+	case errors.Is(cause, errPermitExpired):
+		return api.RetryReasonPermitExpired
 	case errors.Is(cause, errDrained):
 		return api.RetryReasonEndpointDrained
 	case errors.Is(cause, engine.ErrNotStarted) && !wasSent(cause):
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -167,13 +167,13 @@
 	}
 	var best *api.Endpoint
 	var last *denial
-	poolInflight := 0
+	sample := loadSample{}
 	for _, e := range candidates {
 		found, denied := d.try(ctx, w, e)
 		if found != nil {
 			return found, ""
 		}
-		poolInflight += denied.inflight
+		sample.add(denied)
 		if last == nil || d.betterToWait(e, denied, best, last) {
 			best, last = e, denied
 		}
@@ -181,10 +181,28 @@
 	if !isFull(last.reason) {
 		return nil, last.reason
 	}
-	if len(candidates) < len(w.pool.Endpoints) {
-		poolInflight = 0
+	return d.wait(ctx, w, best, until, sample.poolInflight(len(w.pool.Endpoints)))
+}
+
+// loadSample sums the loads that the refusals of one placement name.
+type loadSample struct {
+	full, sum int
+}
+
+func (s *loadSample) add(denied *denial) {
+	if denied.reason == api.RefusalLoadMultiple {
+		s.full++
+		s.sum += denied.inflight
+	}
+}
+
+// poolInflight returns the load of the whole pool if all its endpoints were
+// asked and are at the load bound, and 0 otherwise.
+func (s *loadSample) poolInflight(endpoints int) int {
+	if s.full < endpoints {
+		return 0
 	}
-	return d.wait(ctx, w, best, until, poolInflight)
+	return s.sum
 }
 
 // betterToWait says whether a request should rather wait at e than at best: at
@@ -311,7 +329,7 @@
 		return p, nil
 	}
 	if denied.redirect == "" {
-		d.metrics.Refused(denied.reason)
+		d.metrics.Counter("permits.refused." + string(denied.reason)).Inc(1)
 		if closesEndpoint(denied.reason) {
 			d.avoid(e.ID, avoidRefused)
 		}
--- a/router/handle.go
+++ b/router/handle.go
@@ -79,7 +79,7 @@
 func (r *Router) rejoin(ctx context.Context, writer http.ResponseWriter, ch *chat, at *placed, after int) error {
 	stream, err := r.engine.Resume(ctx, ch.streamRequest(r, at.endpoint.URL), after)
 	if err != nil {
-		return r.refuse(writer, &refusal{reason: api.RefusalStreamNotFound, notRun: true, detail: "no such stream is kept", cause: err})
+		return r.refuse(writer, &refusal{reason: api.RefusalStreamNotFound, notRun: !wasSent(err), detail: "no such stream is kept", cause: err})
 	}
 	out := &delivery{
 		writer:  writer,
--- a/router/owner.go
+++ b/router/owner.go
@@ -323,7 +323,7 @@
 		counts[pool] = total
 	}
 	total.N++
-	o.gates.Do(id, func(g *admission.Gate) { total.F += g.Inflight() })
+	o.gates.Do(id, func(g *admission.Gate) { total.F += g.Permits() + g.Queued() })
 }
 
 func (o *admissionOwner) refresh(owned *ownedEndpoint) {
--- a/router/permits.go
+++ b/router/permits.go
@@ -47,6 +47,16 @@
 	owner string
 }
 
+// startReserve is the part of the start-by time that is left for connecting to
+// the endpoint. The engine client's dial timeout is no longer than this.
+const startReserve = 500 * time.Millisecond
+
+// startable says whether work that is started now begins within the start-by
+// time.
+func (p *permit) startable(now time.Time) bool {
+	return now.Before(p.startBy.Add(-startReserve))
+}
+
 func (p *permit) ownerID() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -150,7 +160,7 @@
 		owner:     owner,
 	}
 	c.held.Store(p.id, p)
-	if !c.now().Before(p.startBy) {
+	if !p.startable(c.now()) {
 		c.release(p, api.PermitRelease{})
 		return nil, &denial{reason: api.RefusalPermitExpired, inflight: reply.Inflight}
 	}
--- a/router/retries.go
+++ b/router/retries.go
@@ -64,14 +64,17 @@
 	decision := shard.policy.Decide(r.now(), try, rand.Float64())
 	shard.mu.Unlock()
 	if !decision.Retry {
-		return &refusal{
+		refused := &refusal{
 			reason:     decision.Refusal,
 			notRun:     decision.NotRun && !try.BytesSent,
 			mayHaveRun: !retry.MayRepeat(try),
 			detail:     "the endpoint failed the request",
 			cause:      cause,
-			retryAfter: time.Second,
 		}
+		if !refused.mayHaveRun {
+			refused.retryAfter = time.Second
+		}
+		return refused
 	}
 	r.metrics.Retried(decision.Reason)
 	if pause(ctx, decision.After) {
--- a/router/router.go
+++ b/router/router.go
@@ -107,14 +107,20 @@
 		logger:    c.Logger,
 		metrics:   c.Metrics,
 		store:     c.Store,
-		engine:    engine.New(engine.Options{}),
+		engine:    engine.New(engine.Options{DialTimeout: startReserve}),
 		retries:   newRetries(c.Settings.Retry, c.Metrics, time.Now),
 		handleKey: deriveKey(c.Secrets.PeerSecret, "stream handles"),
 		idPrefix:  c.Settings.Router.ID + "-" + rand.Text()[:8] + "-",
 		everSeen:  map[string]membership.Member{},
 		now:       time.Now,
 	}
-	r.syncer = notes.NewSyncer(notes.SyncerOptions{Store: c.Store, Peers: r, Metrics: c.Metrics, Logger: c.Logger})
+	r.syncer = notes.NewSyncer(notes.SyncerOptions{
+		Store:   c.Store,
+		Peers:   r,
+		Metrics: c.Metrics,
+		Logger:  c.Logger,
+		Wait:    c.Settings.Platform.WatchWait.Duration,
+	})
 	r.acceptor = notes.NewAcceptor(notes.AcceptorOptions{Store: c.Store, Metrics: c.Metrics, Syncer: r.syncer})
 	if err := r.joinCluster(c); err != nil {
 		return nil, fmt.Errorf("cluster: %w", err)
--- a/router/service.go
+++ b/router/service.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -181,14 +180,7 @@
 
 // callAt makes one call at an endpoint and returns the permit.
 func (r *Router) callAt(ctx context.Context, call *serviceCall, at *placed) (engine.Answer, error) {
-	answer, err := r.engine.Do(ctx, engine.Call{
-		Method:           call.method,
-		URL:              at.endpoint.URL + call.target,
-		Header:           call.header,
-		Body:             call.body,
-		Repeatable:       call.idempotent,
-		FirstByteTimeout: time.Until(call.deadline),
-	})
+	answer, err := r.sendCall(ctx, call, at)
 	r.permits.release(at.permit, api.PermitRelease{Failed: err != nil})
 	if err != nil {
 		call.sent = call.sent || wasSent(err)
@@ -200,6 +192,26 @@
 	return answer, nil
 }
 
+func (r *Router) sendCall(ctx context.Context, call *serviceCall, at *placed) (engine.Answer, error) {
+	if !at.permit.startable(r.now()) {
+		return engine.Answer{}, errPermitExpired
+	}
+	// A call that may not be repeated is waited for until its deadline, because
+	// giving up would leave its outcome unknown.
+	wait := call.deadline.Sub(r.now())
+	if call.idempotent {
+		wait = min(wait, r.settings.Limits.FirstByteTimeout.Duration)
+	}
+	return r.engine.Do(ctx, engine.Call{
+		Method:           call.method,
+		URL:              at.endpoint.URL + call.target,
+		Header:           call.header,
+		Body:             call.body,
+		Repeatable:       call.idempotent,
+		FirstByteTimeout: wait,
+	})
+}
+
 // callRepeatable retries every failure. An answer with status 502 to 504 counts
 // as one, because other replicas may work.
 func (r *Router) callRepeatable(ctx context.Context, call *serviceCall) (engine.Answer, error) {
--- a/router/stream.go
+++ b/router/stream.go
@@ -147,6 +147,9 @@
 }
 
 func (r *Router) openStream(ctx context.Context, ch *chat, out *delivery, at *placed) (*engine.Stream, error) {
+	if !at.permit.startable(r.now()) {
+		return nil, errPermitExpired
+	}
 	request := ch.streamRequest(r, at.endpoint.URL)
 	if out.last == 0 {
 		return r.engine.Stream(ctx, request)
