--- a/measure/cache.go
+++ b/measure/cache.go
@@ -18,8 +18,8 @@
 	cacheChurn    = 6 * time.Second
 	churnInterval = time.Second
 	cacheThink    = 1600 * time.Millisecond
-	// cacheSpread is the time over which callers begin: admission raises the
-	// load by one a gossip round, and a burst from nothing would queue.
+	// cacheSpread is the time over which callers begin, so that the measure does
+	// not start with a burst into an idle pool.
 	cacheSpread      = 2500 * time.Millisecond
 	cacheTurns       = 8
 	callersPerEngine = 40
@@ -39,13 +39,9 @@
 }
 
 func (r *runner) cacheReuse(ctx context.Context, sites []siteSize) error {
-	for _, variant := range cacheVariants {
-		err := eachSite(sites, func(size siteSize) error { return r.cacheVariant(ctx, size, variant) })
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return eachVariant(cacheVariants, sites, func(size siteSize, variant string) error {
+		return r.cacheVariant(ctx, size, variant)
+	})
 }
 
 func (r *runner) cacheVariant(ctx context.Context, size siteSize, variant string) error {
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -67,6 +67,17 @@
 	return found, nil
 }
 
+// eachVariant runs f for each variant at all sites, one variant after the other.
+func eachVariant(variants []string, sites []siteSize, f func(size siteSize, variant string) error) error {
+	for _, variant := range variants {
+		err := eachSite(sites, func(size siteSize) error { return f(size, variant) })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // eachSite runs a part for all sites at once.
 func eachSite(sites []siteSize, part func(siteSize) error) error {
 	errs := make([]error, len(sites))
--- a/measure/skew.go
+++ b/measure/skew.go
@@ -27,13 +27,9 @@
 var skewVariants = []string{variantBuild, variantLeastLoaded, variantUnbounded, variantRoundRobin}
 
 func (r *runner) loadSkew(ctx context.Context, sites []siteSize) error {
-	for _, variant := range skewVariants {
-		err := eachSite(sites, func(size siteSize) error { return r.skewVariant(ctx, size, variant) })
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return eachVariant(skewVariants, sites, func(size siteSize, variant string) error {
+		return r.skewVariant(ctx, size, variant)
+	})
 }
 
 func (r *runner) skewVariant(ctx context.Context, size siteSize, variant string) error {
--- a/measure/zone.go
+++ b/measure/zone.go
@@ -23,13 +23,9 @@
 var zoneVariants = []string{variantBuild, variantDropped}
 
 func (r *runner) zoneService(ctx context.Context, sites []siteSize) error {
-	for _, variant := range zoneVariants {
-		err := eachSite(sites, func(size siteSize) error { return r.zoneVariant(ctx, size, variant) })
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return eachVariant(zoneVariants, sites, func(size siteSize, variant string) error {
+		return r.zoneVariant(ctx, size, variant)
+	})
 }
 
 func (r *runner) zoneVariant(ctx context.Context, size siteSize, variant string) error {
