Answer outcome unknown for claims of routers that have left the fleet

Cause: an owner that joined after a router died never saw it die, and answered in_progress for its claims for up to 10 min (seen by the integration tests for 30 s). Change: a claim older than 30 s whose router is not in the fleet, and one older than the longest request, is answered with outcome_unknown. Conclusion: covered by TestAnswersToRepeatedKeys; neither answer allows a run.

--- a/claims/evaluate.go
+++ b/claims/evaluate.go
@@ -183,7 +183,8 @@
 		return api.ClaimReply{Result: api.ClaimResultGranted}, nil
 	}
 	age := now.Sub(time.UnixMilli(int64(record.UnixMs)))
-	if age > s.cfg.UnknownAfter || s.dead(record.Router) {
+	absent := age > absentAfter && s.absent(record.Router)
+	if age > s.cfg.UnknownAfter || absent || s.dead(record.Router) {
 		return api.ClaimReply{Result: api.ClaimResultOutcomeUnknown}, nil
 	}
 	return api.ClaimReply{Result: api.ClaimResultInProgress}, nil
--- a/claims/owner.go
+++ b/claims/owner.go
@@ -79,6 +79,7 @@
 	store platform.Store
 	clock Clock
 	dead  atomic.Pointer[map[string]bool]
+	live  atomic.Pointer[map[string]bool]
 
 	mu     sync.Mutex
 	closed bool
@@ -111,6 +112,21 @@
 	}
 }
 
+// SetLive replaces the set of routers that are in the fleet. Older claims of
+// attempts of other routers are answered with outcome_unknown.
+func (o *Owner) SetLive(routers []string) {
+	live := make(map[string]bool, len(routers))
+	for _, router := range routers {
+		live[router] = true
+	}
+	o.live.Store(&live)
+}
+
+func (o *Owner) isAbsent(router string) bool {
+	live := o.live.Load()
+	return live != nil && !(*live)[router]
+}
+
 // SetDead replaces the set of routers that are known to be dead. Claims of
 // their attempts are answered with outcome_unknown.
 func (o *Owner) SetDead(routers []string) {
@@ -229,6 +245,7 @@
 		MaxOutcomeBytes: o.cfg.MaxOutcomeBytes,
 	})
 	shard.SetDead(o.isDead)
+	shard.SetAbsent(o.isAbsent)
 	return &runner{shard: shard, waiting: map[uint64]chan api.ClaimReply{}, wake: make(chan struct{}, 1)}
 }
 
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -144,7 +144,8 @@
 	// sealBytes and batchBytes are smaller in tests, so that segments are sealed often.
 	sealBytes, batchBytes int
 
-	dead func(router string) bool
+	dead   func(router string) bool
+	absent func(router string) bool
 
 	queue   []*operation
 	replies []Reply
@@ -191,12 +192,21 @@
 		sealBytes:  sealBytes,
 		batchBytes: batchBytes,
 		dead:       func(string) bool { return false },
+		absent:     func(string) bool { return false },
 		loaded:     map[uint64]uint64{},
 		sealed:     map[keyHash]uint64{},
 		lookups:    map[string]*api.ClaimRecord{},
 	}
 }
 
+// absentAfter is the age from which a claim without an outcome is unknown if its
+// router is not in the fleet. An owner that has joined later never saw the router
+// die; by this age gossip has named every router that lives.
+const absentAfter = 30 * time.Second
+
+// SetAbsent sets the function that tells whether a router is not in the fleet.
+func (s *Shard) SetAbsent(absent func(router string) bool) { s.absent = absent }
+
 // SetDead sets the function that tells whether a router is known to be dead.
 func (s *Shard) SetDead(dead func(router string) bool) { s.dead = dead }
 
--- a/router/network.go
+++ b/router/network.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -165,6 +167,7 @@
 		}
 	}
 	r.claimOwner.SetDead(dead)
+	r.claimOwner.SetLive(slices.Collect(maps.Keys(live)))
 }
 
 // Notes implements notes.PeerSource; a peer is named by its address.
--- a/router/router.go
+++ b/router/router.go
@@ -154,6 +154,8 @@
 	ownerConfig.CommitInterval = settings.CommitInterval.Duration
 	ownerConfig.Retention = settings.Retention.Duration
 	ownerConfig.MaxOutcomeBytes = settings.MaxOutcomeBytes
+	// No call runs beyond its deadline.
+	ownerConfig.UnknownAfter = r.settings.Limits.RequestTimeout.Duration + settings.Timeout.Duration
 	r.claimOwner = claims.NewOwner(ownerConfig, r.store, claims.SystemClock{})
 	attempts := claims.DefaultAttemptsConfig(r.settings.Router.ID)
 	attempts.MaxOutcomeBytes = settings.MaxOutcomeBytes
