Try the endpoints of a router's own region first

Cause: router.region had no effect, so half of the chats had their home in the other region, and a cut between the regions would have moved them. Change: endpoints of the router's region are ranked before the others. Conclusion: covered by TestOwnRegionComesFirst; sites with one region leave the setting empty and see no change.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -1184,7 +1184,8 @@
 	// Unique name of this router.
 	ID string `json:"id" toml:"id" cbor:"id"`
 
-	// Region of the availability zone.
+	// Region of the availability zone. Endpoints of this region are tried before
+	// others; empty when the site has one region.
 	Region string `json:"region,omitempty,omitzero" toml:"region,omitempty" cbor:"region,omitempty"`
 
 	// Availability zone that this router runs in.
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -27,51 +27,94 @@
 
 // candidatePool is a pool prepared for ranking.
 type candidatePool struct {
-	ranked    []placement.Endpoint
-	endpoints []*api.Endpoint
+	// near are the endpoints of the router's own region, far all others. Far ones
+	// follow near ones, so that chats and their tokens stay within the region
+	// while it has endpoints.
+	near, far candidateGroup
 	// former is the pool before its recent changes; nil if there were none.
 	former *candidatePool
 }
 
-func newCandidatePool(endpoints []*api.Endpoint) *candidatePool {
-	pool := &candidatePool{endpoints: endpoints}
+// candidateGroup is a set of endpoints that are ranked together.
+type candidateGroup struct {
+	ranked    []placement.Endpoint
+	endpoints []*api.Endpoint
+}
+
+func (g *candidateGroup) add(e *api.Endpoint) {
+	g.ranked = append(g.ranked, placement.NewEndpoint(e.ID, e.Zone, e.Weight))
+	g.endpoints = append(g.endpoints, e)
+}
+
+// rank appends up to limit endpoints in the order to try them.
+func (g *candidateGroup) rank(dst []*api.Endpoint, policy placement.Policy, key uint64, limit int) []*api.Endpoint {
+	var buffer [maxCandidates]int
+	for _, i := range policy.Rank(buffer[:0], key, g.ranked, limit) {
+		dst = append(dst, g.endpoints[i])
+	}
+	return dst
+}
+
+func newCandidatePool(endpoints []*api.Endpoint, isNear func(*api.Endpoint) bool) *candidatePool {
+	pool := &candidatePool{}
 	for _, e := range endpoints {
-		pool.ranked = append(pool.ranked, placement.NewEndpoint(e.ID, e.Zone, e.Weight))
+		if isNear(e) {
+			pool.near.add(e)
+		} else {
+			pool.far.add(e)
+		}
 	}
 	return pool
 }
 
+func (p *candidatePool) rank(dst []*api.Endpoint, policy placement.Policy, key uint64, limit int) []*api.Endpoint {
+	dst = p.near.rank(dst, policy, key, limit)
+	return p.far.rank(dst, policy, key, limit-len(dst))
+}
+
 func (p *candidatePool) home(policy placement.Policy, key uint64) *api.Endpoint {
-	var buffer [1]int
-	ranked := policy.Rank(buffer[:0], key, p.ranked, 1)
+	var buffer [1]*api.Endpoint
+	ranked := p.rank(buffer[:0], policy, key, 1)
 	if len(ranked) == 0 {
 		return nil
 	}
-	return p.endpoints[ranked[0]]
+	return ranked[0]
 }
 
 // candidateIndex holds the prepared pools of one fleet view.
 type candidateIndex struct {
 	view   *fleet.View
+	isNear func(*api.Endpoint) bool
 	former map[string]*candidatePool // by the pool's name
 	mu     sync.RWMutex
 	pools  map[*fleet.Pool]*candidatePool
 }
 
-func newCandidateIndex(view *fleet.View, history *poolHistory) *candidateIndex {
+func newCandidateIndex(view *fleet.View, history *poolHistory, region string) *candidateIndex {
 	x := &candidateIndex{
 		view:   view,
+		isNear: nearTo(view, region),
 		former: map[string]*candidatePool{},
 		pools:  map[*fleet.Pool]*candidatePool{},
 	}
 	for _, pool := range view.Pools() {
 		if former := history.former(pool); former != nil {
-			x.former[pool.Name] = newCandidatePool(former)
+			x.former[pool.Name] = newCandidatePool(former, x.isNear)
 		}
 	}
 	return x
 }
 
+// nearTo tells which endpoints are in the region. A router without a region, as
+// at a site with one, takes all endpoints as near.
+func nearTo(view *fleet.View, region string) func(*api.Endpoint) bool {
+	zones := map[string]bool{}
+	for _, zone := range view.State().Zones {
+		zones[zone.ID] = region == "" || zone.Region == region
+	}
+	return func(e *api.Endpoint) bool { return zones[e.Zone] }
+}
+
 // pool prepares a pool at its first use.
 func (x *candidateIndex) pool(p *fleet.Pool) *candidatePool {
 	x.mu.RLock()
@@ -80,7 +123,7 @@
 	if prepared != nil {
 		return prepared
 	}
-	prepared = newCandidatePool(p.Endpoints)
+	prepared = newCandidatePool(p.Endpoints, x.isNear)
 	prepared.former = x.former[p.Name]
 	x.mu.Lock()
 	x.pools[p] = prepared
@@ -238,12 +281,11 @@
 // rather than not at all, because the reason may have passed.
 func (d *dispatcher) candidates(w *work) []*api.Endpoint {
 	pool := d.index.Load().pool(w.pool)
-	var buffer [maxCandidates]int
-	ranked := d.policy.Rank(buffer[:0], w.key, pool.ranked, maxCandidates)
+	var buffer [maxCandidates]*api.Endpoint
+	ranked := pool.rank(buffer[:0], d.policy, w.key, maxCandidates)
 	usable := make([]*api.Endpoint, 0, maxCandidates)
 	var avoided []*api.Endpoint
-	for _, i := range ranked {
-		e := pool.endpoints[i]
+	for _, e := range ranked {
 		switch {
 		case w.failed[e.ID]:
 		case d.isAvoided(e.ID):
@@ -253,8 +295,8 @@
 		}
 	}
 	if len(ranked) > 0 && w.home == "" {
-		w.home = pool.endpoints[ranked[0]].ID
-		w.cachedAt = pool.endpoints[ranked[0]]
+		w.home = ranked[0].ID
+		w.cachedAt = ranked[0]
 		if pool.former != nil {
 			w.cachedAt = pool.former.home(d.policy, w.key)
 		}
--- a/router/poolhistory_test.go
+++ b/router/poolhistory_test.go
@@ -64,7 +64,7 @@
 	var history poolHistory
 	before, after := viewOf(1, "a", "b", "c"), viewOf(2, "a", "b", "c", "d")
 	d := &dispatcher{policy: placement.Rendezvous{}, now: time.Now}
-	d.index.Store(newCandidateIndex(before, &history))
+	d.index.Store(newCandidateIndex(before, &history, ""))
 	homes := map[uint64]string{}
 	for key := range uint64(200) {
 		w := &work{pool: mustPool(t, before), key: key}
@@ -72,7 +72,7 @@
 		homes[key] = w.home
 	}
 	history.update(now, before, after)
-	d.index.Store(newCandidateIndex(after, &history))
+	d.index.Store(newCandidateIndex(after, &history, ""))
 	for key := range uint64(200) {
 		w := &work{pool: mustPool(t, after), key: key}
 		d.candidates(w)
@@ -86,3 +86,31 @@
 	assert.Assert(t, ok)
 	return pool
 }
+
+// Guards against chats that leave their region while it has endpoints, and against
+// a region without endpoints whose chats are refused.
+func TestOwnRegionComesFirst(t *testing.T) {
+	state := fleet.State{
+		Revision: 1,
+		Zones:    []api.Zone{{ID: "z1", Region: "here"}, {ID: "z2", Region: "there"}},
+		Models:   []api.Model{{ID: "m"}},
+	}
+	for i := range 8 {
+		zone := state.Zones[i%2].ID
+		state.Endpoints = append(state.Endpoints, api.Endpoint{ID: fmt.Sprint("e", i), Zone: zone, Models: []string{"m"}})
+	}
+	view := fleet.NewView(state)
+	d := &dispatcher{policy: placement.Rendezvous{}, now: time.Now}
+	for _, region := range []string{"here", "nowhere"} {
+		d.index.Store(newCandidateIndex(view, &poolHistory{}, region))
+		for key := range uint64(50) {
+			found := d.candidates(&work{pool: mustPool(t, view), key: key})
+			assert.Equal(t, len(found), maxCandidates)
+			if region == "here" {
+				for _, e := range found[:4] {
+					assert.Equal(t, e.Zone, "z1")
+				}
+			}
+		}
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -211,7 +211,7 @@
 		queueWait: r.settings.Limits.QueueWait.Duration,
 		now:       r.now,
 	}
-	r.dispatch.index.Store(newCandidateIndex(r.syncer.View(), &r.history))
+	r.dispatch.index.Store(newCandidateIndex(r.syncer.View(), &r.history, r.settings.Router.Region))
 }
 
 func randomNonce() uint64 {
@@ -258,7 +258,7 @@
 // viewChanged brings a new fleet state into force.
 func (r *Router) viewChanged(after *fleet.View) {
 	r.history.update(r.now(), r.view(), after)
-	r.dispatch.index.Store(newCandidateIndex(after, &r.history))
+	r.dispatch.index.Store(newCandidateIndex(after, &r.history, r.settings.Router.Region))
 	r.moves.forget()
 	r.cluster.SetRevision(after.Revision())
 	r.drains.update(r.now(), after)
