--- a/router/failures.go
+++ b/router/failures.go
@@ -61,7 +61,7 @@
 		f.keeper.Open(api.RecordKindEndpointDown, e.ID, e.Zone,
 			fmt.Sprintf("Endpoint %s on instance %s does not answer.", e.ID, e.Instance),
 			"Its chats continue at other endpoints and compute their prompts again where the cache was lost.",
-			"No new work is sent to it, and its interrupted answers were continued elsewhere.",
+			"No new work is sent to it. Answers that it was streaming continue at other endpoints; one that could not has an entry of its own.",
 			fmt.Sprintf("Check instance %s, or withdraw it by a release note.", e.Instance))
 		return
 	}
