Shorten the permit messages between routers

The revision of a request and the hold time of a reply, which no receiver read, are left out. Routers of before and after this change cannot exchange permits.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -148,7 +148,6 @@
 	grant := Grant{
 		PermitID: id,
 		StartBy:  now.Sub(received) + g.config.StartBy,
-		Hold:     g.config.Hold,
 		Inflight: g.Inflight(),
 	}
 	if g.cold() {
--- a/admission/types.go
+++ b/admission/types.go
@@ -104,8 +104,6 @@
 	// StartBy is measured from the time at which the router sent its request.
 	// It includes the time that the request spent in the queue.
 	StartBy time.Duration
-	// Hold is the time after which the permit lapses unless it is renewed.
-	Hold time.Duration
 	// Term is the term of the cold lease; 0 for a warm endpoint.
 	Term uint64
 	// Inflight is the endpoint's load with this permit.
--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -361,11 +361,11 @@
 }
 
 type HeldPermit struct {
-	// Permit corresponds to the JSON schema field "permit".
-	Permit uint64 `json:"permit" toml:"permit" cbor:"permit"`
+	// Permit id.
+	Permit uint64 `json:"p" toml:"p" cbor:"p"`
 
-	// Workspace corresponds to the JSON schema field "workspace".
-	Workspace string `json:"workspace" toml:"workspace" cbor:"workspace"`
+	// Workspace that the permit counts for.
+	Workspace string `json:"w" toml:"w" cbor:"w"`
 }
 
 type Instance struct {
@@ -771,7 +771,8 @@
 	Session uint64 `json:"session,omitempty,omitzero" toml:"session,omitempty" cbor:"session,omitempty"`
 }
 
-// Message between two routers, as CBOR. One WebSocket binary message holds a
+// Message between two routers, as CBOR. Names on permit messages are short because
+// these make up most of the control traffic. One WebSocket binary message holds a
 // sequence of them (RFC 8742). Exactly one body is set.
 type PeerMessage struct {
 	// ClaimReply corresponds to the JSON schema field "claim_reply".
@@ -804,26 +805,26 @@
 	// NotesRequest corresponds to the JSON schema field "notes_request".
 	NotesRequest *NotesRequest `json:"notes_request,omitempty,omitzero" toml:"notes_request,omitempty" cbor:"notes_request,omitempty"`
 
-	// PermitAdopt corresponds to the JSON schema field "permit_adopt".
-	PermitAdopt *PermitAdopt `json:"permit_adopt,omitempty,omitzero" toml:"permit_adopt,omitempty" cbor:"permit_adopt,omitempty"`
+	// Decision on a request for a permit.
+	PermitReply *PermitReply `json:"pa,omitempty,omitzero" toml:"pa,omitempty" cbor:"pa,omitempty"`
 
-	// PermitRelease corresponds to the JSON schema field "permit_release".
-	PermitRelease *PermitRelease `json:"permit_release,omitempty,omitzero" toml:"permit_release,omitempty" cbor:"permit_release,omitempty"`
+	// Permits that the sender uses; in a reply, those that the owner does not know.
+	PermitRenew *PermitRenew `json:"pn,omitempty,omitzero" toml:"pn,omitempty" cbor:"pn,omitempty"`
 
-	// PermitRenew corresponds to the JSON schema field "permit_renew".
-	PermitRenew *PermitRenew `json:"permit_renew,omitempty,omitzero" toml:"permit_renew,omitempty" cbor:"permit_renew,omitempty"`
+	// Permits for a new admission owner.
+	PermitAdopt *PermitAdopt `json:"po,omitempty,omitzero" toml:"po,omitempty" cbor:"po,omitempty"`
 
-	// PermitReply corresponds to the JSON schema field "permit_reply".
-	PermitReply *PermitReply `json:"permit_reply,omitempty,omitzero" toml:"permit_reply,omitempty" cbor:"permit_reply,omitempty"`
+	// Request for a permit.
+	PermitRequest *PermitRequest `json:"pq,omitempty,omitzero" toml:"pq,omitempty" cbor:"pq,omitempty"`
 
-	// PermitRequest corresponds to the JSON schema field "permit_request".
-	PermitRequest *PermitRequest `json:"permit_request,omitempty,omitzero" toml:"permit_request,omitempty" cbor:"permit_request,omitempty"`
+	// Permits that are returned.
+	PermitRelease *PermitRelease `json:"pr,omitempty,omitzero" toml:"pr,omitempty" cbor:"pr,omitempty"`
+
+	// This message is a reply.
+	Reply bool `json:"r,omitempty,omitzero" toml:"r,omitempty" cbor:"r,omitempty"`
 
 	// Records corresponds to the JSON schema field "records".
 	Records *RecordBatch `json:"records,omitempty,omitzero" toml:"records,omitempty" cbor:"records,omitempty"`
-
-	// Reply corresponds to the JSON schema field "reply".
-	Reply bool `json:"reply,omitempty,omitzero" toml:"reply,omitempty" cbor:"reply,omitempty"`
 }
 
 type PeerSettings struct {
@@ -848,86 +849,81 @@
 
 // Permits of a former admission owner that the sender still uses.
 type PermitAdopt struct {
-	// Endpoint corresponds to the JSON schema field "endpoint".
-	Endpoint string `json:"endpoint" toml:"endpoint" cbor:"endpoint"`
+	// Endpoint id.
+	Endpoint string `json:"e" toml:"e" cbor:"e"`
 
-	// Held corresponds to the JSON schema field "held".
-	Held []HeldPermit `json:"held" toml:"held" cbor:"held"`
+	// Permits in use.
+	Held []HeldPermit `json:"h" toml:"h" cbor:"h"`
 }
 
 type PermitRelease struct {
-	// Endpoint corresponds to the JSON schema field "endpoint".
-	Endpoint string `json:"endpoint" toml:"endpoint" cbor:"endpoint"`
+	// Chat key that was served elsewhere.
+	MovedChat uint64 `json:"c,omitempty,omitzero" toml:"c,omitempty" cbor:"c,omitempty"`
 
-	// The endpoint failed the request.
-	Failed bool `json:"failed,omitempty,omitzero" toml:"failed,omitempty" cbor:"failed,omitempty"`
+	// Endpoint id.
+	Endpoint string `json:"e" toml:"e" cbor:"e"`
 
-	// Time to the first token, for cold detection; 0 when unknown.
-	FirstTokenMs int `json:"first_token_ms,omitempty,omitzero" toml:"first_token_ms,omitempty" cbor:"first_token_ms,omitempty"`
+	// Endpoint that now holds the chat's cache.
+	MovedTo string `json:"m,omitempty,omitzero" toml:"m,omitempty" cbor:"m,omitempty"`
 
-	// Chat key that was served elsewhere.
-	MovedChat uint64 `json:"moved_chat,omitempty,omitzero" toml:"moved_chat,omitempty" cbor:"moved_chat,omitempty"`
+	// Ids of the returned permits; empty when only a moved chat is told.
+	Permits []uint64 `json:"p" toml:"p" cbor:"p"`
 
-	// Endpoint that now holds the chat's cache.
-	MovedTo string `json:"moved_to,omitempty,omitzero" toml:"moved_to,omitempty" cbor:"moved_to,omitempty"`
+	// Time to the first token, for cold detection; 0 when unknown.
+	FirstTokenMs int `json:"t,omitempty,omitzero" toml:"t,omitempty" cbor:"t,omitempty"`
 
-	// Permits corresponds to the JSON schema field "permits".
-	Permits []uint64 `json:"permits" toml:"permits" cbor:"permits"`
+	// The endpoint failed the request.
+	Failed bool `json:"x,omitempty,omitzero" toml:"x,omitempty" cbor:"x,omitempty"`
 }
 
 type PermitRenew struct {
-	// Endpoint corresponds to the JSON schema field "endpoint".
-	Endpoint string `json:"endpoint" toml:"endpoint" cbor:"endpoint"`
+	// Endpoint id.
+	Endpoint string `json:"e" toml:"e" cbor:"e"`
 
-	// Permits corresponds to the JSON schema field "permits".
-	Permits []uint64 `json:"permits" toml:"permits" cbor:"permits"`
+	// In a request, the ids of permits in use; in the reply, those that the owner
+	// does not know.
+	Permits []uint64 `json:"p" toml:"p" cbor:"p"`
 }
 
 type PermitReply struct {
-	// Time after which the permit lapses unless it is renewed.
-	HoldMs int `json:"hold_ms,omitempty,omitzero" toml:"hold_ms,omitempty" cbor:"hold_ms,omitempty"`
-
 	// Requests in flight at the endpoint after this decision.
-	Inflight int `json:"inflight,omitempty,omitzero" toml:"inflight,omitempty" cbor:"inflight,omitempty"`
+	Inflight int `json:"n,omitempty,omitzero" toml:"n,omitempty" cbor:"n,omitempty"`
 
-	// 0 when refused.
-	Permit uint64 `json:"permit,omitempty,omitzero" toml:"permit,omitempty" cbor:"permit,omitempty"`
+	// Permit id; 0 when refused.
+	Permit uint64 `json:"p,omitempty,omitzero" toml:"p,omitempty" cbor:"p,omitempty"`
 
 	// Endpoint that holds the chat's cache, when it is not this one.
-	Redirect string `json:"redirect,omitempty,omitzero" toml:"redirect,omitempty" cbor:"redirect,omitempty"`
-
-	// Refusal corresponds to the JSON schema field "refusal".
-	Refusal *Refusal `json:"refusal,omitempty,omitzero" toml:"refusal,omitempty" cbor:"refusal,omitempty"`
+	Redirect string `json:"r,omitempty,omitzero" toml:"r,omitempty" cbor:"r,omitempty"`
 
 	// Time from the sending of the request in which work may start.
-	StartByMs int `json:"start_by_ms,omitempty,omitzero" toml:"start_by_ms,omitempty" cbor:"start_by_ms,omitempty"`
+	StartByMs int `json:"s,omitempty,omitzero" toml:"s,omitempty" cbor:"s,omitempty"`
 
 	// Term of the cold lease; 0 for a warm endpoint.
-	Term uint64 `json:"term,omitempty,omitzero" toml:"term,omitempty" cbor:"term,omitempty"`
+	Term uint64 `json:"t,omitempty,omitzero" toml:"t,omitempty" cbor:"t,omitempty"`
+
+	// Why no permit was granted.
+	Refusal *Refusal `json:"x,omitempty,omitzero" toml:"x,omitempty" cbor:"x,omitempty"`
 }
 
 type PermitRequest struct {
 	// Placement key of the chat; 0 when it has none.
-	ChatKey uint64 `json:"chat_key,omitempty,omitzero" toml:"chat_key,omitempty" cbor:"chat_key,omitempty"`
+	ChatKey uint64 `json:"c,omitempty,omitzero" toml:"c,omitempty" cbor:"c,omitempty"`
 
-	// Endpoint corresponds to the JSON schema field "endpoint".
-	Endpoint string `json:"endpoint" toml:"endpoint" cbor:"endpoint"`
+	// Endpoint id.
+	Endpoint string `json:"e" toml:"e" cbor:"e"`
 
 	// Load of the whole pool, when the router has just asked all its endpoints; 0
 	// otherwise.
-	PoolInflight int `json:"pool_inflight,omitempty,omitzero" toml:"pool_inflight,omitempty" cbor:"pool_inflight,omitempty"`
+	PoolInflight int `json:"n,omitempty,omitzero" toml:"n,omitempty" cbor:"n,omitempty"`
 
-	// Priority corresponds to the JSON schema field "priority".
-	Priority int `json:"priority,omitempty,omitzero" toml:"priority,omitempty" cbor:"priority,omitempty"`
-
-	// Revision that the router has applied.
-	Revision uint64 `json:"revision,omitempty,omitzero" toml:"revision,omitempty" cbor:"revision,omitempty"`
+	// 0 to 9; higher is served first.
+	Priority int `json:"p,omitempty,omitzero" toml:"p,omitempty" cbor:"p,omitempty"`
 
 	// How long the request may be queued; 0 to be refused at once.
-	WaitMs int `json:"wait_ms,omitempty,omitzero" toml:"wait_ms,omitempty" cbor:"wait_ms,omitempty"`
+	WaitMs int `json:"q,omitempty,omitzero" toml:"q,omitempty" cbor:"q,omitempty"`
 
-	// Workspace corresponds to the JSON schema field "workspace".
-	Workspace string `json:"workspace" toml:"workspace" cbor:"workspace"`
+	// Workspace that the request counts for.
+	Workspace string `json:"w" toml:"w" cbor:"w"`
 }
 
 // Values that the routers keep in the platform's object API, as CBOR.
--- a/docs/capacity_test.go
+++ b/docs/capacity_test.go
@@ -47,8 +47,8 @@
 	digest := strings.Repeat("0", 64)
 	outcome := &api.ClaimOutcome{Status: 201, ContentType: "application/json", Body: make([]byte, 200)}
 	messages := map[string]api.PeerMessage{
-		"permit-request": {ID: id, PermitRequest: &api.PermitRequest{Endpoint: endpoint, Workspace: workspace, ChatKey: 1 << 63, Priority: 5, Revision: 441}},
-		"permit-reply":   {ID: id, Reply: true, PermitReply: &api.PermitReply{Permit: permit, StartByMs: 1000, HoldMs: 15000, Inflight: 17}},
+		"permit-request": {ID: id, PermitRequest: &api.PermitRequest{Endpoint: endpoint, Workspace: workspace, ChatKey: 1 << 63, Priority: 5}},
+		"permit-reply":   {ID: id, Reply: true, PermitReply: &api.PermitReply{Permit: permit, StartByMs: 1000, Inflight: 17}},
 		"permit-release": {PermitRelease: &api.PermitRelease{Endpoint: endpoint, Permits: []uint64{permit}, FirstTokenMs: 417}},
 		"permit-renew-1": {ID: id, PermitRenew: &api.PermitRenew{Endpoint: endpoint, Permits: []uint64{permit}}},
 		"renew-reply":    {ID: id, Reply: true, PermitRenew: &api.PermitRenew{Endpoint: endpoint, Permits: []uint64{}}},
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -301,7 +301,6 @@
 		Endpoint:  e.ID,
 		Workspace: w.workspace.ID,
 		Priority:  w.workspace.Priority,
-		Revision:  d.index.Load().view.Revision(),
 	}
 }
 
--- a/router/ownerpermits.go
+++ b/router/ownerpermits.go
@@ -85,7 +85,6 @@
 	return api.PermitReply{
 		Permit:    outcome.Grant.PermitID,
 		StartByMs: int(outcome.Grant.StartBy / time.Millisecond),
-		HoldMs:    int(outcome.Grant.Hold / time.Millisecond),
 		Term:      outcome.Grant.Term,
 		Inflight:  outcome.Grant.Inflight,
 	}
