Renew permits every 20 s, with one message per owner

The hold time is 60 s instead of 15 s, and a renewal names all permits of one owner. A lost release, or a dead router that membership still lists, now costs a slot for up to 60 s.

The control measure loads the fleet for 20 s, because 6 s hold no renewal.

--- a/admission/types.go
+++ b/admission/types.go
@@ -48,7 +48,7 @@
 const (
 	DefaultLoadMultiple   = 1.25
 	DefaultStartBy        = time.Second
-	DefaultHold           = 15 * time.Second
+	DefaultHold           = time.Minute
 	DefaultQueueLength    = 64
 	DefaultWorkspaceShare = 0.5
 	DefaultPoolMaxAge     = 3 * time.Second
--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -279,6 +279,14 @@
 	OrderResult *OrderResult `json:"order_result,omitempty,omitzero" toml:"order_result,omitempty" cbor:"order_result,omitempty"`
 }
 
+type EndpointPermits struct {
+	// Endpoint id.
+	Endpoint string `json:"e" toml:"e" cbor:"e"`
+
+	// Permit ids.
+	Permits []uint64 `json:"p" toml:"p" cbor:"p"`
+}
+
 // Desired state of the fleet at one revision, object notes/state/<revision>-<note
 // id>.
 type FleetState struct {
@@ -876,13 +884,11 @@
 	Failed bool `json:"x,omitempty,omitzero" toml:"x,omitempty" cbor:"x,omitempty"`
 }
 
+// Renews all permits that the sender has of the receiver. The reply names those
+// that the receiver does not know.
 type PermitRenew struct {
-	// Endpoint id.
-	Endpoint string `json:"e" toml:"e" cbor:"e"`
-
-	// In a request, the ids of permits in use; in the reply, those that the owner
-	// does not know.
-	Permits []uint64 `json:"p" toml:"p" cbor:"p"`
+	// Permits by endpoint.
+	Endpoints []EndpointPermits `json:"e,omitempty,omitzero" toml:"e,omitempty" cbor:"e,omitempty"`
 }
 
 type PermitReply struct {
--- a/measure/control.go
+++ b/measure/control.go
@@ -19,6 +19,9 @@
 
 const (
 	controlRun = 6 * time.Second
+	// controlLoad is one interval of the permit renewals, so that each router
+	// sends them once in it.
+	controlLoad = 20 * time.Second
 	// callsPerRouter is the rate of section 1.3: 1,700 requests a second over
 	// 350 routers.
 	callsPerRouter = 5
@@ -138,7 +141,7 @@
 
 // callAtRate keeps callsPerRouter calls a second at each router.
 func (b *bench) callAtRate(ctx context.Context, seed uint64) {
-	load, stop := context.WithTimeout(ctx, controlRun)
+	load, stop := context.WithTimeout(ctx, controlLoad)
 	defer stop()
 	// A turn takes 400 ms and a pause of 1.6 s.
 	callers := callsPerRouter * len(b.Routers) * 2
--- a/router/ownerpermits.go
+++ b/router/ownerpermits.go
@@ -138,12 +138,16 @@
 
 // HandleRenew extends permits and returns those that are not known here.
 func (o *admissionOwner) HandleRenew(from string, r api.PermitRenew) api.PermitRenew {
-	unknown := api.PermitRenew{Endpoint: r.Endpoint, Permits: []uint64{}}
+	var reply api.PermitRenew
 	now := o.now()
-	o.gates.Do(r.Endpoint, func(g *admission.Gate) {
-		unknown.Permits = append(unknown.Permits, g.Renew(now, from, r.Permits)...)
-	})
-	return unknown
+	for _, at := range r.Endpoints {
+		var unknown []uint64
+		o.gates.Do(at.Endpoint, func(g *admission.Gate) { unknown = g.Renew(now, from, at.Permits) })
+		if len(unknown) > 0 {
+			reply.Endpoints = append(reply.Endpoints, api.EndpointPermits{Endpoint: at.Endpoint, Permits: unknown})
+		}
+	}
+	return reply
 }
 
 // HandleAdopt counts permits of a former owner.
--- a/router/permits.go
+++ b/router/permits.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeamproxy/hornbeamproxy/admission"
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 )
 
@@ -76,9 +77,9 @@
 // blocking the endpoint for its hold time.
 const lateReplyWait = 2 * time.Second
 
-// permitRenewInterval is a third of the shortest hold time, so that one lost
-// renewal does not drop a permit.
-const permitRenewInterval = 5 * time.Second
+// permitRenewInterval is a third of the hold time, so that one lost renewal does
+// not drop a permit.
+const permitRenewInterval = admission.DefaultHold / 3
 
 // acquire asks for a permit. The request may be queued for wait.
 func (c *permitClient) acquire(ctx context.Context, r api.PermitRequest, wait time.Duration) (*permit, *denial) {
@@ -192,13 +193,26 @@
 }
 
 func (c *permitClient) renewAll(ctx context.Context) {
+	requests := map[string]*api.PermitRenew{}
 	for at, permits := range c.byOwner() {
-		ids := make([]uint64, len(permits))
-		for i, p := range permits {
-			ids[i] = p.id
+		request := requests[at.owner]
+		if request == nil {
+			request = &api.PermitRenew{}
+			requests[at.owner] = request
 		}
-		c.renew(ctx, at, ids)
+		request.Endpoints = append(request.Endpoints, api.EndpointPermits{Endpoint: at.endpoint, Permits: permitIDs(permits)})
 	}
+	for owner, request := range requests {
+		c.renew(ctx, owner, *request)
+	}
+}
+
+func permitIDs(permits []*permit) []uint64 {
+	ids := make([]uint64, len(permits))
+	for i, p := range permits {
+		ids[i] = p.id
+	}
+	return ids
 }
 
 func (c *permitClient) byOwner() map[ownedBy][]*permit {
@@ -214,21 +228,22 @@
 
 // renew extends the permits; those that the owner does not know are adopted by
 // it, as after its restart.
-func (c *permitClient) renew(ctx context.Context, at ownedBy, ids []uint64) {
-	request := api.PermitRenew{Endpoint: at.endpoint, Permits: ids}
+func (c *permitClient) renew(ctx context.Context, owner string, request api.PermitRenew) {
 	var unknown api.PermitRenew
-	if at.owner == c.network.Self() {
-		unknown = c.local.HandleRenew(at.owner, request)
+	if owner == c.network.Self() {
+		unknown = c.local.HandleRenew(owner, request)
 	} else {
 		callCtx, cancel := context.WithTimeout(ctx, lateReplyWait)
 		defer cancel()
-		reply, err := c.network.Call(callCtx, at.owner, api.PeerMessage{PermitRenew: &request})
+		reply, err := c.network.Call(callCtx, owner, api.PeerMessage{PermitRenew: &request})
 		if err != nil || reply.PermitRenew == nil {
 			return
 		}
 		unknown = *reply.PermitRenew
 	}
-	c.adoptAt(at.owner, at.endpoint, unknown.Permits)
+	for _, at := range unknown.Endpoints {
+		c.adoptAt(owner, at.Endpoint, at.Permits)
+	}
 }
 
 // ownersChanged hands the permits of endpoints with a new owner to it.
@@ -238,14 +253,12 @@
 		if owner == at.owner || owner == "" {
 			continue
 		}
-		ids := make([]uint64, len(permits))
-		for i, p := range permits {
-			ids[i] = p.id
+		for _, p := range permits {
 			p.mu.Lock()
 			p.owner = owner
 			p.mu.Unlock()
 		}
-		c.adoptAt(owner, at.endpoint, ids)
+		c.adoptAt(owner, at.endpoint, permitIDs(permits))
 	}
 }
 
--- a/router/permits_test.go
+++ b/router/permits_test.go
@@ -18,6 +18,7 @@
 	delay   time.Duration
 	reply   api.PeerMessage
 	err     error
+	called  []api.PeerMessage
 	sent    []api.PeerMessage
 	sentTo  []string
 	arrived chan struct{}
@@ -31,7 +32,10 @@
 	return n.owner
 }
 
-func (n *fakeNetwork) Call(ctx context.Context, _ string, _ api.PeerMessage) (api.PeerMessage, error) {
+func (n *fakeNetwork) Call(ctx context.Context, _ string, msg api.PeerMessage) (api.PeerMessage, error) {
+	n.mu.Lock()
+	n.called = append(n.called, msg)
+	n.mu.Unlock()
 	select {
 	case <-time.After(n.delay):
 		return n.reply, n.err
@@ -103,3 +107,29 @@
 	client.release(p, api.PermitRelease{})
 	assert.Equal(t, network.sentTo[1], "other")
 }
+
+// Guards against a renewal message for each endpoint of one owner, and against
+// permits that their owner does not know and that are not adopted again.
+func TestRenewalIsOneMessagePerOwner(t *testing.T) {
+	network := &fakeNetwork{owner: "peer", reply: grantReply(7, time.Second)}
+	client := newPermitClient(network)
+	for i, endpoint := range []string{"e", "f"} {
+		network.reply = grantReply(uint64(7+i), time.Second)
+		_, denied := client.acquire(context.Background(), api.PermitRequest{Endpoint: endpoint, Workspace: "w"}, 0)
+		assert.Assert(t, denied == nil)
+	}
+	network.called = nil
+	unknown := []api.EndpointPermits{{Endpoint: "f", Permits: []uint64{8}}}
+	network.reply = api.PeerMessage{PermitRenew: &api.PermitRenew{Endpoints: unknown}}
+	client.renewAll(context.Background())
+	assert.Equal(t, len(network.called), 1)
+	renewed := map[string][]uint64{}
+	for _, at := range network.called[0].PermitRenew.Endpoints {
+		renewed[at.Endpoint] = at.Permits
+	}
+	assert.DeepEqual(t, renewed, map[string][]uint64{"e": {7}, "f": {8}})
+	assert.Equal(t, len(network.sent), 1)
+	assert.DeepEqual(t, network.sent[0].PermitAdopt, &api.PermitAdopt{
+		Endpoint: "f", Held: []api.HeldPermit{{Permit: 8, Workspace: "w"}},
+	})
+}
