--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -34,7 +34,8 @@
 	Gossip    membership.Config
 	Logger    *zap.Logger
 
-	RefreshInterval time.Duration // between looks at the registrations; default 30 s
+	RefreshInterval time.Duration // between looks at the own registration, and at all while peers are missing; default 30 s
+	ListInterval    time.Duration // between looks at all registrations while peers are heard; default 5 min
 	RewriteInterval time.Duration // between writes of the own one; default 5 min
 	StoreTimeout    time.Duration // of one call; default 2 s
 	SyncTimeout     time.Duration // of a request for a whole table; default 2 s
@@ -43,6 +44,7 @@
 
 func (o *Options) setDefaults() {
 	setDefault(&o.RefreshInterval, 30*time.Second)
+	setDefault(&o.ListInterval, 5*time.Minute)
 	setDefault(&o.RewriteInterval, 5*time.Minute)
 	setDefault(&o.StoreTimeout, 2*time.Second)
 	setDefault(&o.SyncTimeout, 2*time.Second)
@@ -82,8 +84,10 @@
 	listed       map[string]string // registered id by address
 
 	// Used by discoverLoop only.
-	written time.Time
-	seen    map[string]sighting
+	written   time.Time
+	addresses []string // of the last list
+	listedAt  time.Time
+	seen      map[string]sighting
 
 	owners      atomic.Pointer[Owners]
 	changed     chan struct{}
@@ -326,10 +330,12 @@
 	joined := false
 	for ctx.Err() == nil {
 		c.register(ctx)
-		addresses := c.discover(ctx)
+		if !joined || c.listDue(time.Now()) {
+			c.discover(ctx)
+		}
 		wait := c.opts.RefreshInterval
 		if !joined || c.Alone() {
-			joined = c.join(ctx, addresses)
+			joined = c.join(ctx, c.addresses)
 			if !joined {
 				wait = min(wait, joinRetry)
 			}
@@ -341,6 +347,14 @@
 	}
 }
 
+// listDue says whether to list the registrations. The list is by far the longest
+// answer of the object API. A router that hears peers learns of new ones from
+// them, and keeps the listed routers as contacts, through which partitions meet.
+func (c *Cluster) listDue(now time.Time) bool {
+	heard := now.Sub(c.LastPeerContact()) < c.opts.RefreshInterval
+	return !heard || c.Alone() || now.Sub(c.listedAt) >= c.opts.ListInterval
+}
+
 // Alone says whether this router knows no other live one.
 func (c *Cluster) Alone() bool { return len(c.owners.Load().IDs) <= 1 }
 
@@ -406,17 +420,18 @@
 	})
 }
 
-// discover returns the addresses of registered routers and seeds. Registered
+// discover reads the addresses of registered routers and seeds. Registered
 // routers become contacts, so that partitions meet again.
-func (c *Cluster) discover(ctx context.Context) []string {
+func (c *Cluster) discover(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, c.opts.StoreTimeout)
 	defer cancel()
-	addresses := slices.Clone(c.opts.Seeds)
+	c.addresses = slices.Clone(c.opts.Seeds)
 	objects, err := c.opts.Store.List(ctx, RegistrationPrefix)
 	if err != nil {
 		c.opts.Logger.Warn("registrations not read", zap.Error(err))
-		return addresses
+		return
 	}
+	c.listedAt = time.Now()
 	listed := map[string]string{}
 	for _, object := range objects {
 		var found api.RouterRegistration
@@ -424,11 +439,10 @@
 			continue
 		}
 		listed[found.PeerAddress] = found.ID
-		addresses = append(addresses, found.PeerAddress)
+		c.addresses = append(c.addresses, found.PeerAddress)
 	}
 	c.setContacts(listed)
 	c.removeAbandoned(ctx, objects)
-	return addresses
 }
 
 // abandonedRewrites is the number of rewrites that a router must have missed
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -58,7 +58,7 @@
 			ID: r.id, PeerAddress: r.server.Listener.Addr().String(), Zone: fmt.Sprintf("zone-%d", i%2),
 		},
 		Seeds: seeds, Store: store,
-		RefreshInterval: 300 * time.Millisecond, RewriteInterval: 600 * time.Millisecond,
+		RefreshInterval: 300 * time.Millisecond, ListInterval: 300 * time.Millisecond, RewriteInterval: 600 * time.Millisecond,
 		Transport: peer.Options{Secret: []byte("secret"), MinBackoff: 20 * time.Millisecond},
 		Handler: peer.HandlerFunc(func(context.Context, string, api.PeerMessage) *api.PeerMessage {
 			return &api.PeerMessage{PermitReply: &api.PermitReply{Permit: 1}}
@@ -188,3 +188,24 @@
 		assert.NilError(t, err)
 	}
 }
+
+// Guards against a router that reads the whole list often although it hears its
+// peers, and against one that reads it rarely while it hears none.
+func TestRegistrationsAreListedRarelyWhilePeersAreHeard(t *testing.T) {
+	c, err := New(Options{
+		Self:  api.RouterRegistration{ID: "a", PeerAddress: "127.0.0.1:1", Zone: "z"},
+		Store: platform.NewMemory(), Transport: peer.Options{Secret: []byte("secret")},
+	})
+	assert.NilError(t, err)
+	defer c.Transport().Close()
+	now := time.Now()
+	c.listedAt = now
+	c.touch()
+	assert.Assert(t, c.listDue(now), "alone")
+	c.owners.Store(&Owners{IDs: []string{"a", "b"}})
+	assert.Assert(t, !c.listDue(now.Add(29*time.Second)), "peers heard")
+	assert.Assert(t, c.listDue(now.Add(31*time.Second)), "no peer heard for the refresh interval")
+	c.started = c.started.Add(5 * time.Minute) // a peer is heard until then
+	assert.Assert(t, !c.listDue(now.Add(5*time.Minute-time.Second)))
+	assert.Assert(t, c.listDue(now.Add(5*time.Minute)))
+}
