Poll idle endpoints half as often, without a User-Agent

Every second load poll is left out while an endpoint is ready, its last poll succeeded and nothing is in flight. A cold restart of such an endpoint may be seen one interval later. Intervals over 0.5 s are not doubled, because a report 2 s old makes an endpoint suspect.

--- a/engine/control.go
+++ b/engine/control.go
@@ -54,7 +54,12 @@
 }
 
 func (c *Client) getJSON(ctx context.Context, target string, value any) error {
-	answer, err := c.Do(ctx, Call{Method: http.MethodGet, URL: target, Repeatable: true})
+	answer, err := c.Do(ctx, Call{
+		Method: http.MethodGet, URL: target, Repeatable: true,
+		// An empty value keeps net/http from sending its own. Endpoints need none,
+		// and polls are a large part of the control traffic.
+		Header: http.Header{"User-Agent": {""}},
+	})
 	if err != nil {
 		return err
 	}
--- a/router/owner.go
+++ b/router/owner.go
@@ -71,6 +71,8 @@
 	machine  *endpointstate.Machine
 	leased   bool
 	closed   bool
+	// pollSucceeded is the result of the last load poll.
+	pollSucceeded bool
 }
 
 // loadPool names the group of endpoints whose mean load bounds the endpoint's:
@@ -214,17 +216,39 @@
 func (o *admissionOwner) watch(ctx context.Context, owned *ownedEndpoint) {
 	ticker := time.NewTicker(o.settings.Limits.LoadPollInterval.Duration)
 	defer ticker.Stop()
+	skipped := false
 	for {
-		o.poll(ctx, owned)
+		if !skipped {
+			o.poll(ctx, owned)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-owned.poll:
+			skipped = false
 		case <-ticker.C:
+			skipped = !skipped && o.pollIsSpared(owned)
 		}
 	}
 }
 
+// pollIsSpared says whether every second poll is left out: the endpoint is ready,
+// its last poll succeeded and nothing is in flight. Two intervals stay well under
+// the time after which a missing report makes an endpoint suspect.
+func (o *admissionOwner) pollIsSpared(owned *ownedEndpoint) bool {
+	if 2*o.settings.Limits.LoadPollInterval.Duration > endpointstate.DefaultLateAfter/2 {
+		return false
+	}
+	owned.mu.Lock()
+	id := owned.endpoint.ID
+	spared := owned.pollSucceeded && owned.machine.State() == endpointstate.Ready
+	owned.mu.Unlock()
+	if spared {
+		o.gates.Do(id, func(g *admission.Gate) { spared = g.Inflight() == 0 })
+	}
+	return spared
+}
+
 // poll reads the load report. Plain services publish none; their state follows
 // from the calls.
 func (o *admissionOwner) poll(ctx context.Context, owned *ownedEndpoint) {
@@ -252,6 +276,7 @@
 	}
 	from := owned.machine.State()
 	now := o.now()
+	owned.pollSucceeded = err == nil
 	if err != nil {
 		owned.machine.ReportFailed(now)
 		o.withGate(e.ID, func(g *admission.Gate) []admission.Outcome { return g.ReportFailed(now) })
--- /dev/null
+++ b/router/ownerpolls_test.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/admission"
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/endpointstate"
+)
+
+// Guards against polls that are left out while an endpoint works or fails, and
+// against intervals so long that missing reports make an endpoint suspect.
+func TestOnlyIdleReadyEndpointsArePolledLess(t *testing.T) {
+	now := time.Now()
+	settings := &api.Settings{Limits: &api.LimitSettings{}}
+	settings.Limits.LoadPollInterval.Duration = 500 * time.Millisecond
+	o := &admissionOwner{settings: settings, gates: admission.NewSet()}
+	owned := &ownedEndpoint{endpoint: &api.Endpoint{ID: "e"}, machine: endpointstate.New(endpointstate.Config{})}
+	o.gates.Add(admission.Config{Endpoint: "e"})
+	report := func(load api.LoadReport) {
+		owned.machine.Report(now, load.Readiness)
+		o.gates.Do("e", func(g *admission.Gate) { g.Report(now, load) })
+	}
+	owned.machine.SetPolling(now, true)
+	owned.pollSucceeded = true
+	assert.Assert(t, !o.pollIsSpared(owned), "not ready")
+	report(api.LoadReport{Readiness: api.ReadinessReady})
+	assert.Assert(t, o.pollIsSpared(owned))
+	owned.pollSucceeded = false
+	assert.Assert(t, !o.pollIsSpared(owned), "last poll failed")
+	owned.pollSucceeded = true
+	report(api.LoadReport{Readiness: api.ReadinessReady, Running: 1})
+	assert.Assert(t, !o.pollIsSpared(owned), "in flight")
+	report(api.LoadReport{Readiness: api.ReadinessReady})
+	settings.Limits.LoadPollInterval.Duration = time.Second
+	assert.Assert(t, !o.pollIsSpared(owned), "long interval")
+}
