--- a/admission/types.go
+++ b/admission/types.go
@@ -48,7 +48,7 @@
 const (
 	DefaultLoadMultiple   = 1.25
 	DefaultStartBy        = time.Second
-	DefaultHold           = 15 * time.Second
+	DefaultHold           = time.Minute
 	DefaultQueueLength    = 64
 	DefaultWorkspaceShare = 0.5
 	DefaultPoolMaxAge     = 3 * time.Second
@@ -104,8 +104,6 @@
 	// StartBy is measured from the time at which the router sent its request.
 	// It includes the time that the request spent in the queue.
 	StartBy time.Duration
-	// Hold is the time after which the permit lapses unless it is renewed.
-	Hold time.Duration
 	// Term is the term of the cold lease; 0 for a warm endpoint.
 	Term uint64
 	// Inflight is the endpoint's load with this permit.
