Blame an endpoint only for its own failures, and forget dead routers

Cause: a caller that went away, a passed deadline and a refused request body were reported to the admission owner as failures of the endpoint; three in a row made it suspect. Found by reading. Change: isEndpointsFault decides what a release says; dead routers are forgotten after an hour, and each is told to the gates once. Conclusion: covered by TestIsEndpointsFault.

--- a/router/chat.go
+++ b/router/chat.go
@@ -126,7 +126,7 @@
 		if err == nil && answer.Status >= http.StatusInternalServerError {
 			err = &engine.Error{Kind: engine.ErrStatus, Status: answer.Status, Sent: true}
 		}
-		r.finish(ch, found, err, r.now().Sub(started))
+		r.finish(ctx, ch, found, err, r.now().Sub(started))
 		if err == nil {
 			return answer, nil
 		}
@@ -160,8 +160,8 @@
 
 // finish returns the permit and tells the home endpoint's owner about a chat
 // that was served elsewhere.
-func (r *Router) finish(ch *chat, at *placed, err error, firstToken time.Duration) {
-	info := api.PermitRelease{Failed: err != nil}
+func (r *Router) finish(ctx context.Context, ch *chat, at *placed, err error, firstToken time.Duration) {
+	info := api.PermitRelease{Failed: isEndpointsFault(ctx, err)}
 	if err == nil {
 		info.FirstTokenMs = int(firstToken / time.Millisecond)
 	}
@@ -204,6 +204,21 @@
 	}
 }
 
+// isEndpointsFault says whether a failure speaks against the endpoint. Callers
+// that go away and deadlines that pass must not make it suspect.
+func isEndpointsFault(ctx context.Context, err error) bool {
+	if err == nil || ctx.Err() != nil {
+		return false
+	}
+	for _, other := range []error{errCallerGone, errDrained, errPermitExpired} {
+		if errors.Is(err, other) {
+			return false
+		}
+	}
+	_, callers := callersFault(err)
+	return !callers
+}
+
 // callersFault returns the endpoint's answer when the failure is a status that
 // blames the request. Sending it again elsewhere would give the same.
 func callersFault(err error) (engine.Answer, bool) {
--- /dev/null
+++ b/router/chat_test.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/engine"
+)
+
+// Guards against endpoints that become suspect because callers go away, and
+// against failures that are not held against an endpoint.
+func TestIsEndpointsFault(t *testing.T) {
+	live := context.Background()
+	gone, cancel := context.WithCancel(live)
+	cancel()
+	cut := &engine.Error{Kind: engine.ErrCut, Sent: true}
+	tests := []struct {
+		name string
+		ctx  context.Context
+		err  error
+		want bool
+	}{
+		{"no failure", live, nil, false},
+		{"stream cut", live, cut, true},
+		{"connection refused", live, &engine.Error{Kind: engine.ErrNotStarted}, true},
+		{"server error", live, &engine.Error{Kind: engine.ErrStatus, Status: http.StatusInternalServerError}, true},
+		{"bad request", live, &engine.Error{Kind: engine.ErrStatus, Status: http.StatusBadRequest}, false},
+		{"caller gone", live, fmt.Errorf("%w: broken pipe", errCallerGone), false},
+		{"request cancelled", gone, cut, false},
+		{"drained", live, errDrained, false},
+		{"permit expired", live, errPermitExpired, false},
+	}
+	for _, test := range tests {
+		assert.Equal(t, isEndpointsFault(test.ctx, test.err), test.want, test.name)
+	}
+}
--- a/router/network.go
+++ b/router/network.go
@@ -146,25 +146,42 @@
 	}
 }
 
+// seenRouter is a router that this one has known.
+type seenRouter struct {
+	member membership.Member
+	// diedAt is when it was removed; the zero time while it is in the fleet.
+	diedAt time.Time
+}
+
+// deadMemory is how long a dead router is remembered. Its claims are older than
+// the longest request by then and need no word about their router.
+const deadMemory = time.Hour
+
 // noteDeadRouters tells gates and claims which routers have been removed.
 func (r *Router) noteDeadRouters() {
+	now := r.now()
 	live := map[string]bool{}
 	for _, member := range r.cluster.Members() {
 		live[member.ID] = true
-		r.everSeen[member.ID] = member
+		r.everSeen[member.ID] = seenRouter{member: member}
 	}
 	var dead []string
-	for id, member := range r.everSeen {
-		if live[id] {
+	for id, seen := range r.everSeen {
+		switch {
+		case live[id]:
+			continue
+		case seen.diedAt.IsZero():
+			seen.diedAt = now
+			r.everSeen[id] = seen
+			r.owner.routerLost(id)
+			if !seen.member.Leaving {
+				r.failures.routerLost(seen.member)
+			}
+		case now.Sub(seen.diedAt) > deadMemory:
+			delete(r.everSeen, id)
 			continue
 		}
 		dead = append(dead, id)
-		r.owner.routerLost(id)
-		if !member.Leaving {
-			r.failures.routerLost(member)
-			member.Leaving = true // recorded once
-			r.everSeen[id] = member
-		}
 	}
 	r.claimOwner.SetDead(dead)
 	r.claimOwner.SetLive(slices.Collect(maps.Keys(live)))
--- a/router/router.go
+++ b/router/router.go
@@ -27,7 +27,6 @@
 	"github.com/hornbeamproxy/hornbeamproxy/engine"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/lease"
-	"github.com/hornbeamproxy/hornbeamproxy/membership"
 	"github.com/hornbeamproxy/hornbeamproxy/notes"
 	"github.com/hornbeamproxy/hornbeamproxy/orders"
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
@@ -71,7 +70,7 @@
 	engine     *engine.Client
 	cluster    *peerNetwork
 	peerServer *http.Server
-	everSeen   map[string]membership.Member // used by followPeers only
+	everSeen   map[string]seenRouter // used by followPeers only
 	syncer     *notes.Syncer
 	acceptor   *notes.Acceptor
 	dispatch   *dispatcher
@@ -111,7 +110,7 @@
 		retries:   newRetries(c.Settings.Retry, c.Metrics, time.Now),
 		handleKey: deriveKey(c.Secrets.PeerSecret, "stream handles"),
 		idPrefix:  c.Settings.Router.ID + "-" + rand.Text()[:8] + "-",
-		everSeen:  map[string]membership.Member{},
+		everSeen:  map[string]seenRouter{},
 		now:       time.Now,
 	}
 	r.syncer = notes.NewSyncer(notes.SyncerOptions{
--- a/router/service.go
+++ b/router/service.go
@@ -181,7 +181,7 @@
 // callAt makes one call at an endpoint and returns the permit.
 func (r *Router) callAt(ctx context.Context, call *serviceCall, at *placed) (engine.Answer, error) {
 	answer, err := r.sendCall(ctx, call, at)
-	r.permits.release(at.permit, api.PermitRelease{Failed: err != nil})
+	r.permits.release(at.permit, api.PermitRelease{Failed: isEndpointsFault(ctx, err)})
 	if err != nil {
 		call.sent = call.sent || wasSent(err)
 		call.markFailed(at.endpoint.ID)
--- a/router/stream.go
+++ b/router/stream.go
@@ -125,7 +125,7 @@
 		if err != nil {
 			go r.cancelStream(at.endpoint.URL, ch.id)
 		}
-		r.finish(ch, at, err, firstToken)
+		r.finish(ctx, ch, at, err, firstToken)
 	}()
 	r.fetchCache(ctx, ch, at)
 	stream, err := r.openStream(ctx, ch, out, at)
