--- a/measure/cache.go
+++ b/measure/cache.go
@@ -70,7 +70,7 @@
 		return err
 	}
 	if variant == variantBuild {
-		const refused = "refusals.load_multiple"
+		const refused = "permits.refused.load_multiple"
 		perTurn := ratio(int(after[refused]-before[refused]), len(turns.between(steady, churn)))
 		r.table.add(NameCache, size.name, variant, "steady refusals by the load bound", perTurn, "a turn")
 	}
