Keep what was sent of a request once, for chats and service calls

Cause: chat and serviceCall each had the fields sent and attempts and the same correction of a refusal. Found by reading the change. Change: both use those of the embedded work. Behaviour is unchanged.

--- a/router/chat.go
+++ b/router/chat.go
@@ -32,9 +32,6 @@
 	// returning says that the chat has had an answer before, so that some
 	// endpoint may hold its cache.
 	returning bool
-	// sent says that a byte of the request may have reached an endpoint.
-	sent     bool
-	attempts int
 }
 
 // serveChat handles POST /v1/chat/completions.
@@ -188,15 +185,6 @@
 	}, cause)
 }
 
-// finalRefusal corrects "not run" when an earlier attempt has sent something.
-func (ch *chat) finalRefusal(err error) error {
-	var refused *refusal
-	if ch.sent && errors.As(err, &refused) {
-		refused.notRun = false
-	}
-	return err
-}
-
 // noteFailure keeps later requests away from an endpoint that can't be reached.
 func (r *Router) noteFailure(e *api.Endpoint, cause error) {
 	if errors.Is(cause, engine.ErrNotStarted) || errors.Is(cause, engine.ErrFirstByteTimeout) {
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -146,6 +147,19 @@
 	// cachedAt is the endpoint that is expected to hold the chat's cache; set by
 	// place.
 	cachedAt *api.Endpoint
+	// sent says that a byte of the request may have reached an endpoint.
+	sent bool
+	// attempts counts the attempts that have failed.
+	attempts int
+}
+
+// finalRefusal corrects "not run" when an earlier attempt has sent something.
+func (w *work) finalRefusal(err error) error {
+	var refused *refusal
+	if w.sent && errors.As(err, &refused) {
+		refused.notRun = false
+	}
+	return err
 }
 
 func (w *work) markFailed(endpoint string) {
--- a/router/service.go
+++ b/router/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -38,8 +37,6 @@
 	body       []byte
 	idempotent bool
 	key        string // idempotency key; empty when the caller sent none
-	sent       bool
-	attempts   int
 }
 
 // forwardedHeaders are the caller's headers that an endpoint gets.
@@ -272,14 +269,6 @@
 	}, cause)
 }
 
-func (call *serviceCall) finalRefusal(err error) error {
-	var refused *refusal
-	if call.sent && errors.As(err, &refused) {
-		refused.notRun = false
-	}
-	return err
-}
-
 // callClaimed makes a call under its idempotency key: the claim is durable
 // before the first byte is sent, and its outcome or release is recorded after.
 func (r *Router) callClaimed(ctx context.Context, writer http.ResponseWriter, call *serviceCall) (engine.Answer, error) {
