--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -1137,6 +1137,7 @@
 const (
 	RetryReasonConnectFailed       RetryReason = "connect_failed"
 	RetryReasonEndpointDrained     RetryReason = "endpoint_drained"
+	RetryReasonEndpointError       RetryReason = "endpoint_error"
 	RetryReasonFirstByteTimeout    RetryReason = "first_byte_timeout"
 	RetryReasonOwnerUnreachable    RetryReason = "owner_unreachable"
 	RetryReasonPermitExpired       RetryReason = "permit_expired"
--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,255 @@
+// Package balance chooses the endpoint of a request among those that may get
+// it. It does no I/O and reads no clock.
+package balance
+
+import (
+	"math"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/placement"
+	"github.com/hornbeamproxy/hornbeamproxy/quota"
+	"github.com/hornbeamproxy/hornbeamproxy/roster"
+)
+
+const (
+	// homeLoad and homeSlack bound the load at which a prompt stays with the
+	// endpoint that holds its parts: homeLoad x the mean + homeSlack. Both lie
+	// below the factor that no endpoint may exceed.
+	homeLoad  = 1.25
+	homeSlack = 2
+	// zoneBonus is the load that an endpoint of the router's own zone may have
+	// above one of another zone, in requests.
+	zoneBonus = 0.5
+	// firstEjection and longestEjection bound the time for which an endpoint
+	// that fails gets no work; it doubles with each failure in a row.
+	firstEjection   = 500 * time.Millisecond
+	longestEjection = 4 * time.Second
+	// remoteAge is the age up to which the load that another router reported
+	// counts.
+	remoteAge = 1500 * time.Millisecond
+)
+
+// Refusal tells why no endpoint was chosen.
+type Refusal int
+
+// Reasons for which no endpoint is chosen.
+const (
+	None Refusal = iota
+	// NoEndpoint says that the service has no endpoint that may get work.
+	NoEndpoint
+	// AllCold says that all endpoints are cold and have had their share.
+	AllCold
+	// AllEjected says that all endpoints have failed just now.
+	AllEjected
+	// AllTried says that the request has been to all endpoints.
+	AllTried
+	// AllFull says that all endpoints hold as much as they may.
+	AllFull
+)
+
+// State is what a router knows of an endpoint's load and failures.
+type State struct {
+	Endpoint *roster.Endpoint
+	// Local is the number of requests that this router has at the endpoint.
+	Local int
+
+	hash         placement.Endpoint
+	remote       map[string]remoteLoad // by router
+	sends        quota.Window
+	failures     int
+	ejectedUntil time.Time
+}
+
+type remoteLoad struct {
+	requests int
+	at       time.Time
+}
+
+// Balancer holds the states of all endpoints. It is not safe for concurrent use.
+type Balancer struct {
+	zone   string
+	states map[string]*State // by endpoint id
+	// scratch is reused by Pick.
+	scratch []candidate
+}
+
+type candidate struct {
+	state *State
+	load  float64
+	score float64
+}
+
+// New returns a balancer of a router in the zone.
+func New(zone string) *Balancer { return &Balancer{zone: zone, states: map[string]*State{}} }
+
+// State returns the state of an endpoint, and creates it at first use or when
+// the endpoint has started again.
+func (b *Balancer) State(endpoint *roster.Endpoint) *State {
+	state, ok := b.states[endpoint.ID]
+	if !ok || state.Endpoint != endpoint {
+		state = &State{
+			Endpoint: endpoint,
+			hash:     placement.NewEndpoint(endpoint.ID, endpoint.Zone, 1),
+			remote:   map[string]remoteLoad{},
+		}
+		b.states[endpoint.ID] = state
+	}
+	return state
+}
+
+// Forget drops the state of an endpoint that is gone.
+func (b *Balancer) Forget(endpoint *roster.Endpoint) {
+	if state, ok := b.states[endpoint.ID]; ok && state.Endpoint == endpoint {
+		delete(b.states, endpoint.ID)
+	}
+}
+
+// Ask describes a request that needs an endpoint.
+type Ask struct {
+	// Members are the endpoints of the service, and Usable tells which of them
+	// may get work.
+	Members []*roster.Endpoint
+	Usable  func(*roster.Endpoint) bool
+	// Key is the hash of the prompt's shared parts; 0 means that any endpoint
+	// serves the request as well.
+	Key uint64
+	// Tried are endpoints that the request does not go to again.
+	Tried []*roster.Endpoint
+	// ColdShare is the number of requests a second that this router may send to
+	// a cold endpoint; 0 means that it is not limited.
+	ColdShare int
+	// MaxLoad is the number of requests that an endpoint may hold for each slot;
+	// 0 means that it is not limited.
+	MaxLoad float64
+}
+
+// Pick chooses an endpoint.
+func (b *Balancer) Pick(now time.Time, ask Ask) (*State, Refusal) {
+	refusal := NoEndpoint
+	b.scratch = b.scratch[:0]
+	total := 0.0
+	for _, endpoint := range ask.Members {
+		if !ask.Usable(endpoint) {
+			continue
+		}
+		state := b.State(endpoint)
+		load := state.load(now)
+		total += load
+		if reason := state.blocked(now, ask, load); reason != None {
+			refusal = max(refusal, reason)
+			continue
+		}
+		b.scratch = append(b.scratch, candidate{state: state, load: load})
+	}
+	if len(b.scratch) == 0 {
+		return nil, refusal
+	}
+	if ask.Key != 0 {
+		bound := homeLoad*total/float64(len(b.scratch)) + homeSlack
+		return b.home(ask.Key, bound), None
+	}
+	return b.least(), None
+}
+
+func (s *State) blocked(now time.Time, ask Ask, load float64) Refusal {
+	for _, tried := range ask.Tried {
+		if tried == s.Endpoint {
+			return AllTried
+		}
+	}
+	if now.Before(s.ejectedUntil) {
+		return AllEjected
+	}
+	if ask.ColdShare > 0 && s.Endpoint.Cold(now) && s.sends.Count(now) >= ask.ColdShare {
+		return AllCold
+	}
+	if ask.MaxLoad > 0 && s.Endpoint.Slots > 0 && load >= ask.MaxLoad*float64(s.Endpoint.Slots) {
+		return AllFull
+	}
+	return None
+}
+
+// home returns the endpoint with the highest rendezvous score among those below
+// the bound.
+func (b *Balancer) home(key uint64, bound float64) *State {
+	best := -1
+	for i := range b.scratch {
+		c := &b.scratch[i]
+		c.score = placement.Score(key, &c.state.hash)
+		if c.load+1 > bound {
+			c.score -= 1 + c.load
+		}
+		if best < 0 || c.score > b.scratch[best].score {
+			best = i
+		}
+	}
+	return b.scratch[best].state
+}
+
+// least returns the endpoint with the least load for its slots, and prefers the
+// router's own zone.
+func (b *Balancer) least() *State {
+	best, lowest := -1, math.Inf(1)
+	for i := range b.scratch {
+		c := &b.scratch[i]
+		load := c.load
+		if c.state.Endpoint.Zone != b.zone {
+			load += zoneBonus
+		}
+		load /= float64(max(1, c.state.Endpoint.Slots))
+		if load < lowest {
+			best, lowest = i, load
+		}
+	}
+	return b.scratch[best].state
+}
+
+// load returns the requests that all routers have at the endpoint.
+func (s *State) load(now time.Time) float64 {
+	load := s.Local
+	for _, remote := range s.remote {
+		if now.Sub(remote.at) < remoteAge {
+			load += remote.requests
+		}
+	}
+	return float64(load)
+}
+
+// Started counts a request that is sent to the endpoint.
+func (s *State) Started(now time.Time) {
+	s.Local++
+	s.sends.Add(now)
+}
+
+// Ended counts a request that is no longer at the endpoint.
+func (s *State) Ended() { s.Local-- }
+
+// Succeeded says that the endpoint answered.
+func (s *State) Succeeded() { s.failures = 0 }
+
+// Failed says that the endpoint could not be reached or broke off. It reports
+// whether the endpoint was ejected.
+func (s *State) Failed(now time.Time) bool {
+	if now.Before(s.ejectedUntil) {
+		return false
+	}
+	s.failures++
+	s.ejectedUntil = now.Add(min(firstEjection<<min(s.failures-1, 6), longestEjection))
+	return true
+}
+
+// SetRemote enters the load that another router reports for its own requests.
+func (b *Balancer) SetRemote(now time.Time, router, endpointID string, requests int) {
+	if state, ok := b.states[endpointID]; ok {
+		state.remote[router] = remoteLoad{requests: requests, at: now}
+	}
+}
+
+// Loads calls yield with the load that this router has at each endpoint.
+func (b *Balancer) Loads(yield func(endpointID string, requests int)) {
+	for id, state := range b.states {
+		if state.Local > 0 {
+			yield(id, state.Local)
+		}
+	}
+}
--- a/claims/attempts_test.go
+++ b/claims/attempts_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -70,10 +70,10 @@
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
 	stand.SetFaults(standin.PlatformFaults{LoseProbability: 0.2, Seed: 1, WritesPerSecond: 300})
-	cfg := platform.DefaultClientConfig(server.URL, "secret")
+	cfg := objectstore.DefaultClientConfig(server.URL, "secret")
 	owners := make([]*Owner, 2)
 	for i := range owners {
-		owners[i] = testOwner(platform.NewClient(cfg, transport, telemetry.NewMetrics()))
+		owners[i] = testOwner(objectstore.NewClient(cfg, transport, telemetry.NewMetrics()))
 		defer owners[i].Close()
 	}
 	table := NewAttempts(DefaultAttemptsConfig("r1"))
--- a/claims/bench_test.go
+++ b/claims/bench_test.go
@@ -11,12 +11,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // countingStore counts the writes and their bytes.
 type countingStore struct {
-	platform.Store
+	objectstore.Store
 	writes, bytes atomic.Int64
 }
 
@@ -38,7 +38,7 @@
 // BenchmarkShardOwner measures claims per second of one shard with the default
 // commit interval and 256 concurrent callers, and what is written for a claim.
 func BenchmarkShardOwner(b *testing.B) {
-	store := &countingStore{Store: platform.NewMemory()}
+	store := &countingStore{Store: objectstore.NewMemory()}
 	cfg := DefaultOwnerConfig("r1")
 	cfg.Shards = 1
 	owner := NewOwner(cfg, store, SystemClock{})
@@ -63,7 +63,7 @@
 func BenchmarkShardCommit(b *testing.B) {
 	for _, size := range []int{1, 16, 128} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			store := &countingStore{Store: platform.NewMemory()}
+			store := &countingStore{Store: objectstore.NewMemory()}
 			cfg := testConfig("o1")
 			cfg.MaxQueue = size
 			cfg.Retention = 10 * time.Second // so that any number of claims fits
@@ -87,7 +87,7 @@
 func BenchmarkShardMemory(b *testing.B) {
 	const records = 60_000 // one day of one of 64 shards at 50 keyed calls per second
 	for range b.N {
-		store := platform.NewMemory()
+		store := objectstore.NewMemory()
 		writer := NewShard(testConfig("o1"))
 		writer.cfg.MaxQueue = 128
 		for i := range records {
--- a/claims/owner.go
+++ b/claims/owner.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // maxReplyWait bounds how long a caller without a deadline waits.
@@ -76,7 +76,7 @@
 // concurrent use.
 type Owner struct {
 	cfg   OwnerConfig
-	store platform.Store
+	store objectstore.Store
 	clock Clock
 	dead  atomic.Pointer[map[string]bool]
 	live  atomic.Pointer[map[string]bool]
@@ -100,7 +100,7 @@
 }
 
 // NewOwner returns an Owner without shards. Close ends its work.
-func NewOwner(cfg OwnerConfig, store platform.Store, clock Clock) *Owner {
+func NewOwner(cfg OwnerConfig, store objectstore.Store, clock Clock) *Owner {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Owner{
 		cfg:    cfg,
--- a/claims/owner_test.go
+++ b/claims/owner_test.go
@@ -12,10 +12,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
-func testOwner(store platform.Store) *Owner {
+func testOwner(store objectstore.Store) *Owner {
 	cfg := DefaultOwnerConfig("r1")
 	cfg.Shards = 1
 	cfg.CommitInterval = time.Millisecond
@@ -26,7 +26,7 @@
 // against goroutines that outlive their work.
 func TestOwnersGrantOnce(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	owners := []*Owner{testOwner(store), testOwner(store)}
 	var granted atomic.Int32
 	var callers sync.WaitGroup
@@ -52,18 +52,18 @@
 }
 
 // blockedStore holds every call until its context ends.
-type blockedStore struct{ platform.Store }
+type blockedStore struct{ objectstore.Store }
 
-func (blockedStore) Get(ctx context.Context, _ string) (platform.Object, error) {
+func (blockedStore) Get(ctx context.Context, _ string) (objectstore.Object, error) {
 	<-ctx.Done()
-	return platform.Object{}, platform.ErrUnavailable
+	return objectstore.Object{}, objectstore.ErrUnavailable
 }
 
 // Guards against callers that wait beyond their deadline while the object API
 // does not answer.
 func TestHandleReturnsAtDeadline(t *testing.T) {
 	defer goleak.VerifyNone(t)
-	owner := testOwner(blockedStore{platform.NewMemory()})
+	owner := testOwner(blockedStore{objectstore.NewMemory()})
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
 	reply := owner.Handle(ctx, claimOf("k", "a"))
@@ -73,7 +73,7 @@
 
 // Guards against a key that is granted in the journal of another shard.
 func TestOwnerRefusesWrongShard(t *testing.T) {
-	owner := testOwner(platform.NewMemory())
+	owner := testOwner(objectstore.NewMemory())
 	defer owner.Close()
 	request := claimOf("k", "a")
 	request.Shard = 1
--- a/claims/reowned_test.go
+++ b/claims/reowned_test.go
@@ -7,12 +7,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // racingStore runs before once, ahead of the next write.
 type racingStore struct {
-	platform.Store
+	objectstore.Store
 	before func()
 }
 
@@ -27,7 +27,7 @@
 // Guards against a write that lost a race and is taken for committed, because a
 // shard that was freed and taken again repeats a batch id that the head lists.
 func TestShardTakenAgainDoesNotRepeatBatchIDs(t *testing.T) {
-	memory := platform.NewMemory()
+	memory := objectstore.NewMemory()
 	store := &racingStore{Store: memory}
 	first, second := testOwner(store), testOwner(memory)
 	defer first.Close()
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -10,7 +10,7 @@
 	"unicode/utf8"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 const (
@@ -75,8 +75,8 @@
 
 // Event is the result of the call in the last Action.
 type Event struct {
-	Object  platform.Object // of a get
-	Version uint64          // of a put
+	Object  objectstore.Object // of a get
+	Version uint64             // of a put
 	Err     error
 }
 
@@ -394,7 +394,7 @@
 	err := event.Err
 	// A head that was there before is never taken as absent, which would allow
 	// every claim again.
-	if errors.Is(err, platform.ErrNotFound) && s.version == 0 {
+	if errors.Is(err, objectstore.ErrNotFound) && s.version == 0 {
 		err = nil
 	} else if err == nil {
 		head, err = DecodeHead(event.Object.Value)
@@ -503,7 +503,7 @@
 		s.sealCount = len(s.head.Records)
 		s.sealNewest = newestTime(s.head.Records)
 		s.sealVersion = event.Version
-	case errors.Is(event.Err, platform.ErrUnavailable), errors.Is(event.Err, platform.ErrTooLarge):
+	case errors.Is(event.Err, objectstore.ErrUnavailable), errors.Is(event.Err, objectstore.ErrTooLarge):
 		s.fail(now)
 	default:
 		s.verifySeal = true
@@ -512,7 +512,7 @@
 
 func (s *Shard) stepVerifySeal(now time.Time, event Event) {
 	s.verifySeal = false
-	if errors.Is(event.Err, platform.ErrNotFound) {
+	if errors.Is(event.Err, objectstore.ErrNotFound) {
 		return // the write had no effect yet and is repeated with the same value
 	}
 	if event.Err != nil {
@@ -555,9 +555,9 @@
 	switch {
 	case event.Err == nil:
 		s.committed(now, event.Version)
-	case errors.Is(event.Err, platform.ErrConflict):
+	case errors.Is(event.Err, objectstore.ErrConflict):
 		s.known = false
-	case errors.Is(event.Err, platform.ErrUnavailable), errors.Is(event.Err, platform.ErrTooLarge):
+	case errors.Is(event.Err, objectstore.ErrUnavailable), errors.Is(event.Err, objectstore.ErrTooLarge):
 		s.requeueBatch()
 		s.fail(now)
 	default:
@@ -589,7 +589,7 @@
 }
 
 func (s *Shard) stepDelete(now time.Time, event Event) {
-	gone := event.Err == nil || errors.Is(event.Err, platform.ErrNotFound) || errors.Is(event.Err, platform.ErrConflict)
+	gone := event.Err == nil || errors.Is(event.Err, objectstore.ErrNotFound) || errors.Is(event.Err, objectstore.ErrConflict)
 	if !gone {
 		s.delay(now)
 		return
--- a/claims/shard_test.go
+++ b/claims/shard_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 func testConfig(owner string) Config {
@@ -44,13 +44,13 @@
 type simulation struct {
 	t        *rapid.T
 	now      time.Time
-	store    *platform.Memory
+	store    *objectstore.Memory
 	owners   []*simOwner
 	starts   int
 	ids      uint64
 	attempts []*attempt
 	delayed  []Action
-	history  map[string][]platform.Object
+	history  map[string][]objectstore.Object
 	previous api.ClaimHead
 	model    map[string]api.ClaimRecord // the plain map that the journal must equal
 	claimed  map[string]bool            // attempts that were ever recorded as claimed
@@ -78,7 +78,7 @@
 	if err != nil {
 		return 0, err
 	}
-	w.history[a.Key] = append(w.history[a.Key], platform.Object{Key: a.Key, Version: version, Value: a.Value})
+	w.history[a.Key] = append(w.history[a.Key], objectstore.Object{Key: a.Key, Version: version, Value: a.Value})
 	if a.Key == "claims/0/head" {
 		w.checkHead(a.Value)
 	}
@@ -142,17 +142,17 @@
 	fault := rapid.SampledFrom([]string{"", "", "", "", "lost", "delayed", "never", "unavailable"}).Draw(w.t, "fault")
 	switch {
 	case fault == "unavailable":
-		o.event = Event{Err: platform.ErrUnavailable}
+		o.event = Event{Err: objectstore.ErrUnavailable}
 	case o.action.Kind == ActionGet:
 		o.event = w.read(o.action)
 	case fault == "lost":
 		_, _ = w.apply(o.action)
-		o.event = Event{Err: platform.ErrAmbiguous}
+		o.event = Event{Err: objectstore.ErrAmbiguous}
 	case fault == "delayed":
 		w.delayed = append(w.delayed, o.action)
-		o.event = Event{Err: platform.ErrAmbiguous}
+		o.event = Event{Err: objectstore.ErrAmbiguous}
 	case fault == "never":
-		o.event = Event{Err: platform.ErrAmbiguous}
+		o.event = Event{Err: objectstore.ErrAmbiguous}
 	default:
 		version, err := w.apply(o.action)
 		o.event = Event{Version: version, Err: err}
@@ -288,9 +288,9 @@
 	var grants, outcomes, segments int
 	rapid.Check(t, func(t *rapid.T) {
 		w := &simulation{
-			t: t, now: time.Unix(1e9, 0), store: platform.NewMemory(),
+			t: t, now: time.Unix(1e9, 0), store: objectstore.NewMemory(),
 			owners:  make([]*simOwner, rapid.IntRange(2, 3).Draw(t, "owners")),
-			history: map[string][]platform.Object{}, model: map[string]api.ClaimRecord{},
+			history: map[string][]objectstore.Object{}, model: map[string]api.ClaimRecord{},
 			claimed: map[string]bool{}, runs: map[string]*attempt{},
 		}
 		for i := range w.owners {
@@ -320,7 +320,7 @@
 }
 
 // drive runs one shard against a store without faults until it is idle.
-func drive(s *Shard, store platform.Store, now time.Time) map[uint64]api.ClaimReply {
+func drive(s *Shard, store objectstore.Store, now time.Time) map[uint64]api.ClaimReply {
 	ctx := context.Background()
 	replies := map[uint64]api.ClaimReply{}
 	for {
@@ -357,7 +357,7 @@
 	ctx := context.Background()
 	for _, key := range []string{"claims/0/head", "claims/0/seg-0"} {
 		for _, value := range [][]byte{{}, {0xa0}, {0xf6}, []byte("x")} {
-			store := platform.NewMemory()
+			store := objectstore.NewMemory()
 			first := NewShard(testConfig("o1"))
 			first.sealBytes = 50
 			first.Claim(1, claimOf("k1", "a1"))
@@ -378,7 +378,7 @@
 
 // Guards against wrong answers to a repeated key.
 func TestAnswersToRepeatedKeys(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	now := time.Unix(1e9, 0)
 	s := NewShard(testConfig("o1"))
 	expect := func(request api.ClaimRequest, want api.ClaimResult) {
@@ -413,7 +413,7 @@
 // segments that outlive the retention.
 func TestSealingAndRetention(t *testing.T) {
 	ctx := context.Background()
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	now := time.Unix(1e9, 0)
 	s := NewShard(testConfig("o1"))
 	for i := range 400 {
@@ -487,7 +487,7 @@
 // the expected number exists but holds other records.
 func TestForeignSegmentIsPassedOver(t *testing.T) {
 	ctx := context.Background()
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	foreign, err := encode(api.ClaimSegment{Records: []api.ClaimRecord{{Key: "x", Attempt: "x", State: api.ClaimStateReleased}}})
 	assert.NilError(t, err)
 	_, err = store.Put(ctx, "claims/0/seg-0", foreign, 0)
@@ -508,7 +508,7 @@
 // key would be granted again by an owner that has seen it.
 func TestVanishedHeadGrantsNothing(t *testing.T) {
 	ctx := context.Background()
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	s := NewShard(testConfig("o1"))
 	s.Claim(1, claimOf("k1", "a1"))
 	drive(s, store, time.Unix(1e9, 0))
@@ -529,7 +529,7 @@
 // Guards against a head that grows without bound when segments do not expire,
 // and against granted calls whose outcome then finds no room.
 func TestFullJournalRefusesClaimsButKeepsOutcomes(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	now := time.Unix(1e9, 0)
 	s := NewShard(testConfig("o1"))
 	s.sealBytes = 1
@@ -548,7 +548,7 @@
 // Guards against a record read from a segment that is still used after another
 // owner has sealed a newer record of the key.
 func TestLookupIsNotUsedAfterNewHead(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	now := time.Unix(1e9, 0)
 	first, second := NewShard(testConfig("o1")), NewShard(testConfig("o2"))
 	first.sealBytes, second.sealBytes = 1, 1
--- a/claims/shardcount.go
+++ b/claims/shardcount.go
@@ -8,7 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // configKey is the object that holds the fleet's number of shards.
@@ -21,13 +21,13 @@
 // CheckShards compares a router's number of shards with the fleet's, and stores
 // it if there is none yet. Errors: ErrShardCount, ErrCorrupt and those of the
 // store.
-func CheckShards(ctx context.Context, store platform.Store, shards int) error {
+func CheckShards(ctx context.Context, store objectstore.Store, shards int) error {
 	value, err := cbor.Marshal(api.ClaimConfig{Shards: shards})
 	if err != nil {
 		return fmt.Errorf("claims: encode the number of shards: %w", err)
 	}
 	object, err := store.Get(ctx, configKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		// Another router may create it at the same time, and a lost answer leaves
 		// open whether this write did, so the object is read in every case.
 		if _, putErr := store.Put(ctx, configKey, value, 0); putErr != nil && !isRaced(putErr) {
@@ -49,5 +49,5 @@
 }
 
 func isRaced(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrAmbiguous)
+	return errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrAmbiguous)
 }
--- a/claims/shardcount_test.go
+++ b/claims/shardcount_test.go
@@ -6,13 +6,13 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // Guards against two routers that look for a key in different shards, so that
 // both grant it.
 func TestCheckShards(t *testing.T) {
-	ctx, store := context.Background(), platform.NewMemory()
+	ctx, store := context.Background(), objectstore.NewMemory()
 	assert.NilError(t, CheckShards(ctx, store, 64))
 	assert.NilError(t, CheckShards(ctx, store, 64))
 	assert.ErrorIs(t, CheckShards(ctx, store, 32), ErrShardCount)
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -17,8 +17,8 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/membership"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/peer"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
 )
 
 // RegistrationPrefix is where routers register in the object API.
@@ -28,7 +28,7 @@
 type Options struct {
 	Self      api.RouterRegistration // the incarnation is raised above the stored one
 	Seeds     []string
-	Store     platform.Store
+	Store     objectstore.Store
 	Transport peer.Options // RouterID, Address, PeerUp and PeerDown are set by New
 	Handler   peer.Handler // of all messages but gossip
 	Gossip    membership.Config
@@ -380,7 +380,7 @@
 func (c *Cluster) tryRegister(ctx context.Context) error {
 	key := RegistrationPrefix + c.opts.Self.ID
 	stored, err := c.opts.Store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return fmt.Errorf("read registration: %w", err)
 	}
 	self := c.opts.Self
@@ -451,7 +451,7 @@
 
 // removeAbandoned removes registrations that crashed routers left behind. Only
 // the owner of a registration's key does so, and only for the version seen.
-func (c *Cluster) removeAbandoned(ctx context.Context, objects []platform.Object) {
+func (c *Cluster) removeAbandoned(ctx context.Context, objects []objectstore.Object) {
 	now := time.Now()
 	live := map[string]bool{}
 	for _, m := range c.Members() {
--- a/cluster/cluster_test.go
+++ b/cluster/cluster_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/peer"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
 )
 
 // Guards against goroutines that outlive the cluster.
@@ -25,20 +25,20 @@
 
 // outage is a Store that can be unavailable.
 type outage struct {
-	platform.Store
+	objectstore.Store
 	down atomic.Bool
 }
 
-func (o *outage) Get(ctx context.Context, key string) (platform.Object, error) {
+func (o *outage) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if o.down.Load() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	return o.Store.Get(ctx, key)
 }
 
-func (o *outage) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+func (o *outage) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
 	if o.down.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, objectstore.ErrUnavailable
 	}
 	return o.Store.List(ctx, prefix)
 }
@@ -50,7 +50,7 @@
 	stop   func()
 }
 
-func startRouter(t *testing.T, i int, store platform.Store, seeds ...string) *router {
+func startRouter(t *testing.T, i int, store objectstore.Store, seeds ...string) *router {
 	t.Helper()
 	r := &router{id: fmt.Sprintf("router-%d", i), server: httptest.NewUnstartedServer(nil)}
 	cluster, err := New(Options{
@@ -108,7 +108,7 @@
 // Guards against routers that do not find each other through registrations,
 // disagree about owners, miss a revision or loads, or keep one that left.
 func TestRoutersFindEachOtherAndLeave(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	var routers []*router
 	for i := range 5 {
 		routers = append(routers, startRouter(t, i, store))
@@ -140,13 +140,13 @@
 	routers[4].stop()
 	eventually(t, "four owners", allKnow(routers[:4], 4))
 	_, err = store.Get(t.Context(), RegistrationPrefix+"router-4")
-	assert.Assert(t, errors.Is(err, platform.ErrNotFound))
+	assert.Assert(t, errors.Is(err, objectstore.ErrNotFound))
 }
 
 // Guards against routers that need the object API to find their seeds, and
 // against a router that registers late once it is available again.
 func TestSeedsWithoutStore(t *testing.T) {
-	store := &outage{Store: platform.NewMemory()}
+	store := &outage{Store: objectstore.NewMemory()}
 	store.down.Store(true)
 	first := startRouter(t, 0, store)
 	second := startRouter(t, 1, store, first.server.Listener.Addr().String())
@@ -161,7 +161,7 @@
 // Guards against an owner that stays after its connection failed, and against a
 // restarted router that is not taken back.
 func TestFailedConnectionMovesOwnership(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	routers := []*router{startRouter(t, 0, store), startRouter(t, 1, store)}
 	eventually(t, "two owners", allKnow(routers, 2))
 	routers[1].Transport().Close()
@@ -175,13 +175,13 @@
 // Guards against registrations of crashed routers that pile up, and against
 // the removal of those of live routers.
 func TestAbandonedRegistrationIsRemoved(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	_, err := store.Put(t.Context(), RegistrationPrefix+"gone", []byte{0xa0}, 0)
 	assert.NilError(t, err)
 	routers := []*router{startRouter(t, 0, store), startRouter(t, 1, store)}
 	eventually(t, "removed", func() bool {
 		_, err := store.Get(t.Context(), RegistrationPrefix+"gone")
-		return errors.Is(err, platform.ErrNotFound)
+		return errors.Is(err, objectstore.ErrNotFound)
 	})
 	for _, r := range routers {
 		_, err := store.Get(t.Context(), RegistrationPrefix+r.id)
@@ -194,7 +194,7 @@
 func TestRegistrationsAreListedRarelyWhilePeersAreHeard(t *testing.T) {
 	c, err := New(Options{
 		Self:  api.RouterRegistration{ID: "a", PeerAddress: "127.0.0.1:1", Zone: "z"},
-		Store: platform.NewMemory(), Transport: peer.Options{Secret: []byte("secret")},
+		Store: objectstore.NewMemory(), Transport: peer.Options{Secret: []byte("secret")},
 	})
 	assert.NilError(t, err)
 	defer c.Transport().Close()
--- a/cmd/hornbeamproxy/main.go
+++ b/cmd/hornbeamproxy/main.go
@@ -43,6 +43,7 @@
 		os.Exit(code)
 	})
 	addServeCommand(app)
+	addRouterCommand(app)
 	addDemoCommand(app)
 	addMeasureCommand(app)
 	addSettingsCommands(app)
--- a/cmd/hornbeamproxy/note_test.go
+++ b/cmd/hornbeamproxy/note_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/admin"
 	"github.com/hornbeamproxy/hornbeamproxy/notes"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 type fixedStatus struct{}
@@ -32,7 +32,7 @@
 // unknown note for an accepted one.
 func TestNoteCommands(t *testing.T) {
 	e := echo.New()
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	acceptor := notes.NewAcceptor(notes.AcceptorOptions{Store: store})
 	syncer := notes.NewSyncer(notes.SyncerOptions{Store: store})
 	admin.RegisterNotes(e.Group(""), acceptor, syncer, fixedStatus{})
--- /dev/null
+++ b/config/edge.go
@@ -0,0 +1,118 @@
+package config
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// EdgeSettings are the settings of a router that takes its configuration from
+// the platform.
+type EdgeSettings struct {
+	Router struct {
+		ID             string `toml:"id"`
+		Zone           string `toml:"zone"`
+		MemoryMB       int    `toml:"memory_mb"`       // the process is killed above it
+		MaxDescriptors int    `toml:"max_descriptors"` // open files and sockets
+	} `toml:"router"`
+	Listen struct {
+		Callers   string `toml:"callers"`
+		Readiness string `toml:"readiness"`
+		Metrics   string `toml:"metrics"`
+		Peers     string `toml:"peers"` // UDP
+	} `toml:"listen"`
+	Store struct {
+		Address string `toml:"address"`
+	} `toml:"store"`
+	Bounds struct {
+		DrainMS      float64 `toml:"drain_ms"`       // a leaving endpoint gets nothing new after it
+		GraceS       float64 `toml:"grace_s"`        // a process is killed so long after SIGTERM
+		RetryRatio   float64 `toml:"retry_ratio"`    // repeats per request, all routers together
+		RetryWindowS float64 `toml:"retry_window_s"` // the span over which repeats are counted
+		RetrySlack   float64 `toml:"retry_slack"`    // repeats allowed besides in each window
+		ColdFactor   float64 `toml:"cold_factor"`    // times the rate that a cold endpoint bears
+		ColdSlack    float64 `toml:"cold_slack"`     // requests a second besides
+		LoadFactor   float64 `toml:"load_factor"`    // most load of an endpoint, times the mean
+	} `toml:"bounds"`
+}
+
+// Values that hold when the platform does not name a bound.
+const (
+	defaultGraceS     = 8
+	defaultRetryRatio = 0.1
+	defaultColdFactor = 1
+	defaultLoadFactor = 2
+)
+
+// LoadEdge reads and checks the settings of a router on the platform. Problems
+// of the file's content come back as *Error.
+func LoadEdge(path string) (*EdgeSettings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	settings := &EdgeSettings{}
+	settings.Bounds.GraceS = defaultGraceS
+	settings.Bounds.RetryRatio = defaultRetryRatio
+	settings.Bounds.ColdFactor = defaultColdFactor
+	settings.Bounds.LoadFactor = defaultLoadFactor
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(settings); err != nil {
+		return nil, &Error{Problems: edgeProblems(path, err)}
+	}
+	if problems := settings.check(path); len(problems) > 0 {
+		return nil, &Error{Problems: problems}
+	}
+	return settings, nil
+}
+
+func edgeProblems(path string, err error) []Problem {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var problems []Problem
+		for _, missing := range strict.Errors {
+			line, _ := missing.Position()
+			problems = append(problems, Problem{File: path, Line: line, Key: fmt.Sprint(missing.Key()), Text: "unknown key"})
+		}
+		return problems
+	}
+	var failed *toml.DecodeError
+	if errors.As(err, &failed) {
+		line, _ := failed.Position()
+		return []Problem{{File: path, Line: line, Key: fmt.Sprint(failed.Key()), Text: failed.Error()}}
+	}
+	return []Problem{{File: path, Text: err.Error()}}
+}
+
+func (s *EdgeSettings) check(path string) []Problem {
+	var problems []Problem
+	required := []struct{ key, value string }{
+		{"router.id", s.Router.ID},
+		{"listen.callers", s.Listen.Callers},
+		{"listen.readiness", s.Listen.Readiness},
+		{"listen.peers", s.Listen.Peers},
+		{"store.address", s.Store.Address},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			problems = append(problems, Problem{File: path, Key: r.key, Text: "must be set"})
+		}
+	}
+	positive := []struct {
+		key   string
+		value float64
+	}{
+		{"bounds.grace_s", s.Bounds.GraceS},
+		{"bounds.cold_factor", s.Bounds.ColdFactor},
+		{"bounds.load_factor", s.Bounds.LoadFactor},
+	}
+	for _, p := range positive {
+		if p.value <= 0 {
+			problems = append(problems, Problem{File: path, Key: p.key, Text: "must be above 0"})
+		}
+	}
+	return problems
+}
--- a/docs/capacity_test.go
+++ b/docs/capacity_test.go
@@ -24,8 +24,8 @@
 	"github.com/hornbeamproxy/hornbeamproxy/engine"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/notes"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/peer"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -125,7 +125,7 @@
 	}
 	stand.SetInstances(instances)
 	platformBytes, url := serve(b, stand)
-	client := platform.NewClient(platform.DefaultClientConfig(url, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())
+	client := objectstore.NewClient(objectstore.DefaultClientConfig(url, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())
 	model := standin.NewEngine(standin.EngineConfig{ID: "engine-1", Models: []string{"chat-large"}})
 	b.Cleanup(model.Close)
 	engineBytes, engineURL := serve(b, model)
@@ -263,7 +263,7 @@
 
 // BenchmarkNoteHead reports the size of the notes' head with 32 usual notes.
 func BenchmarkNoteHead(b *testing.B) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	acceptor := notes.NewAcceptor(notes.AcceptorOptions{Store: store})
 	accept := func(note api.Note) {
 		_, err := acceptor.Accept(context.Background(), note)
@@ -297,7 +297,7 @@
 	assert.NilError(b, err, bin)
 	site := newSite(demoZones)
 	defer site.Close()
-	client := platform.NewClient(platform.DefaultClientConfig(site.PlatformServer.URL, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())
+	client := objectstore.NewClient(objectstore.DefaultClientConfig(site.PlatformServer.URL, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())
 	_, err = notes.NewAcceptor(notes.AcceptorOptions{Store: client}).Accept(context.Background(), targetNote())
 	assert.NilError(b, err)
 	addresses, err := standin.FreeAddresses(3)
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -23,7 +23,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/demo"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/notes"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/server"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
@@ -358,7 +358,7 @@
 	assert.NilError(t, err)
 	settings, err := config.Parse("router", []byte(settingsAt(addresses, site.PlatformServer.URL)))
 	assert.NilError(t, err)
-	_, err = notes.NewAcceptor(notes.AcceptorOptions{Store: platform.NewClient(platform.DefaultClientConfig(site.PlatformServer.URL, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())}).Accept(t.Context(), site.Note())
+	_, err = notes.NewAcceptor(notes.AcceptorOptions{Store: objectstore.NewClient(objectstore.DefaultClientConfig(site.PlatformServer.URL, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())}).Accept(t.Context(), site.Note())
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	started, done := make(chan struct{}), make(chan error, 1)
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,228 @@
+// Package edge runs a router on the platform as a process: its listeners, the
+// mirrors of the platform's store, the exchange with other routers, reload and
+// graceful shutdown.
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/config"
+	"github.com/hornbeamproxy/hornbeamproxy/digest"
+	"github.com/hornbeamproxy/hornbeamproxy/gateway"
+	"github.com/hornbeamproxy/hornbeamproxy/mirror"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+)
+
+const (
+	// readHeaderTimeout bounds the head of a caller's request; the platform's own
+	// limit is 3 s.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout is above the time for which callers reuse a connection, so
+	// that a request does not cross a close.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds the head of a caller's request; the platform's own
+	// limit is 16 KiB.
+	maxHeaderBytes = 64 << 10
+	// rotationDelay is how long the balancer may send new connections after
+	// readiness is off: it asks once a second and needs two refusals.
+	rotationDelay = 2500 * time.Millisecond
+	// exitMargin is the part of the grace period that is left for the exit.
+	exitMargin = 400 * time.Millisecond
+)
+
+// Options of one process.
+type Options struct {
+	Settings *config.EdgeSettings
+	Logger   *zap.Logger
+	// Reload delivers settings that replace the ones before.
+	Reload <-chan *config.EdgeSettings
+}
+
+// process is a router on the platform.
+type process struct {
+	options  Options
+	logger   *zap.Logger
+	metrics  *telemetry.Metrics
+	store    *platform.Store
+	gateway  *gateway.Gateway
+	exchange *digest.Exchange
+	fleet    *fleet
+	stopping atomic.Bool
+}
+
+// Run serves until ctx ends, and then shuts down gracefully.
+func Run(ctx context.Context, options Options) error {
+	p := &process{options: options, logger: options.Logger, metrics: telemetry.NewMetrics()}
+	if err := p.assemble(); err != nil {
+		return err
+	}
+	return p.run(ctx)
+}
+
+func (p *process) assemble() error {
+	s := p.options.Settings
+	p.store = platform.NewStore(s.Store.Address, p.metrics)
+	exchange, err := digest.Listen(digest.Config{
+		Router: s.Router.ID, Address: s.Listen.Peers, Logger: p.logger, Metrics: p.metrics,
+		Loads:   func() map[string]int { return p.gateway.Loads() },
+		Receive: func(router, endpoint string, requests int) { p.gateway.SetRemoteLoad(router, endpoint, requests) },
+	})
+	if err != nil {
+		return err
+	}
+	p.exchange = exchange
+	p.gateway = gateway.New(gateway.Config{
+		Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
+		Routers: exchange.Routers,
+	})
+	p.fleet = &fleet{
+		store: p.store, exchange: exchange, router: s.Router.ID, address: s.Listen.Peers, logger: p.logger,
+	}
+	return nil
+}
+
+func boundsOf(s *config.EdgeSettings) gateway.Bounds {
+	return gateway.Bounds{
+		RetryRatio: s.Bounds.RetryRatio, RetrySlack: s.Bounds.RetrySlack,
+		ColdFactor: s.Bounds.ColdFactor, ColdSlack: s.Bounds.ColdSlack, LoadFactor: s.Bounds.LoadFactor,
+	}
+}
+
+// run runs all parts of the process until the first of them ends.
+func (p *process) run(ctx context.Context) error {
+	loops, stopLoops := context.WithCancel(context.Background())
+	defer stopLoops()
+	var group run.Group
+	add := func(execute func(context.Context) error) {
+		group.Add(func() error { return execute(loops) }, func(error) { stopLoops() })
+	}
+	watch := func(kind string, receiver mirror.Receiver) {
+		add(func(ctx context.Context) error { return mirror.Run(ctx, p.store, kind, receiver, p.logger) })
+	}
+	watch(platform.KindConfig, platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger})
+	watch(platform.KindEndpoints, platform.EndpointReceiver{Gateway: p.gateway, Logger: p.logger})
+	watch(platform.KindEvacuations, platform.EvacuationReceiver{Gateway: p.gateway})
+	add(p.gateway.Run)
+	add(p.fleet.run)
+	add(p.exchange.Send)
+	add(p.reload)
+	group.Add(p.exchange.Receive, func(error) { p.exchange.Close() })
+	if err := p.listen(ctx, &group); err != nil {
+		return err
+	}
+	p.logger.Info("router started", zap.String("router", p.options.Settings.Router.ID), zap.String("zone", p.options.Settings.Router.Zone))
+	return group.Run()
+}
+
+func (p *process) reload(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case settings := <-p.options.Reload:
+			p.gateway.SetBounds(boundsOf(settings))
+			p.store.SetAddress(settings.Store.Address)
+			p.logger.Info("settings reloaded")
+		}
+	}
+}
+
+// listen opens the listeners. The callers' server ends with the shutdown.
+func (p *process) listen(ctx context.Context, group *run.Group) error {
+	s := p.options.Settings
+	operators := echo.New()
+	operators.GET("/v1/ready", p.ready)
+	operators.GET("/metrics", p.exportMetrics)
+	for _, address := range []string{s.Listen.Readiness, s.Listen.Metrics} {
+		if address == "" {
+			continue
+		}
+		server := &http.Server{Handler: operators, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+		if err := serve(group, server, address); err != nil {
+			return err
+		}
+	}
+	callers := &http.Server{
+		Handler: p.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(p.logger),
+	}
+	listener, err := net.Listen("tcp", s.Listen.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- callers.Serve(listener) }()
+	cancel := make(chan struct{})
+	group.Add(func() error {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("serve callers: %w", err)
+		case <-ctx.Done():
+			p.shutDown(callers)
+		case <-cancel:
+			callers.Close()
+		}
+		return nil
+	}, func(error) { close(cancel) })
+	return nil
+}
+
+func serve(group *run.Group, server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	group.Add(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve %s: %w", address, err)
+		}
+		return nil
+	}, func(error) { server.Close() })
+	return nil
+}
+
+// ready answers the balancer.
+func (p *process) ready(c echo.Context) error {
+	if p.stopping.Load() || !p.gateway.Ready() {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+// exportMetrics writes one line for each metric.
+func (p *process) exportMetrics(c echo.Context) error {
+	c.Response().Header().Set("Content-Type", "text/plain; charset=utf-8")
+	c.Response().WriteHeader(http.StatusOK)
+	metrics.WriteOnce(p.metrics.Registry, c.Response())
+	return nil
+}
+
+// shutDown takes the router out of rotation, serves what still arrives, and
+// finishes the requests in progress.
+func (p *process) shutDown(callers *http.Server) {
+	p.logger.Info("shutting down")
+	started := time.Now()
+	p.stopping.Store(true)
+	p.gateway.Drain()
+	time.Sleep(rotationDelay)
+	grace := time.Duration(p.options.Settings.Bounds.GraceS*float64(time.Second)) - exitMargin
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		p.logger.Warn("requests cut at the end of the grace period", zap.Error(err))
+		callers.Close()
+	}
+	p.logger.Info("stopped", zap.Duration("after", time.Since(started)))
+}
--- /dev/null
+++ b/edge/fleet.go
@@ -0,0 +1,124 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/digest"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
+)
+
+const (
+	// firstListInterval is the time between lists of the routers until another
+	// one is found, and listInterval after that.
+	firstListInterval = time.Second
+	listInterval      = 5 * time.Second
+	// deadAfter is the silence after which a router's registration is removed.
+	deadAfter = 60 * time.Second
+)
+
+// fleet registers the router in the store and finds the others there.
+type fleet struct {
+	store      *platform.Store
+	exchange   *digest.Exchange
+	router     string
+	address    string
+	logger     *zap.Logger
+	registered bool
+	// silent is the time since when a registered router has not been heard.
+	silent map[string]time.Time
+}
+
+func (f *fleet) run(ctx context.Context) error {
+	f.silent = map[string]time.Time{}
+	pause := time.Duration(0)
+	for {
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+		if !f.registered {
+			f.registered = f.register(ctx)
+		}
+		pause = firstListInterval
+		if f.list(ctx) && f.registered {
+			pause = listInterval
+		}
+	}
+}
+
+// register enters this router, in place of an earlier process of the same name.
+func (f *fleet) register(ctx context.Context) bool {
+	value, err := platform.EncodeRouter(f.address)
+	if err != nil {
+		f.logger.Error("registration", zap.Error(err))
+		return false
+	}
+	err = f.store.Create(ctx, platform.KindRouters, f.router, value)
+	if errors.Is(err, objectstore.ErrConflict) {
+		err = f.store.Replace(ctx, platform.KindRouters, f.router, value)
+	}
+	if err != nil {
+		f.logger.Warn("router not registered", zap.Error(err))
+		return false
+	}
+	return true
+}
+
+// list finds the other routers. It reports whether there are any.
+func (f *fleet) list(ctx context.Context) bool {
+	objects, _, err := f.store.List(ctx, platform.KindRouters, true)
+	if err != nil {
+		f.logger.Warn("routers not listed", zap.Error(err))
+		return false
+	}
+	addresses := make(map[string]string, len(objects))
+	for _, object := range objects {
+		address, err := platform.DecodeRouter(object.Value)
+		if err != nil {
+			f.logger.Warn("registration passed over", zap.String("router", object.Key), zap.Error(err))
+			continue
+		}
+		addresses[object.Key] = address
+	}
+	f.exchange.SetPeers(addresses)
+	f.removeDead(ctx, addresses)
+	return len(addresses) > 1
+}
+
+// removeDead removes the registrations of routers that have been silent for
+// long. The living router with the lowest id does it for all.
+func (f *fleet) removeDead(ctx context.Context, addresses map[string]string) {
+	now := time.Now()
+	alive := f.exchange.Alive(now)
+	for id := range alive {
+		if id < f.router {
+			return
+		}
+	}
+	for id := range addresses {
+		if alive[id] {
+			delete(f.silent, id)
+			continue
+		}
+		if _, ok := f.silent[id]; !ok {
+			f.silent[id] = now
+		}
+		if now.Sub(f.silent[id]) < deadAfter {
+			continue
+		}
+		if err := f.store.Remove(ctx, platform.KindRouters, id); err != nil {
+			f.logger.Warn("registration not removed", zap.String("router", id), zap.Error(err))
+			continue
+		}
+		delete(f.silent, id)
+		f.logger.Info("registration of a dead router removed", zap.String("router", id))
+	}
+}
--- a/fleet/apply.go
+++ b/fleet/apply.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // State is the desired state of the fleet at one revision. All lists are sorted
@@ -33,8 +33,8 @@
 	if err != nil {
 		return s, Problems{{Text: err.Error()}}
 	}
-	if len(data) > platform.MaxValueBytes {
-		problems.add("", "the fleet state would take %d bytes, the object API holds at most %d", len(data), platform.MaxValueBytes)
+	if len(data) > objectstore.MaxValueBytes {
+		problems.add("", "the fleet state would take %d bytes, the object API holds at most %d", len(data), objectstore.MaxValueBytes)
 	}
 	return next, problems.asError()
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 const (
@@ -199,7 +199,7 @@
 	s := mustApply(t, State{}, sizedNote(targetEndpoints, targetWorkspaces))
 	data, _, err := Encode(s)
 	assert.NilError(t, err)
-	assert.Assert(t, len(data) <= platform.MaxValueBytes)
+	assert.Assert(t, len(data) <= objectstore.MaxValueBytes)
 	t.Logf("encoded state: %d bytes", len(data))
 	_, err = Apply(State{}, sizedNote(targetEndpoints, 4*targetWorkspaces))
 	assert.ErrorContains(t, err, "the object API holds at most")
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/upstream"
+)
+
+// errCallerGone says that a try ended because the caller left.
+var errCallerGone = errors.New("gateway: caller has left")
+
+// maxSkipped bounds the answers to other requests that are read past on a
+// connection.
+const maxSkipped = 2
+
+// deadlineMargin is how long after the endpoint's own deadline its last word is
+// waited for.
+const deadlineMargin = 60 * time.Millisecond
+
+// attempt sends the request to one endpoint and passes the answer on.
+func (x *exchange) attempt() result {
+	state, refused := x.pick()
+	if state == nil {
+		return refused
+	}
+	x.tried = append(x.tried, state.Endpoint)
+	pool := x.g.pool(state)
+	conn, err := x.connect(pool)
+	if err != nil {
+		x.release(state, x.blame(err))
+		return result{refusal: api.RefusalEndpointDown, retry: api.RetryReasonConnectFailed, notSent: true, retryAfter: 300 * time.Millisecond}
+	}
+	return x.exchangeOn(conn, pool, state)
+}
+
+// pool returns the connections of an endpoint.
+func (g *Gateway) pool(state *balance.State) *upstream.Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	pool, ok := g.pools[state.Endpoint]
+	if !ok {
+		pool = upstream.NewPool(state.Endpoint.Address, dialTimeout)
+		g.pools[state.Endpoint] = pool
+	}
+	return pool
+}
+
+func (x *exchange) connect(pool *upstream.Pool) (*upstream.Conn, error) {
+	if conn := pool.Idle(time.Now()); conn != nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	x.g.metrics.Counter("upstream.dials").Inc(1)
+	return pool.Dial(ctx)
+}
+
+// blame returns the error unless the caller is its cause.
+func (x *exchange) blame(err error) error {
+	if x.r.Context().Err() != nil {
+		return errCallerGone
+	}
+	return err
+}
+
+// exchangeOn sends the request on a connection and handles the answer.
+func (x *exchange) exchangeOn(conn *upstream.Conn, pool *upstream.Pool, state *balance.State) result {
+	stop := context.AfterFunc(x.r.Context(), func() { conn.Close() })
+	defer stop()
+	conn.SetDeadline(x.deadline.Add(deadlineMargin))
+	left := time.Until(x.deadline)
+	send := Send{
+		EndpointID: state.Endpoint.ID, Left: left, ResumeAfter: x.stream.lastID,
+		Priority: priority(x.route, x.workspace),
+	}
+	if x.workspace != nil {
+		send.Workspace = x.workspace.Name
+	}
+	buffer := getBuffer()
+	defer putBuffer(buffer)
+	buffer.b = x.g.config.Codec.AppendRequest(buffer.b[:0], x.request, send)
+	if err := conn.Send(buffer.b); err != nil {
+		if errors.Is(err, upstream.ErrNotSent) {
+			conn.Close()
+			x.release(state, x.blame(err))
+			return result{refusal: api.RefusalEndpointDown, retry: api.RetryReasonConnectFailed, notSent: true, retryAfter: 300 * time.Millisecond}
+		}
+		x.sends++
+		return x.broken(conn, state, err)
+	}
+	x.sends++
+	response, answer, err := x.receive(conn)
+	if err != nil {
+		return x.broken(conn, state, err)
+	}
+	return x.handle(conn, pool, state, response, answer)
+}
+
+// receive reads the head of the answer to this request, past answers to others.
+func (x *exchange) receive(conn *upstream.Conn) (*http.Response, Answer, error) {
+	for skipped := 0; ; skipped++ {
+		response, err := conn.Receive(x.r)
+		if err != nil {
+			return nil, Answer{}, err
+		}
+		answer := x.g.config.Codec.Answer(response)
+		if answer.ID == x.request.ID || answer.ID == "" || skipped == maxSkipped {
+			return response, answer, nil
+		}
+		x.g.metrics.Counter("upstream.skipped_answers").Inc(1)
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered)); err != nil {
+			return nil, Answer{}, err
+		}
+	}
+}
+
+// broken handles a connection that failed after the request may have left.
+func (x *exchange) broken(conn *upstream.Conn, state *balance.State, err error) result {
+	conn.Close()
+	x.mayHaveRun = true
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.release(state, nil)
+		return result{refusal: api.RefusalDeadlineExceeded}
+	}
+	x.release(state, x.blame(err))
+	return result{refusal: api.RefusalUpstreamFailed, retry: api.RetryReasonResponseCut}
+}
+
+// handle passes an answer on, or says why it is none.
+func (x *exchange) handle(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response, answer Answer) result {
+	if answer.ID != "" && answer.ID != x.request.ID {
+		conn.Close()
+		x.mayHaveRun = true
+		x.release(state, nil)
+		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
+	}
+	if answer.NotRun || answer.Misdirected {
+		return x.notRun(conn, pool, state, response, answer)
+	}
+	x.mayHaveRun = true
+	success := response.StatusCode >= 200 && response.StatusCode < 300
+	if !answer.Signed || success && answer.Encoded {
+		conn.Close()
+		x.release(state, nil)
+		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
+	}
+	if success && x.route.Kind == routeStream {
+		return x.pass(conn, pool, state, response)
+	}
+	return x.passWhole(conn, pool, state, response)
+}
+
+// notRun handles an endpoint's word that it did not run the request.
+func (x *exchange) notRun(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response, answer Answer) result {
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered))
+	if err == nil {
+		pool.Keep(conn, response, time.Now())
+	} else {
+		conn.Close()
+	}
+	x.release(state, nil)
+	if answer.Misdirected {
+		return result{refusal: api.RefusalEndpointWithdrawn, retry: api.RetryReasonRefusedByEndpoint, retryAfter: 100 * time.Millisecond}
+	}
+	return result{refusal: api.RefusalEndpointFull, retry: api.RetryReasonRefusedByEndpoint, retryAfter: 200 * time.Millisecond}
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,256 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/roster"
+	"github.com/hornbeamproxy/hornbeamproxy/routing"
+)
+
+// defaultMaxBody bounds a body when the configuration does not say.
+const defaultMaxBody = 4 << 20
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+
+	table     *routing.Table
+	request   *Request
+	route     *routing.Route
+	workspace *routing.Workspace
+	service   string
+	deadline  time.Time
+
+	// tried are the endpoints that the request was sent to or could not reach.
+	tried []*roster.Endpoint
+	// sends is the number of endpoints that the request was sent to.
+	sends int
+	// mayHaveRun says that an endpoint may have begun to work on the request.
+	mayHaveRun bool
+	// stream is what the caller has of a stream so far.
+	stream streamState
+	// failure is the newest failure that an endpoint answered with.
+	failure *bufferedAnswer
+}
+
+func newExchange(g *Gateway, w http.ResponseWriter, r *http.Request, arrived time.Time) *exchange {
+	return &exchange{g: g, w: w, r: r, arrived: arrived}
+}
+
+// serve answers the request. Each path ends with exactly one final answer, or
+// with a connection that is cut in the middle of an answer.
+func (x *exchange) serve() {
+	if !x.admit() {
+		return
+	}
+	x.g.mu.Lock()
+	x.g.budget.FirstTry(x.arrived, x.service)
+	x.g.mu.Unlock()
+	for {
+		result := x.attempt()
+		if result.done {
+			return
+		}
+		if x.r.Context().Err() != nil {
+			x.abandon()
+			return
+		}
+		if !x.again(result) {
+			x.end(result)
+			return
+		}
+	}
+}
+
+// admit finds out what the request is and whether the configuration allows it.
+func (x *exchange) admit() bool {
+	x.table = x.g.table.Load()
+	if x.table == nil {
+		x.refuse(http.StatusServiceUnavailable, api.RefusalNotReady, time.Second)
+		return false
+	}
+	request, err := x.g.config.Codec.Parse(x.r)
+	if err != nil {
+		x.refuse(http.StatusBadRequest, api.RefusalBadRequest, 0)
+		return false
+	}
+	x.request = request
+	if x.route, err = x.table.Match(request.Host, request.Path); err != nil {
+		x.refuse(http.StatusNotFound, api.RefusalUnknownService, 0)
+		return false
+	}
+	if x.workspace, err = x.table.Workspace(x.route, request.Key); err != nil {
+		x.refuse(http.StatusUnauthorized, api.RefusalUnauthorized, 0)
+		return false
+	}
+	if !x.readBody() {
+		return false
+	}
+	x.service = x.route.Service(xxhash.Sum64String(request.ID))
+	wait := x.route.Timeout
+	if request.Deadline > 0 && (wait <= 0 || request.Deadline < wait) {
+		wait = request.Deadline
+	}
+	x.deadline = x.arrived.Add(wait)
+	return true
+}
+
+func (x *exchange) readBody() bool {
+	limit := x.table.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if x.r.ContentLength > limit {
+		x.refuse(http.StatusRequestEntityTooLarge, api.RefusalBodyTooLarge, 0)
+		return false
+	}
+	if x.r.ContentLength == 0 {
+		return true
+	}
+	var body []byte
+	var err error
+	if x.r.ContentLength > 0 {
+		body = make([]byte, x.r.ContentLength)
+		_, err = io.ReadFull(x.r.Body, body)
+	} else {
+		body, err = io.ReadAll(io.LimitReader(x.r.Body, limit+1))
+	}
+	switch {
+	case err != nil:
+		x.refuse(http.StatusBadRequest, api.RefusalBadRequest, 0)
+		return false
+	case int64(len(body)) > limit:
+		x.refuse(http.StatusRequestEntityTooLarge, api.RefusalBodyTooLarge, 0)
+		return false
+	}
+	x.request.Body = body
+	return true
+}
+
+// result is the outcome of one try.
+type result struct {
+	// done says that the caller has a final answer.
+	done bool
+	// refusal and retry name the reason in the counters.
+	refusal api.Refusal
+	retry   api.RetryReason
+	// notSent says that the try cost no endpoint anything.
+	notSent bool
+	// retryAfter is when a request that has not run may come back.
+	retryAfter time.Duration
+}
+
+// again decides whether the request is sent once more.
+func (x *exchange) again(r result) bool {
+	if r.retry == "" || !time.Now().Before(x.deadline) {
+		return false
+	}
+	if x.mayHaveRun && !x.route.Repeatable() {
+		return false
+	}
+	if x.stream.started && !x.stream.resumable() {
+		return false
+	}
+	if x.sends >= x.route.MaxEndpoints {
+		return false
+	}
+	if !r.notSent {
+		x.g.mu.Lock()
+		allowed := x.g.budget.Take(time.Now(), x.service)
+		x.g.mu.Unlock()
+		if !allowed {
+			x.g.metrics.Refused(api.RefusalRetryBudget)
+			return false
+		}
+	}
+	x.g.metrics.Retried(r.retry)
+	x.log("retry", string(r.retry))
+	return true
+}
+
+// end gives the final answer of a request that has no complete one.
+func (x *exchange) end(r result) {
+	if x.stream.started {
+		x.g.metrics.Refused(api.RefusalUpstreamIncomplete)
+		x.log("cut", string(api.RefusalUpstreamIncomplete))
+		panic(http.ErrAbortHandler)
+	}
+	if x.failure != nil {
+		x.failure.write(x.w)
+		return
+	}
+	if !x.mayHaveRun {
+		x.refuse(http.StatusServiceUnavailable, r.refusal, r.retryAfter)
+		return
+	}
+	if r.refusal == api.RefusalDeadlineExceeded {
+		x.refuse(http.StatusGatewayTimeout, r.refusal, 0)
+		return
+	}
+	x.refuse(http.StatusBadGateway, r.refusal, 0)
+}
+
+// abandon ends a request whose caller has left.
+func (x *exchange) abandon() {
+	x.g.metrics.Counter("requests.abandoned").Inc(1)
+	panic(http.ErrAbortHandler)
+}
+
+// pick chooses an endpoint and counts the request there.
+func (x *exchange) pick() (*balance.State, result) {
+	now := time.Now()
+	service := x.table.Services[x.service]
+	ask := balance.Ask{Tried: x.tried, ColdShare: x.g.coldShare(service)}
+	if x.route.CachesPrompts {
+		ask.Key = x.request.SharedKey()
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	ask.Members = x.g.roster.Members(x.service)
+	ask.Usable = x.g.roster.Usable
+	state, refusal := x.g.balancer.Pick(now, ask)
+	if state != nil {
+		state.Started(now)
+		return state, result{}
+	}
+	switch refusal {
+	case balance.AllCold:
+		return nil, result{refusal: api.RefusalEndpointCold, retryAfter: 300 * time.Millisecond, notSent: true}
+	case balance.AllEjected:
+		return nil, result{refusal: api.RefusalEndpointDown, retryAfter: 500 * time.Millisecond, notSent: true}
+	case balance.AllTried:
+		return nil, result{refusal: api.RefusalUpstreamFailed, retryAfter: 300 * time.Millisecond, notSent: true}
+	case balance.AllFull:
+		return nil, result{refusal: api.RefusalEndpointFull, retryAfter: 300 * time.Millisecond, notSent: true}
+	}
+	return nil, result{refusal: api.RefusalNoEndpoint, retryAfter: time.Second, notSent: true}
+}
+
+// release takes the request off the endpoint's count.
+func (x *exchange) release(state *balance.State, broken error) {
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	state.Ended()
+	if broken == nil {
+		state.Succeeded()
+		return
+	}
+	if errors.Is(broken, errCallerGone) {
+		return
+	}
+	if state.Failed(time.Now()) {
+		x.g.roster.MarkCold(time.Now(), state.Endpoint)
+		x.g.logger.Warn("endpoint ejected", zap.String("endpoint", state.Endpoint.ID), zap.String("request", x.request.ID), zap.Error(broken))
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,181 @@
+// Package gateway takes callers' requests to endpoints: it finds the route and
+// the workspace, chooses an endpoint, sends the request, repeats what may be
+// repeated, and passes the answer on.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/quota"
+	"github.com/hornbeamproxy/hornbeamproxy/retry"
+	"github.com/hornbeamproxy/hornbeamproxy/roster"
+	"github.com/hornbeamproxy/hornbeamproxy/routing"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+	"github.com/hornbeamproxy/hornbeamproxy/upstream"
+)
+
+const (
+	// dialTimeout bounds a new connection: round trips are a few milliseconds,
+	// and a lost opening packet is sent again only after a second.
+	dialTimeout = 400 * time.Millisecond
+	// lapseHold is how long an endpoint whose entry lapsed in an outage of the
+	// store may take to register again.
+	lapseHold = 2 * time.Second
+	// pruneInterval is the time between looks for idle connections to close and
+	// endpoints to give up.
+	pruneInterval = 500 * time.Millisecond
+	// limitMargin is the part of a limit over all routers that the routers'
+	// shares add up to. The rest covers views of the fleet that differ.
+	limitMargin = 0.85
+)
+
+// Bounds are the limits that the platform sets for all routers together.
+type Bounds struct {
+	// RetryRatio is the number of repeats per request to a service.
+	RetryRatio float64
+	// RetrySlack is the number of repeats that are allowed besides.
+	RetrySlack float64
+	// ColdFactor and ColdSlack bound the requests a second to a cold endpoint:
+	// ColdFactor x what the service names + ColdSlack.
+	ColdFactor, ColdSlack float64
+	// LoadFactor bounds the requests of an endpoint to a multiple of the mean.
+	LoadFactor float64
+}
+
+// Config holds what a Gateway needs.
+type Config struct {
+	Zone    string
+	Bounds  Bounds
+	Codec   Codec
+	Logger  *zap.Logger
+	Metrics *telemetry.Metrics
+	// Routers returns the number of routers that share the limits.
+	Routers func() int
+}
+
+// Gateway serves callers' requests. It is an http.Handler.
+type Gateway struct {
+	config  Config
+	logger  *zap.Logger
+	metrics *telemetry.Metrics
+	table   atomic.Pointer[routing.Table]
+	// draining says that connections are to be closed after their answer.
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	roster   *roster.Roster
+	balancer *balance.Balancer
+	budget   *retry.Budget
+	pools    map[*roster.Endpoint]*upstream.Pool
+}
+
+// New returns a gateway that knows no configuration and no endpoint.
+func New(config Config) *Gateway {
+	g := &Gateway{
+		config: config, logger: config.Logger, metrics: config.Metrics,
+		balancer: balance.New(config.Zone),
+		pools:    map[*roster.Endpoint]*upstream.Pool{},
+	}
+	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapseHold: lapseHold})
+	g.budget = retry.NewBudget(retry.BudgetConfig{
+		Fraction: config.Bounds.RetryRatio * limitMargin,
+		Capacity: config.Bounds.RetrySlack * limitMargin / float64(max(1, config.Routers())),
+	})
+	return g
+}
+
+func (g *Gateway) coldFor(service string) time.Duration {
+	if table := g.table.Load(); table != nil {
+		if s := table.Services[service]; s != nil {
+			return s.ColdFor
+		}
+	}
+	return 0
+}
+
+// Run closes idle connections and gives up endpoints until ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	ticker := time.NewTicker(pruneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			g.prune(now)
+		}
+	}
+}
+
+func (g *Gateway) prune(now time.Time) {
+	g.mu.Lock()
+	g.budget.SetCapacity(g.config.Bounds.RetrySlack * limitMargin / float64(max(1, g.config.Routers())))
+	for _, endpoint := range g.roster.Expire(now) {
+		g.logger.Info("endpoint given up after the store's outage", zap.String("endpoint", endpoint.ID))
+		g.drop(endpoint)
+	}
+	pools := make([]*upstream.Pool, 0, len(g.pools))
+	for _, pool := range g.pools {
+		pools = append(pools, pool)
+	}
+	g.mu.Unlock()
+	for _, pool := range pools {
+		pool.Prune(now)
+	}
+}
+
+// drop forgets an endpoint that gets nothing more. Callers hold g.mu.
+func (g *Gateway) drop(endpoint *roster.Endpoint) {
+	g.balancer.Forget(endpoint)
+	if pool, ok := g.pools[endpoint]; ok {
+		pool.Close()
+		delete(g.pools, endpoint)
+	}
+}
+
+// SetBounds replaces the limits over all routers.
+func (g *Gateway) SetBounds(bounds Bounds) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.config.Bounds = bounds
+}
+
+// Ready reports whether the gateway has a configuration and the endpoints.
+func (g *Gateway) Ready() bool {
+	if g.table.Load() == nil {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.roster.Complete()
+}
+
+// Drain makes all further answers close their connections.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// coldShare returns this router's part of a cold endpoint's rate.
+func (g *Gateway) coldShare(service *routing.Service) int {
+	if service == nil || service.ColdRate <= 0 {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	limit := service.ColdRate*g.config.Bounds.ColdFactor + g.config.Bounds.ColdSlack
+	return quota.Share(limit*limitMargin, g.config.Routers())
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	newExchange(g, w, r, arrived).serve()
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -1,6 +1,6 @@
 // Package lease keeps a lease in one object of the object API. An Elector is the
 // state machine of one router that wants the lease; it does no I/O and reads no
-// clock. A Manager runs electors against a platform.Store.
+// clock. A Manager runs electors against a objectstore.Store.
 //
 // All times are on the router's own monotonic clock. Two routers never hold a
 // valid lease at once as long as their clocks differ in rate by less than the
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -12,7 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // ControlKey is the object of the lease on orders to endpoints.
@@ -37,7 +37,7 @@
 
 // Manager holds the leases that one router wants. It is safe for concurrent use.
 type Manager struct {
-	store    platform.Store
+	store    objectstore.Store
 	config   Config
 	onChange func(key string, l Lease)
 	onError  func(key string, err error)
@@ -55,7 +55,7 @@
 // change of a lease, and always before the write that releases it, so that a
 // holder stops using it first. onError is called after each failed call. Both
 // are called from the manager's goroutines, may be nil and must not call Close.
-func NewManager(store platform.Store, config Config, onChange func(string, Lease), onError func(string, error)) *Manager {
+func NewManager(store objectstore.Store, config Config, onChange func(string, Lease), onError func(string, error)) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
 	if onChange == nil {
 		onChange = func(string, Lease) {}
@@ -215,7 +215,7 @@
 	object, err := l.manager.store.Get(ctx, l.key)
 	var record api.LeaseRecord
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		object.Version, err = 0, nil
 	case err == nil:
 		err = cbor.Unmarshal(object.Value, &record)
@@ -240,7 +240,7 @@
 	if err == nil {
 		version, err = l.manager.store.Put(ctx, l.key, value, action.IfVersion)
 	}
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, objectstore.ErrConflict) {
 		l.manager.onError(l.key, fmt.Errorf("lease: write %s: %w", l.key, err))
 	}
 	l.mu.Lock()
@@ -254,9 +254,9 @@
 	switch {
 	case err == nil:
 		return Written
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return Conflict
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		return NoEffect
 	}
 	return Unknown
--- a/lease/manager_test.go
+++ b/lease/manager_test.go
@@ -9,25 +9,25 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // outageStore fails all calls while down is set.
 type outageStore struct {
-	platform.Store
+	objectstore.Store
 	down atomic.Bool
 }
 
-func (s *outageStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *outageStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if s.down.Load() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
 
 func (s *outageStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 	if s.down.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	}
 	return s.Store.Put(ctx, key, value, ifVersion)
 }
@@ -48,7 +48,7 @@
 func TestManager(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	key := ColdKey("e")
-	store := &outageStore{Store: platform.NewMemory()}
+	store := &outageStore{Store: objectstore.NewMemory()}
 	config := Config{Lifetime: 300 * time.Millisecond, Margin: 50 * time.Millisecond, GrantDelay: time.Millisecond}
 	manager := func(router string) *Manager {
 		config.Router = router
--- a/notes/acceptor.go
+++ b/notes/acceptor.go
@@ -9,7 +9,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -23,7 +23,7 @@
 
 // AcceptorOptions configures an Acceptor.
 type AcceptorOptions struct {
-	Store   platform.Store
+	Store   objectstore.Store
 	Metrics *telemetry.Metrics
 	// Now returns the wall clock; nil means time.Now.
 	Now func() time.Time
@@ -37,7 +37,7 @@
 // Acceptor checks and accepts release notes. It holds no state between calls and
 // is safe for concurrent use.
 type Acceptor struct {
-	store   platform.Store
+	store   objectstore.Store
 	metrics *telemetry.Metrics
 	now     func() time.Time
 	sleep   func(ctx context.Context, d time.Duration) error
@@ -177,19 +177,19 @@
 }
 
 // readHead returns version 0 and an empty head when no note was accepted yet.
-func readHead(ctx context.Context, store platform.Store) (platform.Object, api.NoteHead, error) {
+func readHead(ctx context.Context, store objectstore.Store) (objectstore.Object, api.NoteHead, error) {
 	object, err := store.Get(ctx, HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Object{}, api.NoteHead{}, nil
+	if errors.Is(err, objectstore.ErrNotFound) {
+		return objectstore.Object{}, api.NoteHead{}, nil
 	}
 	if err != nil {
-		return platform.Object{}, api.NoteHead{}, err
+		return objectstore.Object{}, api.NoteHead{}, err
 	}
 	head, err := decodeHead(object.Value)
 	return object, head, err
 }
 
-func readState(ctx context.Context, store platform.Store, head api.NoteHead) (fleet.State, error) {
+func readState(ctx context.Context, store objectstore.Store, head api.NoteHead) (fleet.State, error) {
 	if head.Revision == 0 {
 		return fleet.State{}, nil
 	}
@@ -206,7 +206,7 @@
 func (a *Acceptor) writeState(ctx context.Context, c commit) error {
 	err := a.retry(ctx, func() error {
 		_, err := a.store.Put(ctx, c.stateKey, c.stateData, 0)
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrAmbiguous) {
+		if !errors.Is(err, objectstore.ErrConflict) && !errors.Is(err, objectstore.ErrAmbiguous) {
 			return err
 		}
 		object, err := a.store.Get(ctx, c.stateKey)
@@ -231,9 +231,9 @@
 	err := a.retry(ctx, func() error {
 		_, err := a.store.Put(ctx, HeadKey, c.headData, from.version)
 		switch {
-		case err == nil, errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrTooLarge):
+		case err == nil, errors.Is(err, objectstore.ErrUnavailable), errors.Is(err, objectstore.ErrTooLarge):
 			return err
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, objectstore.ErrConflict):
 			a.metrics.Counter("notes.accept_conflicts").Inc(1)
 		default:
 			a.metrics.Counter("notes.accept_ambiguous").Inc(1)
@@ -301,7 +301,7 @@
 
 func transient(err error) bool {
 	for _, passing := range []error{
-		platform.ErrUnavailable, platform.ErrAmbiguous, platform.ErrNotFound, platform.ErrConflict,
+		objectstore.ErrUnavailable, objectstore.ErrAmbiguous, objectstore.ErrNotFound, objectstore.ErrConflict,
 	} {
 		if errors.Is(err, passing) {
 			return true
@@ -341,7 +341,7 @@
 			continue
 		}
 		err := a.store.Delete(ctx, object.Key, object.Version)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 			return err
 		}
 		a.metrics.Counter("notes.states_removed").Inc(1)
--- a/notes/acceptor_test.go
+++ b/notes/acceptor_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 func addZone(id string) api.Note {
@@ -23,7 +23,7 @@
 	return api.Note{Title: "Withdraw " + id, Withdrawn: &api.NoteWithdrawals{Zones: []string{id}}}
 }
 
-func testAcceptor(store platform.Store) *Acceptor {
+func testAcceptor(store objectstore.Store) *Acceptor {
 	return NewAcceptor(AcceptorOptions{
 		Store: store,
 		Now:   func() time.Time { return time.UnixMilli(1) },
@@ -154,7 +154,7 @@
 // has no effect, and against a second acceptance of a note in force.
 func TestAcceptTwice(t *testing.T) {
 	ctx := context.Background()
-	acceptor := testAcceptor(platform.NewMemory())
+	acceptor := testAcceptor(objectstore.NewMemory())
 	accept := func(note api.Note) (Result, error) { return acceptor.Accept(ctx, note) }
 	_, err := accept(addZone("a"))
 	assert.NilError(t, err)
@@ -176,7 +176,7 @@
 // answers are resolved, and against state objects that pile up.
 func TestHeadAndStatesStayBounded(t *testing.T) {
 	ctx := context.Background()
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	acceptor := testAcceptor(store)
 	for i := range 2 * maxRecent {
 		note := addZone(fmt.Sprintf("zone-%d", i))
@@ -202,12 +202,12 @@
 
 func (s *lostAnswerStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 	if s.down.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	}
 	version, err := s.Memory.Put(ctx, key, value, ifVersion)
 	if key == HeadKey && err == nil {
 		s.down.Store(true)
-		return 0, platform.ErrAmbiguous
+		return 0, objectstore.ErrAmbiguous
 	}
 	return version, err
 }
@@ -217,7 +217,7 @@
 // accepts it again.
 func TestLostAnswerBeforeOutage(t *testing.T) {
 	ctx := context.Background()
-	store := &lostAnswerStore{faultyStore{Memory: platform.NewMemory()}}
+	store := &lostAnswerStore{faultyStore{Memory: objectstore.NewMemory()}}
 	_, err := testAcceptor(store).Accept(ctx, addZone("a"))
 	assert.ErrorIs(t, err, ErrOutcomeUnknown)
 	_, err = testAcceptor(store).Accept(ctx, addZone("a"))
@@ -252,7 +252,7 @@
 // far below.
 func TestSizesAtTarget(t *testing.T) {
 	ctx := context.Background()
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	acceptor := testAcceptor(store)
 	syncer := NewSyncer(SyncerOptions{Store: store})
 	_, err := acceptor.Accept(ctx, targetNote())
@@ -271,13 +271,13 @@
 	t.Logf("head %d bytes, delta of one note %d bytes, whole state with recent notes %d bytes", len(head.Value), len(delta), len(whole))
 	assert.Assert(t, len(head.Value) <= maxRecentBytes)
 	assert.Assert(t, len(delta) < 4096)
-	assert.Assert(t, len(whole) <= platform.MaxValueBytes)
+	assert.Assert(t, len(whole) <= objectstore.MaxValueBytes)
 }
 
 // Guards against an accepted note that no router can pass on, because the object
 // API failed before any of them had read the new head.
 func TestAcceptedNoteIsInForceAtOnce(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	syncer := NewSyncer(SyncerOptions{Store: store})
 	acceptor := NewAcceptor(AcceptorOptions{Store: store, Syncer: syncer})
 	for i := range 2 {
--- a/notes/faulty_store_test.go
+++ b/notes/faulty_store_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // fault is what happens to one call of the store.
@@ -31,14 +31,14 @@
 // scheduledStore runs the calls of several operators one at a time, in an order
 // and with faults that rapid draws. It records every value of each object.
 type scheduledStore struct {
-	memory  *platform.Memory
+	memory  *objectstore.Memory
 	calls   chan storeCall
 	late    []func()
-	history map[string][]platform.Object
+	history map[string][]objectstore.Object
 }
 
 func newScheduledStore() *scheduledStore {
-	return &scheduledStore{memory: platform.NewMemory(), calls: make(chan storeCall), history: map[string][]platform.Object{}}
+	return &scheduledStore{memory: objectstore.NewMemory(), calls: make(chan storeCall), history: map[string][]objectstore.Object{}}
 }
 
 // drive runs the operators to their end, each in a goroutine of its own.
@@ -94,17 +94,17 @@
 	<-call.done
 }
 
-func (s *scheduledStore) Get(ctx context.Context, key string) (object platform.Object, err error) {
+func (s *scheduledStore) Get(ctx context.Context, key string) (object objectstore.Object, err error) {
 	s.schedule(func(f fault) {
 		object, err = s.memory.Get(ctx, key)
 		old := s.history[key]
 		switch {
 		case f == unavailable:
-			object, err = platform.Object{}, platform.ErrUnavailable
+			object, err = objectstore.Object{}, objectstore.ErrUnavailable
 		case f == staleRead && len(old) > 1:
 			object, err = old[len(old)-2], nil
 		case f == staleRead:
-			object, err = platform.Object{}, platform.ErrNotFound
+			object, err = objectstore.Object{}, objectstore.ErrNotFound
 		}
 	})
 	return object, err
@@ -114,7 +114,7 @@
 	write := func() {
 		version, err = s.memory.Put(ctx, key, value, ifVersion)
 		if err == nil {
-			s.history[key] = append(s.history[key], platform.Object{Key: key, Version: version, Value: value})
+			s.history[key] = append(s.history[key], objectstore.Object{Key: key, Version: version, Value: value})
 		}
 	}
 	s.schedule(func(f fault) { err = s.write(f, write, &err) })
@@ -134,31 +134,31 @@
 func (s *scheduledStore) write(f fault, write func(), err *error) error {
 	switch f {
 	case unavailable:
-		return platform.ErrUnavailable
+		return objectstore.ErrUnavailable
 	case lostRequest:
-		return platform.ErrAmbiguous
+		return objectstore.ErrAmbiguous
 	case lostAnswer:
 		write()
-		return platform.ErrAmbiguous
+		return objectstore.ErrAmbiguous
 	case delayed:
 		s.late = append(s.late, write)
-		return platform.ErrAmbiguous
+		return objectstore.ErrAmbiguous
 	default:
 		write()
 		return *err
 	}
 }
 
-func (s *scheduledStore) List(ctx context.Context, prefix string) (objects []platform.Object, err error) {
+func (s *scheduledStore) List(ctx context.Context, prefix string) (objects []objectstore.Object, err error) {
 	s.schedule(func(f fault) {
 		objects, err = s.memory.List(ctx, prefix)
 		if f == unavailable {
-			objects, err = nil, platform.ErrUnavailable
+			objects, err = nil, objectstore.ErrUnavailable
 		}
 	})
 	return objects, err
 }
 
-func (s *scheduledStore) Watch(context.Context, string, uint64, time.Duration) ([]platform.Object, uint64, error) {
+func (s *scheduledStore) Watch(context.Context, string, uint64, time.Duration) ([]objectstore.Object, uint64, error) {
 	return nil, 0, errors.New("not used by an acceptor")
 }
--- a/notes/syncer.go
+++ b/notes/syncer.go
@@ -13,7 +13,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -44,7 +44,7 @@
 
 // SyncerOptions configures a Syncer. Zero durations mean the defaults.
 type SyncerOptions struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Peers may be nil for a router without peers; Start then takes none.
 	Peers   PeerSource
 	Metrics *telemetry.Metrics
--- a/notes/syncer_test.go
+++ b/notes/syncer_test.go
@@ -15,20 +15,20 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // faultyStore fails, or returns an older head, as its fields say.
 type faultyStore struct {
-	*platform.Memory
+	*objectstore.Memory
 	down      atomic.Bool
 	noStates  atomic.Bool
-	staleHead atomic.Pointer[platform.Object]
+	staleHead atomic.Pointer[objectstore.Object]
 }
 
-func (s *faultyStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *faultyStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if s.down.Load() || (s.noStates.Load() && key != HeadKey) {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	if stale := s.staleHead.Load(); stale != nil && key == HeadKey {
 		return *stale, nil
@@ -36,13 +36,13 @@
 	return s.Memory.Get(ctx, key)
 }
 
-func (s *faultyStore) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]platform.Object, uint64, error) {
+func (s *faultyStore) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) ([]objectstore.Object, uint64, error) {
 	if s.down.Load() {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectstore.ErrUnavailable
 	}
 	objects, next, err := s.Memory.Watch(ctx, prefix, since, wait)
 	if s.down.Load() { // an outage also cuts the calls that wait
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectstore.ErrUnavailable
 	}
 	return objects, next, err
 }
@@ -64,13 +64,13 @@
 
 // timeline is a sequence of accepted notes with all heads and states.
 type timeline struct {
-	store  *platform.Memory
+	store  *objectstore.Memory
 	heads  []api.NoteHead
 	states []fleet.State
 }
 
 func newTimeline(t assert.TestingT, count int) timeline {
-	line := timeline{store: platform.NewMemory(), heads: []api.NoteHead{{}}, states: []fleet.State{{}}}
+	line := timeline{store: objectstore.NewMemory(), heads: []api.NoteHead{{}}, states: []fleet.State{{}}}
 	acceptor := testAcceptor(line.store)
 	for i := range count {
 		_, err := acceptor.Accept(context.Background(), addZone(fmt.Sprintf("zone-%d", i)))
@@ -182,7 +182,7 @@
 func TestSyncerFollowsThroughOutage(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	memory := platform.NewMemory()
+	memory := objectstore.NewMemory()
 	acceptor := testAcceptor(memory)
 	near := &faultyStore{Memory: memory}
 	far := &faultyStore{Memory: memory}
@@ -257,7 +257,7 @@
 	store := &faultyStore{Memory: line.store}
 	data, err := fleet.Marshal(line.heads[2])
 	assert.NilError(t, err)
-	store.staleHead.Store(&platform.Object{Key: HeadKey, Version: 1, Value: data})
+	store.staleHead.Store(&objectstore.Object{Key: HeadKey, Version: 1, Value: data})
 	peers := directPeers{"a": func(after uint64) (api.NotesReply, error) {
 		return planReply(line.states[39], line.heads[39].Recent, after), nil
 	}, "old": func(after uint64) (api.NotesReply, error) {
@@ -272,10 +272,10 @@
 	short, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
 	s = NewSyncer(SyncerOptions{Store: store, Peers: peers})
-	assert.ErrorIs(t, s.Start(short, []string{"old"}), platform.ErrUnavailable)
+	assert.ErrorIs(t, s.Start(short, []string{"old"}), objectstore.ErrUnavailable)
 	store.down.Store(true)
 	s = NewSyncer(SyncerOptions{Store: store, Peers: peers})
-	assert.ErrorIs(t, s.Start(short, []string{"gone"}), platform.ErrUnavailable)
+	assert.ErrorIs(t, s.Start(short, []string{"gone"}), objectstore.ErrUnavailable)
 	assert.Assert(t, s.LastContact().IsZero())
 }
 
--- a/platform/client_test.go
+++ b/objectstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -12,12 +12,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
-func newClient(t *testing.T, handler http.Handler) (*platform.Client, *telemetry.Metrics) {
+func newClient(t *testing.T, handler http.Handler) (*objectstore.Client, *telemetry.Metrics) {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	transport := &http.Transport{}
@@ -26,12 +26,12 @@
 		server.Close()
 		transport.CloseIdleConnections()
 	})
-	cfg := platform.DefaultClientConfig(server.URL, "secret")
+	cfg := objectstore.DefaultClientConfig(server.URL, "secret")
 	cfg.Timeout = 100 * time.Millisecond
 	cfg.ProbeInterval = 10 * time.Millisecond
 	cfg.MaxProbeInterval = 20 * time.Millisecond
 	metrics := telemetry.NewMetrics()
-	return platform.NewClient(cfg, transport, metrics), metrics
+	return objectstore.NewClient(cfg, transport, metrics), metrics
 }
 
 // Guards against a wire format that differs from the Store contract, also for
@@ -45,7 +45,7 @@
 	version, err := client.Put(ctx, key, []byte("1"), 0)
 	assert.NilError(t, err)
 	_, err = client.Put(ctx, key, []byte("2"), 0)
-	assert.ErrorIs(t, err, platform.ErrConflict)
+	assert.ErrorIs(t, err, objectstore.ErrConflict)
 	_, err = client.Put(ctx, key, []byte("2"), version)
 	assert.NilError(t, err)
 	object, err := client.Get(ctx, key)
@@ -53,11 +53,11 @@
 	assert.Equal(t, string(object.Value), "2")
 	objects, err := client.List(ctx, "claims/1/a b")
 	assert.NilError(t, err)
-	assert.DeepEqual(t, objects, []platform.Object{object})
-	assert.ErrorIs(t, client.Delete(ctx, key, version), platform.ErrConflict)
+	assert.DeepEqual(t, objects, []objectstore.Object{object})
+	assert.ErrorIs(t, client.Delete(ctx, key, version), objectstore.ErrConflict)
 	assert.NilError(t, client.Delete(ctx, key, object.Version))
 	_, err = client.Get(ctx, key)
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, objectstore.ErrNotFound)
 	objects, next, err := client.Watch(ctx, "claims/", version, time.Second)
 	assert.NilError(t, err)
 	assert.Assert(t, len(objects) == 1 && objects[0].Deleted && next > object.Version)
@@ -76,12 +76,12 @@
 	client, _ := newClient(t, stand)
 	stand.SetFaults(standin.PlatformFaults{LoseAnswers: 1})
 	_, err := client.Put(ctx, "a", []byte("1"), 0)
-	assert.ErrorIs(t, err, platform.ErrAmbiguous)
+	assert.ErrorIs(t, err, objectstore.ErrAmbiguous)
 	stand.SetFaults(standin.PlatformFaults{DelayWrites: 1, WriteDelay: 200 * time.Millisecond})
 	_, err = client.Put(ctx, "b", []byte("1"), 0)
-	assert.ErrorIs(t, err, platform.ErrAmbiguous)
+	assert.ErrorIs(t, err, objectstore.ErrAmbiguous)
 	_, err = client.Get(ctx, "b")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, objectstore.ErrNotFound)
 	time.Sleep(300 * time.Millisecond)
 	_, err = client.Get(ctx, "b")
 	assert.NilError(t, err)
@@ -97,18 +97,18 @@
 		want   error
 		calls  int
 	}{
-		{http.StatusInternalServerError, "", platform.ErrAmbiguous, 1},
-		{http.StatusServiceUnavailable, "none", platform.ErrUnavailable, 3},
-		{http.StatusTooManyRequests, "", platform.ErrUnavailable, 3},
-		{http.StatusForbidden, "", platform.ErrUnavailable, 1},
-		{http.StatusTemporaryRedirect, "", platform.ErrAmbiguous, 1},
-		{http.StatusOK, "", platform.ErrAmbiguous, 1}, // without version
+		{http.StatusInternalServerError, "", objectstore.ErrAmbiguous, 1},
+		{http.StatusServiceUnavailable, "none", objectstore.ErrUnavailable, 3},
+		{http.StatusTooManyRequests, "", objectstore.ErrUnavailable, 3},
+		{http.StatusForbidden, "", objectstore.ErrUnavailable, 1},
+		{http.StatusTemporaryRedirect, "", objectstore.ErrAmbiguous, 1},
+		{http.StatusOK, "", objectstore.ErrAmbiguous, 1}, // without version
 	} {
 		calls := 0
 		client, _ := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			calls++
 			if c.effect != "" {
-				w.Header().Set(platform.EffectHeader, c.effect)
+				w.Header().Set(objectstore.EffectHeader, c.effect)
 			}
 			w.WriteHeader(c.status)
 		}))
@@ -122,10 +122,10 @@
 func TestUnsentWriteHadNoEffect(t *testing.T) {
 	server := httptest.NewServer(nil)
 	server.Close()
-	client := platform.NewClient(platform.DefaultClientConfig(server.URL, ""), &http.Transport{}, telemetry.NewMetrics())
+	client := objectstore.NewClient(objectstore.DefaultClientConfig(server.URL, ""), &http.Transport{}, telemetry.NewMetrics())
 	_, err := client.Put(context.Background(), "a", nil, 0)
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
-	assert.Assert(t, !errors.Is(err, platform.ErrAmbiguous))
+	assert.ErrorIs(t, err, objectstore.ErrUnavailable)
+	assert.Assert(t, !errors.Is(err, objectstore.ErrAmbiguous))
 }
 
 // Guards against calls that pile up in an outage, writes used as probes, and an
@@ -144,7 +144,7 @@
 	for range 200 {
 		callers.Go(func() {
 			_, err := client.Put(ctx, "a", nil, 0)
-			assert.Check(t, errors.Is(err, platform.ErrUnavailable))
+			assert.Check(t, errors.Is(err, objectstore.ErrUnavailable))
 		})
 	}
 	callers.Wait()
@@ -184,7 +184,7 @@
 	_, err := client.Put(ctx, "a", nil, 0)
 	assert.NilError(t, err)
 	_, err = client.Get(ctx, "a")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, objectstore.ErrNotFound)
 	time.Sleep(250 * time.Millisecond)
 	_, err = client.Get(ctx, "a")
 	assert.NilError(t, err)
@@ -201,11 +201,11 @@
 			_, _ = recorder.Write(body)
 			return recorder.Result()
 		})
-		cfg := platform.DefaultClientConfig("http://platform.invalid", "")
+		cfg := objectstore.DefaultClientConfig("http://platform.invalid", "")
 		cfg.MaxListBytes = 1 << 10
-		client := platform.NewClient(cfg, transport, telemetry.NewMetrics())
+		client := objectstore.NewClient(cfg, transport, telemetry.NewMetrics())
 		object, err := client.Get(context.Background(), "a")
-		assert.Assert(t, err != nil || object.Version > 0 && len(object.Value) <= platform.MaxValueBytes)
+		assert.Assert(t, err != nil || object.Version > 0 && len(object.Value) <= objectstore.MaxValueBytes)
 		_, err = client.List(context.Background(), "")
 		assert.Assert(t, err != nil || len(body) <= 1<<10)
 	})
--- a/platform/outage.go
+++ b/objectstore/outage.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"sync"
--- a/orders/controller.go
+++ b/orders/controller.go
@@ -13,7 +13,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/engine"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/lease"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // Endpoints is what the controller needs of engine.Client.
@@ -34,7 +34,7 @@
 type Config struct {
 	Router    string
 	Limits    Limits
-	Store     platform.Store
+	Store     objectstore.Store
 	Leases    Leases
 	Endpoints Endpoints
 	// View returns the newest applied state.
--- a/orders/controller_test.go
+++ b/orders/controller_test.go
@@ -17,29 +17,29 @@
 	"github.com/hornbeamproxy/hornbeamproxy/engine"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/lease"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 )
 
 // freezer stops a router's calls. Orders that it was about to send are kept and
 // delivered on thaw, whatever has become of their context.
 type freezer struct {
-	platform.Store
+	objectstore.Store
 	*engine.Client
 	frozen atomic.Bool
 	held   chan heldOrder
 }
 
-func (f *freezer) Get(ctx context.Context, key string) (platform.Object, error) {
+func (f *freezer) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if f.frozen.Load() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	return f.Store.Get(ctx, key)
 }
 
 func (f *freezer) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 	if f.frozen.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	}
 	return f.Store.Put(ctx, key, value, ifVersion)
 }
@@ -93,7 +93,7 @@
 }
 
 // start runs the controller of one router until the test ends.
-func (f *testFleet) start(router string, store platform.Store) (*Controller, *freezer) {
+func (f *testFleet) start(router string, store objectstore.Store) (*Controller, *freezer) {
 	frozen := &freezer{Store: store, Client: engine.New(engine.Options{}), held: make(chan heldOrder, 64)}
 	config := lease.Config{Router: router, Lifetime: 3 * time.Second, Margin: 200 * time.Millisecond}
 	manager := lease.NewManager(frozen, config, nil, nil)
@@ -139,7 +139,7 @@
 // against a status that other routers can't read.
 func TestFrozenHolder(t *testing.T) {
 	t.Cleanup(func() { goleak.VerifyNone(t) })
-	f, store := newTestFleet(t), platform.NewMemory()
+	f, store := newTestFleet(t), objectstore.NewMemory()
 	f.want("v1")
 	a, frozen := f.start("a", store)
 	waitFor(t, "first version", func() bool { return f.versionIs("v1") })
@@ -167,7 +167,7 @@
 
 // TestStatusSize guards against a status object above the limit of the object API.
 func TestStatusSize(t *testing.T) {
-	store := platform.NewMemory()
+	store := objectstore.NewMemory()
 	c := NewController(Config{Store: store, View: func() *fleet.View { return simView(1, "v1", 600) }})
 	steps := make([]Step, 5000)
 	for i := range steps {
@@ -179,6 +179,6 @@
 	assert.NilError(t, err)
 	object, err := store.Get(context.Background(), StatusKey)
 	assert.NilError(t, err)
-	assert.Assert(t, len(object.Value) < platform.MaxValueBytes/2, "status has %d bytes", len(object.Value))
+	assert.Assert(t, len(object.Value) < objectstore.MaxValueBytes/2, "status has %d bytes", len(object.Value))
 	assert.Equal(t, len(c.Status(1)), 601)
 }
--- a/orders/status.go
+++ b/orders/status.go
@@ -11,7 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // StatusKey is the object that holds the steps that are not done.
@@ -93,7 +93,7 @@
 	var status api.OrderStatus
 	object, err := c.config.Store.Get(ctx, StatusKey)
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		return status, 0, nil
 	case err != nil:
 		return status, 0, err
--- a/records/clean.go
+++ b/records/clean.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 const (
@@ -79,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	object, err := k.opts.Store.Get(ctx, cleanKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return false, err
 	}
 	var last api.LeaseRecord
@@ -95,7 +95,7 @@
 		return false, err
 	}
 	_, err = k.opts.Store.Put(ctx, cleanKey, value, object.Version)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		return false, nil
 	}
 	return err == nil, err
@@ -107,7 +107,7 @@
 	c := &k.cleaner
 	day := c.days[0]
 	c.days = c.days[1:]
-	err := listAll(ctx, k.opts.Store, dayPrefix(day), map[string]bool{}, func(object platform.Object) {
+	err := listAll(ctx, k.opts.Store, dayPrefix(day), map[string]bool{}, func(object objectstore.Object) {
 		if len(c.doomed) < maxDoomed {
 			c.doomed = append(c.doomed, doomed{key: object.Key, version: object.Version})
 		}
@@ -124,7 +124,7 @@
 	next := c.doomed[0]
 	c.doomed = c.doomed[1:]
 	err := k.opts.Store.Delete(ctx, next.key, next.version)
-	if errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, objectstore.ErrUnavailable) {
 		c.doomed = nil // the next cleaning finds them again
 		return
 	}
--- a/records/keeper.go
+++ b/records/keeper.go
@@ -16,7 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -72,7 +72,7 @@
 // KeeperOptions are the settings of a Keeper. Store, Sender, Peers, Router,
 // Incarnation and Metrics are required.
 type KeeperOptions struct {
-	Store  platform.Store
+	Store  objectstore.Store
 	Sender Sender
 	// Peers names the two live peers that hold copies; see PickPeers.
 	Peers func() []string
@@ -374,7 +374,7 @@
 	defer cancel()
 	k.opts.Metrics.Counter("records.writes").Inc(1)
 	_, err := k.opts.Store.Put(ctx, key, data, 0)
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, objectstore.ErrConflict) {
 		return err
 	}
 	object, err := k.opts.Store.Get(ctx, key)
@@ -499,7 +499,7 @@
 	set := newRecordSet()
 	unread := map[string]bool{}
 	for _, day := range days {
-		err := listAll(ctx, k.opts.Store, routerPrefix(day, router), unread, func(object platform.Object) {
+		err := listAll(ctx, k.opts.Store, routerPrefix(day, router), unread, func(object objectstore.Object) {
 			if batch, err := DecodeBatch(object.Value); err == nil {
 				set.add(batch.Records...)
 			}
@@ -547,7 +547,7 @@
 			continue
 		}
 		failures++
-		again := errors.Is(err, platform.ErrAmbiguous) || errors.Is(err, errKeyTaken)
+		again := errors.Is(err, objectstore.ErrAmbiguous) || errors.Is(err, errKeyTaken)
 		if !again || failures == shutdownTries || !pause(ctx, shutdownPause) {
 			return err
 		}
--- a/records/keeper_test.go
+++ b/records/keeper_test.go
@@ -16,7 +16,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -24,7 +24,7 @@
 // faultyStore refuses calls in an outage and loses the answers of some writes,
 // which then take effect at once, later or never.
 type faultyStore struct {
-	*platform.Memory
+	*objectstore.Memory
 	random  *rand.Rand
 	out     bool
 	losses  float64
@@ -42,7 +42,7 @@
 
 func (s *faultyStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 	if s.out {
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	}
 	s.puts++
 	if s.random.Float64() >= s.losses {
@@ -55,23 +55,23 @@
 	case 1:
 		s.late = append(s.late, apply)
 	}
-	return 0, platform.ErrAmbiguous
+	return 0, objectstore.ErrAmbiguous
 }
 
-func (s *faultyStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *faultyStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if s.out {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	return s.Memory.Get(ctx, key)
 }
 
-func (s *faultyStore) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+func (s *faultyStore) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
 	if s.out {
-		return nil, platform.ErrUnavailable
+		return nil, objectstore.ErrUnavailable
 	}
 	objects, err := s.Memory.List(ctx, prefix)
 	if s.maxList > 0 && len(objects) > s.maxList {
-		return nil, platform.ErrTooLarge
+		return nil, objectstore.ErrTooLarge
 	}
 	return objects, err
 }
@@ -87,7 +87,7 @@
 
 func newFleet(seed uint64, routers int) *fleet {
 	random := rand.New(rand.NewPCG(seed, 0))
-	f := &fleet{store: &faultyStore{Memory: platform.NewMemory(), random: random}, now: night}
+	f := &fleet{store: &faultyStore{Memory: objectstore.NewMemory(), random: random}, now: night}
 	f.size = func() int { return len(f.live) }
 	for i := range routers {
 		self := Peer{Router: fmt.Sprint("r", i), Zone: fmt.Sprint("z", i%3)}
@@ -298,7 +298,7 @@
 	assert.DeepEqual(t, result.Unread, []string{"router r/x"})
 	f.store.out = true
 	result, err = readDays(context.Background(), f.store, Days(night, night))
-	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.ErrorIs(t, err, objectstore.ErrUnavailable)
 	assert.DeepEqual(t, result.Unread, []string{"objects " + dayPrefix(night.Format(dayFormat))})
 	report, err := f.live[19].Report(context.Background(), night)
 	assert.NilError(t, err)
@@ -382,9 +382,9 @@
 	})
 	f := newFleet(1, 3)
 	for _, k := range f.live {
-		cfg := platform.DefaultClientConfig(server.URL, "secret")
+		cfg := objectstore.DefaultClientConfig(server.URL, "secret")
 		cfg.ProbeInterval, cfg.MaxProbeInterval = time.Millisecond, time.Millisecond
-		k.opts.Store = platform.NewClient(cfg, transport, k.opts.Metrics)
+		k.opts.Store = objectstore.NewClient(cfg, transport, k.opts.Metrics)
 	}
 	dead := f.live[0]
 	faults := []standin.PlatformFaults{{LoseAnswers: 2}, {Outage: true}, {WritesPerSecond: 5}, {LoseProbability: 0.5}}
--- a/records/read.go
+++ b/records/read.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 const (
@@ -51,17 +51,17 @@
 // Read reads the records of all days from the day of since to today. An error
 // says that nothing at all could be read; the result then still names what is
 // missing.
-func Read(ctx context.Context, store platform.Store, since time.Time) (Result, error) {
+func Read(ctx context.Context, store objectstore.Store, since time.Time) (Result, error) {
 	return readDays(ctx, store, Days(since.Add(-readMargin), time.Now().Add(readMargin)))
 }
 
-func readDays(ctx context.Context, store platform.Store, days []string) (Result, error) {
+func readDays(ctx context.Context, store objectstore.Store, days []string) (Result, error) {
 	set := newRecordSet()
 	unread := map[string]bool{}
 	failed := 0
 	var last error
 	for _, day := range days {
-		err := listAll(ctx, store, dayPrefix(day), unread, func(object platform.Object) {
+		err := listAll(ctx, store, dayPrefix(day), unread, func(object objectstore.Object) {
 			batch, err := DecodeBatch(object.Value)
 			if err != nil {
 				unread["router "+routerOfKey(object.Key)] = true
@@ -88,7 +88,7 @@
 // listAll visits all objects under a prefix. A list that exceeds the client's
 // bound is divided by the next character of the key, because the names of
 // routers that are gone are not known. Prefixes that fail are added to unread.
-func listAll(ctx context.Context, store platform.Store, prefix string, unread map[string]bool, visit func(platform.Object)) error {
+func listAll(ctx context.Context, store objectstore.Store, prefix string, unread map[string]bool, visit func(objectstore.Object)) error {
 	objects, err := store.List(ctx, prefix)
 	if err == nil {
 		for _, object := range objects {
@@ -96,7 +96,7 @@
 		}
 		return nil
 	}
-	if !errors.Is(err, platform.ErrTooLarge) || len(prefix) > 4*maxNameBytes {
+	if !errors.Is(err, objectstore.ErrTooLarge) || len(prefix) > 4*maxNameBytes {
 		unread["objects "+prefix] = true
 		return err
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -13,6 +13,9 @@
 	Fraction float64
 	// Floor is the number of retries a second that are always allowed.
 	Floor float64
+	// Capacity is what an unused budget saves up, and what each workspace starts
+	// with. 0 means burstSeconds of the floor, and a start with one second of it.
+	Capacity float64
 	// MaxWorkspaces is the number of workspaces kept. 0 means 4096.
 	MaxWorkspaces int
 }
@@ -68,7 +71,13 @@
 	return true
 }
 
+// SetCapacity changes what an unused budget saves up.
+func (b *Budget) SetCapacity(capacity float64) { b.config.Capacity = capacity }
+
 func (b *Budget) capacity() float64 {
+	if b.config.Capacity > 0 {
+		return b.config.Capacity
+	}
 	return max(minCapacity, b.config.Floor*burstSeconds)
 }
 
@@ -92,7 +101,7 @@
 		b.order.Remove(oldest)
 		delete(b.buckets, oldest.Value.(*bucket).workspace)
 	}
-	added := &bucket{workspace: workspace, tokens: b.config.Floor, updated: now}
+	added := &bucket{workspace: workspace, tokens: max(b.config.Floor, b.config.Capacity), updated: now}
 	b.buckets[workspace] = b.order.PushFront(added)
 	return added
 }
--- a/router/instances.go
+++ b/router/instances.go
@@ -10,7 +10,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 const (
@@ -60,7 +60,7 @@
 	if err != nil {
 		// During an outage the last word stands: a leaving instance does not
 		// come back by silence.
-		if !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, objectstore.ErrUnavailable) {
 			r.logger.Warn("instance list not read", zap.Error(err))
 		}
 		return
--- a/router/instances_test.go
+++ b/router/instances_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 type fakeLister struct {
@@ -49,7 +49,7 @@
 	lister.list.Instances = []api.Instance{{ID: "a", Leaving: true}}
 	assert.DeepEqual(t, read(), []api.InstanceState{{ID: "a", Leaving: true}, {ID: "b", Gone: true}})
 	assert.Equal(t, len(read()), 0)
-	lister.err = platform.ErrUnavailable
+	lister.err = objectstore.ErrUnavailable
 	assert.Equal(t, len(read()), 0)
 	lister.err = nil
 	now = now.Add(instanceRefresh)
--- a/router/router.go
+++ b/router/router.go
@@ -28,9 +28,9 @@
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/lease"
 	"github.com/hornbeamproxy/hornbeamproxy/notes"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/orders"
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/records"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -50,7 +50,7 @@
 type Config struct {
 	Settings *api.Settings
 	Secrets  config.Secrets
-	Store    platform.Store
+	Store    objectstore.Store
 	// Instances reads the platform's instance list; nil when there is none.
 	Instances instanceLister
 	Logger    *zap.Logger
@@ -66,7 +66,7 @@
 	settings   *api.Settings
 	logger     *zap.Logger
 	metrics    *telemetry.Metrics
-	store      platform.Store
+	store      objectstore.Store
 	engine     *engine.Client
 	cluster    *peerNetwork
 	peerServer *http.Server
--- a/server/server.go
+++ b/server/server.go
@@ -16,8 +16,8 @@
 	"github.com/hornbeamproxy/hornbeamproxy/admin"
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/config"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/router"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -70,9 +70,9 @@
 	if registry == nil {
 		registry = telemetry.NewMetrics()
 	}
-	clientConfig := platform.DefaultClientConfig(o.Settings.Platform.URL, o.Secrets.PlatformToken)
+	clientConfig := objectstore.DefaultClientConfig(o.Settings.Platform.URL, o.Secrets.PlatformToken)
 	clientConfig.Timeout = o.Settings.Platform.Timeout.Duration
-	store := platform.NewClient(clientConfig, http.DefaultTransport, registry)
+	store := objectstore.NewClient(clientConfig, http.DefaultTransport, registry)
 	r, err := router.New(router.Config{
 		Settings:  o.Settings,
 		Secrets:   o.Secrets,
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -19,7 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 )
 
 // PlatformFaults are the faults of a Platform; the zero value has none.
@@ -49,14 +49,14 @@
 // an http.Handler and safe for concurrent use.
 type Platform struct {
 	token string
-	store *platform.Memory
+	store *objectstore.Memory
 
 	mu         sync.Mutex
 	faults     PlatformFaults
 	random     *rand.Rand
 	writes     *rate.Limiter
 	reads      *rate.Limiter
-	stale      map[string]platform.Object
+	stale      map[string]objectstore.Object
 	staleUntil time.Time
 	instances  []api.Instance
 	calls      map[string]int
@@ -64,13 +64,13 @@
 
 // NewPlatform returns a platform that accepts the bearer token.
 func NewPlatform(token string) *Platform {
-	p := &Platform{token: token, store: platform.NewMemory(), calls: map[string]int{}, instances: []api.Instance{}}
+	p := &Platform{token: token, store: objectstore.NewMemory(), calls: map[string]int{}, instances: []api.Instance{}}
 	p.SetFaults(PlatformFaults{})
 	return p
 }
 
 // Store returns the objects, for use without faults.
-func (p *Platform) Store() *platform.Memory { return p.store }
+func (p *Platform) Store() *objectstore.Memory { return p.store }
 
 // SetFaults replaces all faults.
 func (p *Platform) SetFaults(faults PlatformFaults) {
@@ -82,7 +82,7 @@
 	p.writes = limiter(faults.WritesPerSecond)
 	p.reads = limiter(faults.ReadsPerSecond)
 	p.staleUntil = time.Now().Add(faults.StaleFor)
-	p.stale = map[string]platform.Object{}
+	p.stale = map[string]objectstore.Object{}
 	for _, object := range snapshot {
 		p.stale[object.Key] = object
 	}
@@ -185,7 +185,7 @@
 }
 
 // snapshot returns the state that stale reads see, or nil.
-func (p *Platform) snapshot() map[string]platform.Object {
+func (p *Platform) snapshot() map[string]objectstore.Object {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if time.Now().After(p.staleUntil) {
@@ -200,7 +200,7 @@
 		var ok bool
 		err = nil
 		if object, ok = stale[key]; !ok {
-			err = platform.ErrNotFound
+			err = objectstore.ErrNotFound
 		}
 	}
 	if err != nil {
@@ -240,7 +240,7 @@
 }
 
 func (p *Platform) write(w http.ResponseWriter, r *http.Request, operation, key string) {
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValueBytes+1))
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -299,7 +299,7 @@
 
 func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
 
-func objectList(objects []platform.Object, version uint64) api.ObjectList {
+func objectList(objects []objectstore.Object, version uint64) api.ObjectList {
 	list := api.ObjectList{Objects: []api.StoredObject{}, Version: version}
 	for _, object := range objects {
 		list.Objects = append(list.Objects, api.StoredObject{
@@ -312,11 +312,11 @@
 func writeError(w http.ResponseWriter, err error) {
 	status := http.StatusInternalServerError
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		status = http.StatusPreconditionFailed
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	}
 	http.Error(w, err.Error(), status)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"os"
+	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -58,3 +60,26 @@
 	}
 	return logger, nil
 }
+
+const (
+	// logBuffer and logFlush bound what is written late, so that writing never
+	// holds up a request.
+	logBuffer = 64 << 10
+	logFlush  = 500 * time.Millisecond
+	// logFirst lines of each message are written in a second, and of the others
+	// each logThereafter-th.
+	logFirst      = 30
+	logThereafter = 50
+)
+
+// NewEdgeLogger returns the logger of a router on the platform: JSON lines on
+// standard error, at a bounded rate for each message. The function that is
+// returned writes what is buffered.
+func NewEdgeLogger(router string) (*zap.Logger, func()) {
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
+	writer := &zapcore.BufferedWriteSyncer{WS: zapcore.Lock(os.Stderr), Size: logBuffer, FlushInterval: logFlush}
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), writer, zapcore.InfoLevel)
+	logger := zap.New(zapcore.NewSamplerWithOptions(core, time.Second, logFirst, logThereafter))
+	return logger.With(zap.String("router", router)), func() { _ = writer.Stop() }
+}
