Copy shared prompt parts from a holder, and end watches within the stable window

The router now names an endpoint that holds the parts: one that it has used itself, else the home among the endpoints that did not just join. A watch now ends half a second within the window after which a router counts as in touch, and the next one finds out (410).

Ruled out: the client resuming from a wrong revision; its log shows the watch waiting until second 7.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -54,6 +54,7 @@
 	Local int
 
 	hash         placement.Endpoint
+	joined       time.Time             // when this router first saw the endpoint
 	remote       map[string]remoteLoad // by router
 	sends        quota.Window
 	failures     int
@@ -67,8 +68,9 @@
 
 // Balancer holds the states of all endpoints. It is not safe for concurrent use.
 type Balancer struct {
-	zone   string
-	states map[string]*State // by endpoint id
+	zone    string
+	states  map[string]*State // by endpoint id
+	holders holders
 	// scratch is reused by Pick.
 	scratch []candidate
 }
@@ -80,7 +82,18 @@
 }
 
 // New returns a balancer of a router in the zone.
-func New(zone string) *Balancer { return &Balancer{zone: zone, states: map[string]*State{}} }
+func New(zone string) *Balancer {
+	return &Balancer{zone: zone, states: map[string]*State{}, holders: newHolders()}
+}
+
+// Join enters an endpoint. Those that are there at the start have joined long
+// ago: settled is true for them.
+func (b *Balancer) Join(now time.Time, endpoint *roster.Endpoint, settled bool) {
+	state := b.State(endpoint)
+	if !settled && state.joined.IsZero() {
+		state.joined = now
+	}
+}
 
 // State returns the state of an endpoint, and creates it at first use or when
 // the endpoint has started again.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,6 +38,9 @@
 	// rotationDelay is how long the balancer may send new connections after
 	// readiness is off: it asks once a second and needs two refusals.
 	rotationDelay = 2500 * time.Millisecond
+	// watchMargin is the part of the stable window that is left to list a kind
+	// again after a watch has found that the store lost its history.
+	watchMargin = 500 * time.Millisecond
 	// exitMargin is the part of the grace period that is left for the exit.
 	exitMargin = 400 * time.Millisecond
 )
@@ -109,7 +112,11 @@
 		group.Add(func() error { return execute(loops) }, func(error) { stopLoops() })
 	}
 	watch := func(kind string, receiver mirror.Receiver) {
-		add(func(ctx context.Context) error { return mirror.Run(ctx, p.store, kind, receiver, p.logger) })
+		add(func(ctx context.Context) error {
+			return mirror.Run(ctx, mirror.Config{
+				Source: p.store, Kind: kind, Wait: p.watchWait(), Receiver: receiver, Logger: p.logger,
+			})
+		})
 	}
 	watch(platform.KindConfig, platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger})
 	watch(platform.KindEndpoints, platform.EndpointReceiver{Gateway: p.gateway, Logger: p.logger})
@@ -126,6 +133,13 @@
 	return group.Run()
 }
 
+// watchWait returns the longest wait of a watch: a router counts as in touch one
+// stable window after a disruption of the store.
+func (p *process) watchWait() time.Duration {
+	window := time.Duration(p.options.Settings.Bounds.StableMS * float64(time.Millisecond))
+	return max(window-watchMargin, watchMargin)
+}
+
 func (p *process) reload(ctx context.Context) error {
 	for {
 		select {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -52,6 +52,13 @@
 	return pool
 }
 
+// noteRead remembers that the endpoint holds the prompt with the key.
+func (g *Gateway) noteRead(key uint64, state *balance.State) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Read(time.Now(), key, state.Endpoint)
+}
+
 func (x *exchange) connect(pool *upstream.Pool) (*upstream.Conn, error) {
 	if conn := pool.Idle(time.Now()); conn != nil {
 		return conn, nil
@@ -78,7 +85,7 @@
 	left := time.Until(x.deadline)
 	send := Send{
 		EndpointID: state.Endpoint.ID, Left: left, ResumeAfter: x.stream.lastID,
-		Priority: priority(x.route, x.workspace),
+		Priority: priority(x.route, x.workspace), CopyFrom: x.copyFrom,
 	}
 	if x.workspace != nil {
 		send.Workspace = x.workspace.Name
@@ -152,6 +159,7 @@
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
 	if success && x.route.Kind == routeStream {
+		x.g.noteRead(x.key, state)
 		return x.pass(conn, pool, state, response)
 	}
 	return x.passWhole(conn, pool, state, response)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -38,6 +38,10 @@
 	sends int
 	// mayHaveRun says that an endpoint may have begun to work on the request.
 	mayHaveRun bool
+	// key is the hash of the prompt's shared parts; 0 if it has none.
+	key uint64
+	// copyFrom is the address of the endpoint that the prompt is copied from.
+	copyFrom string
 	// stream is what the caller has of a stream so far.
 	stream streamState
 	// failure is the newest failure that an endpoint answered with.
@@ -98,6 +102,9 @@
 		return false
 	}
 	x.service = x.route.Service(xxhash.Sum64String(request.ID))
+	if x.route.CachesPrompts {
+		x.key = request.SharedKey()
+	}
 	wait := x.route.Timeout
 	if request.Deadline > 0 && (wait <= 0 || request.Deadline < wait) {
 		wait = request.Deadline
@@ -211,10 +218,7 @@
 func (x *exchange) pick() (*balance.State, result) {
 	now := time.Now()
 	service := x.table.Services[x.service]
-	ask := balance.Ask{Tried: x.tried, ColdShare: x.g.coldShare(service)}
-	if x.route.CachesPrompts {
-		ask.Key = x.request.SharedKey()
-	}
+	ask := balance.Ask{Key: x.key, Tried: x.tried, ColdShare: x.g.coldShare(service)}
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	ask.Members = x.g.roster.Members(x.service)
@@ -222,6 +226,10 @@
 	state, refusal := x.g.balancer.Pick(now, ask)
 	if state != nil {
 		state.Started(now)
+		x.copyFrom = ""
+		if source := x.g.balancer.CopyFrom(now, x.key, state, ask.Members); source != nil {
+			x.copyFrom = source.Address
+		}
 		return state, result{}
 	}
 	switch refusal {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -65,6 +65,9 @@
 	ResumeAfter string
 	// Priority is 0 for the most urgent.
 	Priority int
+	// CopyFrom is the address (IP:PORT) of an endpoint that holds the prompt's
+	// shared parts; empty if nothing is to be copied.
+	CopyFrom string
 }
 
 // Answer is what the head of an endpoint's answer says.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -28,10 +28,12 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	settled := !g.roster.Complete()
 	current, replaced := g.roster.Set(now, entry)
 	if replaced != nil {
 		g.drop(replaced)
 	}
+	g.balancer.Join(now, current, settled)
 	g.logger.Info("endpoint", zap.String("endpoint", entry.ID), zap.String("service", entry.Service),
 		zap.String("address", entry.Address), zap.Bool("draining", entry.Draining), zap.Duration("cold", current.ColdUntil.Sub(now)),
 		zap.Bool("restarted", replaced != nil))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// watchWait is the longest wait that the store allows for one watch.
-	watchWait = 30 * time.Second
 	// firstPause and longestPause bound the time between calls that fail. An
 	// outage must be found over well within the 2 s that bounds allow.
 	firstPause   = 100 * time.Millisecond
@@ -34,9 +32,21 @@
 	Found()
 }
 
+// Config holds what a mirror needs.
+type Config struct {
+	Source objectstore.Source
+	Kind   string
+	// Wait is the longest time that one watch waits. A store that has lost its
+	// history leaves watches waiting without their events; only the next watch
+	// finds out.
+	Wait     time.Duration
+	Receiver Receiver
+	Logger   *zap.Logger
+}
+
 // Run mirrors a kind until ctx ends.
-func Run(ctx context.Context, source objectstore.Source, kind string, receiver Receiver, logger *zap.Logger) error {
-	m := &loop{source: source, kind: kind, receiver: receiver, logger: logger}
+func Run(ctx context.Context, config Config) error {
+	m := &loop{Config: config}
 	for ctx.Err() == nil {
 		if err := m.step(ctx); err != nil {
 			m.failed(ctx, err)
@@ -48,10 +58,7 @@
 }
 
 type loop struct {
-	source   objectstore.Source
-	kind     string
-	receiver Receiver
-	logger   *zap.Logger
+	Config
 	listed   bool
 	revision uint64
 	failures int
@@ -61,17 +68,17 @@
 // step makes one call and passes on what it brought.
 func (m *loop) step(ctx context.Context) error {
 	if !m.listed {
-		objects, revision, err := m.source.List(ctx, m.kind, false)
+		objects, revision, err := m.Source.List(ctx, m.Kind, false)
 		if err != nil {
 			return err
 		}
 		m.listed, m.revision = true, revision
-		m.receiver.Replace(objects)
+		m.Receiver.Replace(objects)
 		return nil
 	}
-	objects, revision, err := m.source.Watch(ctx, m.kind, m.revision, watchWait)
+	objects, revision, err := m.Source.Watch(ctx, m.Kind, m.revision, m.Wait)
 	if errors.Is(err, objectstore.ErrCompacted) {
-		m.logger.Info("watch history compacted", zap.String("kind", m.kind), zap.Uint64("revision", m.revision))
+		m.Logger.Info("watch history compacted", zap.String("kind", m.Kind), zap.Uint64("revision", m.revision))
 		m.listed = false
 		return nil
 	}
@@ -80,7 +87,7 @@
 	}
 	m.revision = revision
 	for _, object := range objects {
-		m.receiver.Change(object)
+		m.Receiver.Change(object)
 	}
 	return nil
 }
@@ -91,10 +98,10 @@
 	}
 	if m.failures == 0 {
 		m.since = time.Now()
-		m.logger.Warn("store lost", zap.String("kind", m.kind), zap.Uint64("revision", m.revision), zap.Error(err))
+		m.Logger.Warn("store lost", zap.String("kind", m.Kind), zap.Uint64("revision", m.revision), zap.Error(err))
 	}
 	m.failures++
-	m.receiver.Lost(err)
+	m.Receiver.Lost(err)
 	pause := min(firstPause<<min(m.failures-1, 8), longestPause)
 	timer := time.NewTimer(pause/2 + rand.N(pause/2+1))
 	defer timer.Stop()
@@ -108,8 +115,8 @@
 	if m.failures == 0 {
 		return
 	}
-	m.logger.Info("store found", zap.String("kind", m.kind), zap.Uint64("revision", m.revision),
+	m.Logger.Info("store found", zap.String("kind", m.Kind), zap.Uint64("revision", m.revision),
 		zap.Duration("outage", time.Since(m.since)), zap.Int("failed_calls", m.failures))
 	m.failures = 0
-	m.receiver.Found()
+	m.Receiver.Found()
 }
