--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,84 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+func newRoster() *Roster {
+	r := New(Config{ColdFor: func(string) time.Duration { return 3 * time.Second }, LapseHold: 2 * time.Second})
+	r.Set(start, Entry{ID: "a", Service: "s", Address: "1:1", Zone: "z1"})
+	r.Set(start, Entry{ID: "b", Service: "s", Address: "1:2", Zone: "z2"})
+	r.Keep(start, map[string]bool{"a": true, "b": true})
+	return r
+}
+
+func usable(r *Roster) []string {
+	ids := []string{}
+	for _, endpoint := range r.Members("s") {
+		if r.Usable(endpoint) {
+			ids = append(ids, endpoint.ID)
+		}
+	}
+	return ids
+}
+
+// Guards against work for endpoints that drain, are gone, or lie in an evacuated
+// zone.
+func TestWithdrawal(t *testing.T) {
+	r := newRoster()
+	assert.DeepEqual(t, usable(r), []string{"a", "b"})
+	r.Set(start, Entry{ID: "a", Service: "s", Address: "1:1", Zone: "z1", Draining: true})
+	assert.DeepEqual(t, usable(r), []string{"b"})
+	r.SetEvacuated(start, "z2", true)
+	assert.DeepEqual(t, usable(r), []string{})
+	r.SetEvacuated(start, "z2", false)
+	assert.DeepEqual(t, usable(r), []string{"b"})
+	assert.Assert(t, r.Remove(start, "b") != nil)
+	assert.DeepEqual(t, usable(r), []string{})
+}
+
+// Guards against a full load on endpoints of a zone that was taken back, and on
+// ones that have just registered.
+func TestCold(t *testing.T) {
+	r := newRoster()
+	b := r.Members("s")[1]
+	assert.Assert(t, !b.Cold(start))
+	r.SetEvacuated(start, "z2", true)
+	r.SetEvacuated(start, "z2", false)
+	assert.Assert(t, b.Cold(start.Add(2*time.Second)))
+	assert.Assert(t, !b.Cold(start.Add(3*time.Second)))
+	c, _ := r.Set(start, Entry{ID: "c", Service: "s", Address: "1:3"})
+	assert.Assert(t, c.Cold(start))
+}
+
+// Guards against an endpoint that starts again under its id and keeps what was
+// known of the start before.
+func TestRestart(t *testing.T) {
+	r := newRoster()
+	before := r.Members("s")[0]
+	after, replaced := r.Set(start, Entry{ID: "a", Service: "s", Address: "1:1", Zone: "z1", Started: 7})
+	assert.Equal(t, replaced, before)
+	assert.Assert(t, before.Withdrawn && !after.Withdrawn)
+	assert.Equal(t, len(r.Members("s")), 2)
+}
+
+// Guards against giving up the endpoints whose entries lapsed while the store
+// was away, and against keeping those that do not come back.
+func TestLapse(t *testing.T) {
+	r := newRoster()
+	r.StoreLost(start)
+	r.Set(start, Entry{ID: "d", Service: "s", Address: "1:4", Draining: true})
+	assert.Equal(t, len(r.Keep(start.Add(time.Second), map[string]bool{})), 1, "one that drained is gone")
+	assert.DeepEqual(t, usable(r), []string{"a", "b"})
+	r.Set(start.Add(time.Second), Entry{ID: "a", Service: "s", Address: "1:1", Zone: "z1"})
+	assert.Equal(t, len(r.Expire(start.Add(1900*time.Millisecond))), 0)
+	gone := r.Expire(start.Add(2 * time.Second))
+	assert.Equal(t, len(gone), 1)
+	assert.Equal(t, gone[0].ID, "b")
+	assert.DeepEqual(t, usable(r), []string{"a"})
+}
