Let a few relays watch the store for the fleet

Ruled out: longer waits alone; a change ends a watch whatever its wait, and a silent watch must be found within the drain bound of 2 s.

The others follow while a relay announces that the store answers it, ask the store when revisions do not join, and watch it themselves otherwise. News also reach a router that the store turns away.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -25,8 +25,8 @@
 	firstEjection   = 500 * time.Millisecond
 	longestEjection = 4 * time.Second
 	// remoteAge is the age up to which the load that another router reported
-	// counts.
-	remoteAge = 1500 * time.Millisecond
+	// counts: some datagrams of a large fleet.
+	remoteAge = 3 * time.Second
 )
 
 // Refusal tells why no endpoint was chosen.
--- a/config/edge.go
+++ b/config/edge.go
@@ -28,7 +28,6 @@
 		Address string `toml:"address"`
 	} `toml:"store"`
 	Bounds struct {
-		StableMS     float64 `toml:"stable_ms"`      // a router is in touch so long after a disruption
 		DrainMS      float64 `toml:"drain_ms"`       // a leaving endpoint gets nothing new after it
 		GraceS       float64 `toml:"grace_s"`        // a process is killed so long after SIGTERM
 		RetryRatio   float64 `toml:"retry_ratio"`    // repeats per request, all routers together
@@ -42,7 +41,6 @@
 
 // Values that hold when the platform does not name a bound.
 const (
-	defaultStableMS   = 3000
 	defaultGraceS     = 8
 	defaultRetryRatio = 0.1
 	defaultColdFactor = 1
@@ -57,7 +55,6 @@
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
 	settings := &EdgeSettings{}
-	settings.Bounds.StableMS = defaultStableMS
 	settings.Bounds.GraceS = defaultGraceS
 	settings.Bounds.RetryRatio = defaultRetryRatio
 	settings.Bounds.ColdFactor = defaultColdFactor
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -18,7 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/config"
-	"github.com/hornbeamproxy/hornbeamproxy/digest"
+	"github.com/hornbeamproxy/hornbeamproxy/exchange"
 	"github.com/hornbeamproxy/hornbeamproxy/gateway"
 	"github.com/hornbeamproxy/hornbeamproxy/mirror"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
@@ -38,9 +38,10 @@
 	// rotationDelay is how long the balancer may send new connections after
 	// readiness is off: it asks once a second and needs two refusals.
 	rotationDelay = 2500 * time.Millisecond
-	// watchMargin is the part of the stable window that is left to list a kind
-	// again after a watch has found that the store lost its history.
-	watchMargin = 500 * time.Millisecond
+	// watchWait is the longest wait of a watch. A leaving endpoint may get work
+	// for 2 s, and only the next watch finds out that one was left without its
+	// events.
+	watchWait = time.Second
 	// exitMargin is the part of the grace period that is left for the exit.
 	exitMargin = 400 * time.Millisecond
 )
@@ -60,7 +61,8 @@
 	metrics  *telemetry.Metrics
 	store    *platform.Store
 	gateway  *gateway.Gateway
-	exchange *digest.Exchange
+	peers    *exchange.Exchange
+	mirrors  map[string]*mirror.Mirror // by kind
 	fleet    *fleet
 	stopping atomic.Bool
 }
@@ -77,21 +79,32 @@
 func (p *process) assemble() error {
 	s := p.options.Settings
 	p.store = platform.NewStore(s.Store.Address, p.metrics)
-	exchange, err := digest.Listen(digest.Config{
+	peers, err := exchange.Listen(exchange.Config{
 		Router: s.Router.ID, Address: s.Listen.Peers, Logger: p.logger, Metrics: p.metrics,
-		Loads:   func() map[string]int { return p.gateway.Loads() },
-		Receive: func(router, endpoint string, requests int) { p.gateway.SetRemoteLoad(router, endpoint, requests) },
+		Loads:       func() map[string]int { return p.gateway.Loads() },
+		ReceiveLoad: func(router, endpoint string, requests int) { p.gateway.SetRemoteLoad(router, endpoint, requests) },
+		ReceiveNews: p.receiveNews,
 	})
 	if err != nil {
 		return err
 	}
-	p.exchange = exchange
+	p.peers = peers
 	p.gateway = gateway.New(gateway.Config{
 		Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
-		Routers: exchange.Routers,
+		Routers: peers.Routers,
 	})
+	p.mirrors = map[string]*mirror.Mirror{}
+	for kind, receiver := range map[string]mirror.Receiver{
+		platform.KindConfig:      platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger},
+		platform.KindEndpoints:   platform.EndpointReceiver{Gateway: p.gateway, Logger: p.logger},
+		platform.KindEvacuations: platform.EvacuationReceiver{Gateway: p.gateway},
+	} {
+		p.mirrors[kind] = mirror.New(mirror.Config{
+			Source: p.store, Kind: kind, Wait: watchWait, Receiver: receiver, Peers: peers, Logger: p.logger,
+		})
+	}
 	p.fleet = &fleet{
-		store: p.store, exchange: exchange, router: s.Router.ID, address: s.Listen.Peers, logger: p.logger,
+		store: p.store, peers: peers, router: s.Router.ID, address: s.Listen.Peers, logger: p.logger,
 	}
 	return nil
 }
@@ -111,33 +124,26 @@
 	add := func(execute func(context.Context) error) {
 		group.Add(func() error { return execute(loops) }, func(error) { stopLoops() })
 	}
-	watch := func(kind string, receiver mirror.Receiver) {
-		add(func(ctx context.Context) error {
-			return mirror.Run(ctx, mirror.Config{
-				Source: p.store, Kind: kind, Wait: p.watchWait(), Receiver: receiver, Logger: p.logger,
-			})
-		})
+	for _, m := range p.mirrors {
+		add(m.Run)
 	}
-	watch(platform.KindConfig, platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger})
-	watch(platform.KindEndpoints, platform.EndpointReceiver{Gateway: p.gateway, Logger: p.logger})
-	watch(platform.KindEvacuations, platform.EvacuationReceiver{Gateway: p.gateway})
 	add(p.gateway.Run)
 	add(p.fleet.run)
-	add(p.exchange.Send)
+	add(p.peers.Send)
 	add(p.reload)
-	group.Add(p.exchange.Receive, func(error) { p.exchange.Close() })
+	group.Add(p.peers.Receive, func(error) { p.peers.Close() })
 	if err := p.listen(ctx, &group); err != nil {
 		return err
 	}
-	p.logger.Info("router started", zap.String("router", p.options.Settings.Router.ID), zap.String("zone", p.options.Settings.Router.Zone))
+	p.logger.Info("router started", zap.String("zone", p.options.Settings.Router.Zone))
 	return group.Run()
 }
 
-// watchWait returns the longest wait of a watch: a router counts as in touch one
-// stable window after a disruption of the store.
-func (p *process) watchWait() time.Duration {
-	window := time.Duration(p.options.Settings.Bounds.StableMS * float64(time.Millisecond))
-	return max(window-watchMargin, watchMargin)
+// receiveNews gives a relay's news to the mirror of their kind.
+func (p *process) receiveNews(news mirror.News) {
+	if m, ok := p.mirrors[news.Kind]; ok {
+		m.Offer(news)
+	}
 }
 
 func (p *process) reload(ctx context.Context) error {
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/hornbeamproxy/hornbeamproxy/digest"
+	"github.com/hornbeamproxy/hornbeamproxy/exchange"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
 )
@@ -24,7 +24,7 @@
 // fleet registers the router in the store and finds the others there.
 type fleet struct {
 	store      *platform.Store
-	exchange   *digest.Exchange
+	peers      *exchange.Exchange
 	router     string
 	address    string
 	logger     *zap.Logger
@@ -88,7 +88,7 @@
 		}
 		addresses[object.Key] = address
 	}
-	f.exchange.SetPeers(addresses)
+	f.peers.SetPeers(addresses)
 	f.removeDead(ctx, addresses)
 	return len(addresses) > 1
 }
@@ -97,7 +97,7 @@
 // long. The living router with the lowest id does it for all.
 func (f *fleet) removeDead(ctx context.Context, addresses map[string]string) {
 	now := time.Now()
-	alive := f.exchange.Alive(now)
+	alive := f.peers.Alive(now)
 	for id := range alive {
 		if id < f.router {
 			return
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,5 +1,7 @@
-// Package mirror keeps a local copy of the objects of one kind in the store, by
-// listing them once and watching what changes.
+// Package mirror keeps a local copy of the objects of one kind in the store. It
+// lists them once and then learns what changes: a few routers, the relays, watch
+// the store and pass the changes on; the others follow them, and watch the store
+// themselves while no relay is in touch with it.
 package mirror
 
 import (
@@ -18,16 +20,55 @@
 	// outage must be found over well within the 2 s that bounds allow.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 700 * time.Millisecond
+	// followTick is the time between looks at what the relays announce.
+	followTick = 250 * time.Millisecond
+	// newsDelay is how long news that a relay has announced may take to arrive
+	// before the router asks the store itself.
+	newsDelay = 300 * time.Millisecond
+	// catchUpWait is the wait of a watch for what has changed already.
+	catchUpWait = time.Millisecond
+	// newsQueue bounds the news that wait; news beyond it are asked for again.
+	newsQueue = 64
 )
 
+// News are the changes of a kind after one revision up to another.
+type News struct {
+	Kind     string
+	From, To uint64 // revisions of the store
+	Objects  []objectstore.Object
+	// Partial news say that there are changes without bringing them.
+	Partial bool
+}
+
+// Head is what a relay announces of a kind.
+type Head struct {
+	// Changed is the revision up to which the relay knows all changes.
+	Changed uint64
+	// Fresh says that the relay's last call was answered.
+	Fresh bool
+}
+
+// Peers are the other routers. Implementations are safe for concurrent use.
+type Peers interface {
+	// Relay reports whether this router watches the store for the others.
+	Relay() bool
+	// Head returns the newest revision that a fresh relay has announced; ok is
+	// false if there is no such relay.
+	Head(kind string) (changed uint64, ok bool)
+	// Announce sets what this router announces.
+	Announce(kind string, head Head)
+	// Publish passes news on.
+	Publish(news News)
+}
+
 // Receiver takes the changes of a mirror. All calls come from one goroutine.
 type Receiver interface {
 	// Replace is called with a complete list.
 	Replace(objects []objectstore.Object)
 	// Change is called for each object that changed or was deleted.
 	Change(object objectstore.Object)
-	// Lost and Found are called when the store stops answering and answers again;
-	// Lost is called for each failed call.
+	// Lost is called for each call that the store does not answer, and Found when
+	// it answers again.
 	Lost(err error)
 	Found()
 }
@@ -41,14 +82,54 @@
 	// finds out.
 	Wait     time.Duration
 	Receiver Receiver
+	Peers    Peers
 	Logger   *zap.Logger
 }
 
-// Run mirrors a kind until ctx ends.
-func Run(ctx context.Context, config Config) error {
-	m := &loop{Config: config}
+// Mirror is the local copy of one kind.
+type Mirror struct {
+	Config
+	news chan News
+
+	listed   bool
+	revision uint64 // of the store, up to which all is known
+	changed  uint64 // of the newest list or batch of changes
+	// versions are the newest versions seen, so that news and watches that
+	// overtake each other never bring an older state back.
+	versions map[string]uint64
+	behind   time.Time // since when a relay has announced more than is known
+	failures int
+	since    time.Time // of the outage
+}
+
+// New returns a mirror that knows nothing.
+func New(config Config) *Mirror {
+	return &Mirror{Config: config, news: make(chan News, newsQueue), versions: map[string]uint64{}}
+}
+
+// Offer takes news from a relay. It does not block; news that do not fit are
+// noticed as missing later.
+func (m *Mirror) Offer(news News) {
+	select {
+	case m.news <- news:
+	default:
+	}
+}
+
+// Run mirrors the kind until ctx ends.
+func (m *Mirror) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := m.step(ctx); err != nil {
+		var err error
+		switch {
+		case !m.listed:
+			err = m.list(ctx)
+		case m.follows():
+			m.follow(ctx)
+			continue
+		default:
+			err = m.watch(ctx)
+		}
+		if err != nil {
 			m.failed(ctx, err)
 			continue
 		}
@@ -57,42 +138,137 @@
 	return nil
 }
 
-type loop struct {
-	Config
-	listed   bool
+// list reads all objects.
+func (m *Mirror) list(ctx context.Context) error {
+	objects, revision, err := m.Source.List(ctx, m.Kind, false)
+	if err != nil {
+		return err
+	}
+	m.listed, m.revision, m.changed = true, revision, revision
+	clear(m.versions)
+	for _, object := range objects {
+		m.versions[object.Key] = object.Version
+	}
+	m.Receiver.Replace(objects)
+	if m.Peers.Relay() {
+		m.Peers.Publish(News{Kind: m.Kind, To: revision, Partial: true})
+	}
+	return nil
+}
+
+// follows reports whether the router takes the changes from relays.
+func (m *Mirror) follows() bool {
+	if m.Peers.Relay() {
+		return false
+	}
+	changed, ok := m.Peers.Head(m.Kind)
+	if !ok {
+		return false
+	}
+	if changed <= m.revision {
+		m.behind = time.Time{}
+		return true
+	}
+	now := time.Now()
+	if m.behind.IsZero() {
+		m.behind = now
+	}
+	return now.Sub(m.behind) < newsDelay
+}
+
+// follow waits for news.
+func (m *Mirror) follow(ctx context.Context) {
+	m.Peers.Announce(m.Kind, Head{})
+	timer := time.NewTimer(followTick)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case news := <-m.news:
+		m.take(news)
+	case <-timer.C:
+	}
+}
+
+// take applies news that continue what is known, and notes those that do not.
+func (m *Mirror) take(news News) {
+	if !m.listed || news.To <= m.revision {
+		return
+	}
+	if news.Partial || news.From > m.revision {
+		// The router asks the store at once.
+		m.behind = time.Now().Add(-newsDelay)
+		return
+	}
+	m.apply(news.Objects)
+	m.revision, m.changed = news.To, news.To
+	m.behind = time.Time{}
+}
+
+type watched struct {
+	objects  []objectstore.Object
 	revision uint64
-	failures int
-	since    time.Time // of the outage
+	err      error
 }
 
-// step makes one call and passes on what it brought.
-func (m *loop) step(ctx context.Context) error {
-	if !m.listed {
-		objects, revision, err := m.Source.List(ctx, m.Kind, false)
-		if err != nil {
-			return err
+// watch asks the store for changes and takes news while it waits.
+func (m *Mirror) watch(ctx context.Context) error {
+	wait := m.Wait
+	if !m.behind.IsZero() {
+		wait = catchUpWait
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := m.revision
+	result := make(chan watched, 1)
+	go func() {
+		objects, revision, err := m.Source.Watch(ctx, m.Kind, asked, wait)
+		result <- watched{objects: objects, revision: revision, err: err}
+	}()
+	for {
+		select {
+		case news := <-m.news:
+			m.take(news)
+		case r := <-result:
+			return m.enter(asked, r)
 		}
-		m.listed, m.revision = true, revision
-		m.Receiver.Replace(objects)
-		return nil
 	}
-	objects, revision, err := m.Source.Watch(ctx, m.Kind, m.revision, m.Wait)
-	if errors.Is(err, objectstore.ErrCompacted) {
-		m.Logger.Info("watch history compacted", zap.String("kind", m.Kind), zap.Uint64("revision", m.revision))
+}
+
+// enter applies the result of a watch from the revision asked for.
+func (m *Mirror) enter(asked uint64, r watched) error {
+	if errors.Is(r.err, objectstore.ErrCompacted) {
+		m.Logger.Info("watch history compacted", zap.String("kind", m.Kind), zap.Uint64("revision", asked))
 		m.listed = false
 		return nil
 	}
-	if err != nil {
-		return err
+	if r.err != nil {
+		return r.err
+	}
+	m.behind = time.Time{}
+	m.apply(r.objects)
+	if len(r.objects) > 0 {
+		if m.Peers.Relay() {
+			m.Peers.Publish(News{Kind: m.Kind, From: min(m.changed, asked), To: r.revision, Objects: r.objects})
+		}
+		m.changed = max(m.changed, r.revision)
 	}
-	m.revision = revision
+	m.revision = max(m.revision, r.revision)
+	return nil
+}
+
+// apply passes on the changes that are newer than what is known.
+func (m *Mirror) apply(objects []objectstore.Object) {
 	for _, object := range objects {
+		known, ok := m.versions[object.Key]
+		if ok && (object.Version < known || object.Version == known && !object.Deleted) {
+			continue
+		}
+		m.versions[object.Key] = object.Version
 		m.Receiver.Change(object)
 	}
-	return nil
 }
 
-func (m *loop) failed(ctx context.Context, err error) {
+func (m *Mirror) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -102,16 +278,24 @@
 	}
 	m.failures++
 	m.Receiver.Lost(err)
+	m.Peers.Announce(m.Kind, Head{Changed: m.changed})
 	pause := min(firstPause<<min(m.failures-1, 8), longestPause)
 	timer := time.NewTimer(pause/2 + rand.N(pause/2+1))
 	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		select {
+		case news := <-m.news:
+			m.take(news)
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
-func (m *loop) answered() {
+func (m *Mirror) answered() {
+	m.Peers.Announce(m.Kind, Head{Changed: m.changed, Fresh: true})
 	if m.failures == 0 {
 		return
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -65,6 +65,37 @@
 func (r *recorder) Lost(error)                       { r.add("lost") }
 func (r *recorder) Found()                           { r.add("found") }
 
+// fakePeers is a fleet whose relays announce what a test sets.
+type fakePeers struct {
+	mu        sync.Mutex
+	relay     bool
+	changed   uint64
+	fresh     bool
+	published []News
+}
+
+func (p *fakePeers) Relay() bool { return p.relay }
+
+func (p *fakePeers) Head(string) (uint64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changed, p.fresh
+}
+
+func (p *fakePeers) set(changed uint64, fresh bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changed, p.fresh = changed, fresh
+}
+
+func (p *fakePeers) Announce(string, Head) {}
+
+func (p *fakePeers) Publish(news News) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.published = append(p.published, news)
+}
+
 func reply(revision uint64, err error, keys ...string) func(uint64) ([]objectstore.Object, uint64, error) {
 	return func(uint64) ([]objectstore.Object, uint64, error) {
 		var objects []objectstore.Object
@@ -99,7 +130,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		done <- Run(ctx, Config{Source: source, Kind: "k", Wait: time.Second, Receiver: received, Logger: zap.NewNop()})
+		done <- New(Config{
+			Source: source, Kind: "k", Wait: time.Second, Receiver: received, Peers: &fakePeers{relay: true}, Logger: zap.NewNop(),
+		}).Run(ctx)
 	}()
 	want := []string{"lost", "list a", "found", "change b", "lost", "found", "list c", "change d"}
 	deadline := time.Now().Add(5 * time.Second)
