--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,177 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/mirror"
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+)
+
+// router is one end of an exchange on loopback.
+type router struct {
+	*Exchange
+	mu    sync.Mutex
+	own   map[string]int
+	loads map[string]int // "router/endpoint"
+	news  []mirror.News
+	stop  context.CancelFunc
+}
+
+func newFleet(t *testing.T, n int) []*router {
+	t.Helper()
+	fleet := make([]*router, n)
+	addresses := map[string]string{}
+	for i := range fleet {
+		r := &router{own: map[string]int{}, loads: map[string]int{}}
+		e, err := Listen(Config{
+			Router: fmt.Sprintf("r%d", i), Address: "127.0.0.1:0", Logger: zap.NewNop(), Metrics: telemetry.NewMetrics(),
+			Loads: func() map[string]int {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				loads := map[string]int{}
+				for id, n := range r.own {
+					loads[id] = n
+				}
+				return loads
+			},
+			ReceiveLoad: func(from, endpoint string, requests int) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.loads[from+"/"+endpoint] = requests
+			},
+			ReceiveNews: func(news mirror.News) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.news = append(r.news, news)
+			},
+		})
+		assert.NilError(t, err)
+		r.Exchange = e
+		addresses[fmt.Sprintf("r%d", i)] = e.socket.LocalAddr().String()
+		fleet[i] = r
+	}
+	for _, r := range fleet {
+		r.SetPeers(addresses)
+		ctx, cancel := context.WithCancel(context.Background())
+		r.stop = cancel
+		go func() { _ = r.Receive() }()
+		go func() { _ = r.Send(ctx) }()
+		t.Cleanup(func() { cancel(); r.Close() })
+	}
+	return fleet
+}
+
+func (r *router) load(key string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loads[key]
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for !condition() {
+		assert.Assert(t, time.Now().Before(deadline), what)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against loads that do not reach another router, or stay there after the
+// requests have ended.
+func TestLoads(t *testing.T) {
+	fleet := newFleet(t, 2)
+	fleet[0].mu.Lock()
+	fleet[0].own["e"] = 3
+	fleet[0].mu.Unlock()
+	eventually(t, "load arrives", func() bool { return fleet[1].load("r0/e") == 3 })
+	fleet[0].mu.Lock()
+	delete(fleet[0].own, "e")
+	fleet[0].mu.Unlock()
+	eventually(t, "load ends", func() bool { return fleet[1].load("r0/e") == 0 })
+	assert.Equal(t, fleet[0].Routers(), 2)
+}
+
+// Guards against a fleet without relays, with many, or whose relays do not take
+// over when one falls silent.
+func TestRelays(t *testing.T) {
+	fleet := newFleet(t, 5)
+	count := func() int {
+		n := 0
+		for _, r := range fleet {
+			if r.Relay() {
+				n++
+			}
+		}
+		return n
+	}
+	eventually(t, "three relays", func() bool { return count() == fewRelays })
+	var first int
+	for i, r := range fleet {
+		if r.Relay() {
+			first = i
+			break
+		}
+	}
+	fleet[first].stop()
+	fleet[first].Close()
+	fleet = append(fleet[:first], fleet[first+1:]...)
+	eventually(t, "three relays without the silent one", func() bool { return count() == fewRelays })
+}
+
+// Guards against news that stay with a backup when the first relay does not pass
+// them on, and against heads of relays that the store does not answer.
+func TestNews(t *testing.T) {
+	fleet := newFleet(t, 4)
+	eventually(t, "relays", func() bool {
+		n := 0
+		for _, r := range fleet {
+			if r.Relay() {
+				n++
+			}
+		}
+		return n == fewRelays
+	})
+	var backup, follower *router
+	for _, r := range fleet {
+		r.mu.Lock()
+		r.Exchange.mu.Lock()
+		rank := r.rank
+		r.Exchange.mu.Unlock()
+		r.mu.Unlock()
+		switch rank {
+		case 1:
+			backup = r
+		case 3:
+			follower = r
+		}
+	}
+	news := mirror.News{Kind: "k", From: 4, To: 6, Objects: []objectstore.Object{{Key: "a", Version: 6}}}
+	backup.Announce("k", mirror.Head{Changed: 6, Fresh: true})
+	backup.Publish(news)
+	eventually(t, "news of the backup", func() bool {
+		follower.mu.Lock()
+		defer follower.mu.Unlock()
+		return len(follower.news) > 0
+	})
+	follower.mu.Lock()
+	assert.DeepEqual(t, follower.news[0], news)
+	follower.mu.Unlock()
+	eventually(t, "head", func() bool { changed, ok := follower.Head("k"); return ok && changed == 6 })
+	backup.Announce("k", mirror.Head{Changed: 6})
+	eventually(t, "no fresh head", func() bool { _, ok := follower.Head("k"); return !ok })
+}
+
+// Guards against control traffic that grows with the square of the fleet.
+func TestLoadInterval(t *testing.T) {
+	for routers, want := range map[int]time.Duration{1: 250, 32: 250, 33: 500, 91: 750, 350: 2750} {
+		assert.Equal(t, loadInterval(routers), want*time.Millisecond)
+	}
+}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -150,3 +150,117 @@
 	assert.DeepEqual(t, received.events, want)
 	assert.DeepEqual(t, since[:5], []uint64{5, 6, 6, 7, 20})
 }
+
+// run starts a mirror and returns it with a function that waits for events.
+func run(t *testing.T, source *scripted, peers *fakePeers) (*Mirror, func(want ...string)) {
+	t.Helper()
+	received := &recorder{}
+	m := New(Config{Source: source, Kind: "k", Wait: time.Second, Receiver: received, Peers: peers, Logger: zap.NewNop()})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- m.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return m, func(want ...string) {
+		t.Helper()
+		deadline := time.Now().Add(5 * time.Second)
+		for {
+			received.mu.Lock()
+			got := append([]string(nil), received.events...)
+			received.mu.Unlock()
+			if len(got) >= len(want) || time.Now().After(deadline) {
+				assert.DeepEqual(t, got, want)
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+func (s *scripted) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
+
+func news(from, to uint64, keys ...string) News {
+	n := News{Kind: "k", From: from, To: to}
+	for _, key := range keys {
+		n.Objects = append(n.Objects, objectstore.Object{Key: key, Version: to})
+	}
+	return n
+}
+
+// Guards against a router that asks the store although a relay tells it what
+// changed, and against news that are applied twice or in the wrong order.
+func TestFollow(t *testing.T) {
+	source := &scripted{steps: []func(uint64) ([]objectstore.Object, uint64, error){reply(5, nil, "a")}}
+	m, events := run(t, source, &fakePeers{changed: 5, fresh: true})
+	events("list a")
+	m.Offer(news(5, 8, "b"))
+	m.Offer(news(5, 8, "b"))
+	m.Offer(news(4, 7, "old"))
+	m.Offer(news(8, 9, "c"))
+	events("list a", "change b", "change c")
+	time.Sleep(2 * followTick)
+	assert.DeepEqual(t, source.calls, []string{"list"})
+}
+
+// Guards against changes that are missed because news were lost, came without
+// their objects, or do not join what is known.
+func TestFollowBehind(t *testing.T) {
+	for name, offer := range map[string]func(m *Mirror, p *fakePeers){
+		"lost":    func(_ *Mirror, p *fakePeers) { p.set(9, true) },
+		"partial": func(m *Mirror, p *fakePeers) { p.set(9, true); m.Offer(News{Kind: "k", From: 5, To: 9, Partial: true}) },
+		"gap":     func(m *Mirror, p *fakePeers) { p.set(9, true); m.Offer(news(7, 9, "d")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := &scripted{steps: []func(uint64) ([]objectstore.Object, uint64, error){
+				reply(5, nil, "a"), reply(9, nil, "missed"),
+			}}
+			peers := &fakePeers{changed: 5, fresh: true}
+			m, events := run(t, source, peers)
+			events("list a")
+			offer(m, peers)
+			events("list a", "change missed")
+		})
+	}
+}
+
+// Guards against a router that waits for relays that the store no longer
+// answers.
+func TestFollowUntilStale(t *testing.T) {
+	source := &scripted{steps: []func(uint64) ([]objectstore.Object, uint64, error){reply(5, nil, "a")}}
+	peers := &fakePeers{changed: 5, fresh: true}
+	_, events := run(t, source, peers)
+	events("list a")
+	peers.set(5, false)
+	deadline := time.Now().Add(3 * time.Second)
+	for source.count() < 2 && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, source.count(), 2)
+}
+
+// Guards against news that are lost to a router whose own calls the store leaves
+// without an answer, and against an older state that comes back with a late
+// answer.
+func TestNewsDuringWatch(t *testing.T) {
+	release := make(chan struct{})
+	source := &scripted{steps: []func(uint64) ([]objectstore.Object, uint64, error){
+		reply(5, nil, "a"),
+		func(uint64) ([]objectstore.Object, uint64, error) {
+			<-release
+			return reply(7, nil, "b")(0)
+		},
+	}}
+	m, events := run(t, source, &fakePeers{relay: true})
+	events("list a")
+	m.Offer(news(5, 8, "b"))
+	events("list a", "change b")
+	close(release)
+	time.Sleep(50 * time.Millisecond)
+	events("list a", "change b")
+}
