Speak the platform's real store protocol everywhere, with one client

Cause: the product's own interface still used an object API that this project had invented (ETag, If-Match, /v1/watch, /v1/instances), so that two clients and two copies of the store's types stood side by side.

Change: objectstore.Client keeps the decisions (repeats, budget, outage, probes) and makes its calls at any Store; platform.Keys is that Store over the platform's objects, revisions and watches. The instance list lies in the store like all else. The stand-in speaks the real protocol: kinds, pages, 409 with the object, 410, answers that are lost or late. The types of the invented API leave the schema.

Tests: TestStatusOfWrites keeps its cases; a 503 needs no header any more, since the protocol says that it did nothing. New: pages, compaction, conditions.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -269,9 +269,6 @@
 	// Load corresponds to the JSON schema field "load".
 	Load *LoadReport `json:"load,omitempty,omitzero" toml:"load,omitempty" cbor:"load,omitempty"`
 
-	// Objects corresponds to the JSON schema field "objects".
-	Objects *ObjectList `json:"objects,omitempty,omitzero" toml:"objects,omitempty" cbor:"objects,omitempty"`
-
 	// Order corresponds to the JSON schema field "order".
 	Order *Order `json:"order,omitempty,omitzero" toml:"order,omitempty" cbor:"order,omitempty"`
 
@@ -384,7 +381,7 @@
 	Leaving bool `json:"leaving,omitempty,omitzero" toml:"leaving,omitempty" cbor:"leaving,omitempty"`
 }
 
-// Body of GET /v1/instances.
+// The platform's list of instances.
 type InstanceList struct {
 	// Instances corresponds to the JSON schema field "instances".
 	Instances []Instance `json:"instances" toml:"instances" cbor:"instances"`
@@ -661,15 +658,6 @@
 	After uint64 `json:"after" toml:"after" cbor:"after"`
 }
 
-// Body of GET /v1/objects and of GET /v1/watch.
-type ObjectList struct {
-	// Objects corresponds to the JSON schema field "objects".
-	Objects []StoredObject `json:"objects" toml:"objects" cbor:"objects"`
-
-	// Value of since for the next watch.
-	Version uint64 `json:"version" toml:"version" cbor:"version"`
-}
-
 // Body of POST /orders.
 type Order struct {
 	// Adapter corresponds to the JSON schema field "adapter".
@@ -1244,20 +1232,6 @@
 	Router RouterSettings `json:"router" toml:"router" cbor:"router"`
 }
 
-type StoredObject struct {
-	// Deleted corresponds to the JSON schema field "deleted".
-	Deleted bool `json:"deleted,omitempty,omitzero" toml:"deleted,omitempty" cbor:"deleted,omitempty"`
-
-	// Key corresponds to the JSON schema field "key".
-	Key string `json:"key" toml:"key" cbor:"key"`
-
-	// Value corresponds to the JSON schema field "value".
-	Value []byte `json:"value,omitempty,omitzero" toml:"value,omitempty" cbor:"value,omitempty"`
-
-	// Version corresponds to the JSON schema field "version".
-	Version uint64 `json:"version" toml:"version" cbor:"version"`
-}
-
 type Workspace struct {
 	// ID corresponds to the JSON schema field "id".
 	ID string `json:"id" toml:"id" cbor:"id"`
--- a/claims/attempts_test.go
+++ b/claims/attempts_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"net/http/httptest"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -67,13 +67,14 @@
 	stand := standin.NewPlatform("secret")
 	server := httptest.NewServer(stand)
 	defer server.Close()
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
 	stand.SetFaults(standin.PlatformFaults{LoseProbability: 0.2, Seed: 1, WritesPerSecond: 300})
-	cfg := objectstore.DefaultClientConfig(server.URL, "secret")
+	cfg := objectstore.DefaultClientConfig()
+	metrics := telemetry.NewMetrics()
+	backend := platform.NewStore(server.URL, "secret", metrics)
+	defer backend.Close()
 	owners := make([]*Owner, 2)
 	for i := range owners {
-		owners[i] = testOwner(objectstore.NewClient(cfg, transport, telemetry.NewMetrics()))
+		owners[i] = testOwner(objectstore.NewClient(cfg, platform.Keys{Store: backend}, metrics))
 		defer owners[i].Close()
 	}
 	table := NewAttempts(DefaultAttemptsConfig("r1"))
--- a/docs/capacity_test.go
+++ b/docs/capacity_test.go
@@ -27,7 +27,6 @@
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/peer"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
-	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
 // Sizes of the target fleet in CAPACITY.md.
@@ -125,7 +124,7 @@
 	}
 	stand.SetInstances(instances)
 	platformBytes, url := serve(b, stand)
-	client := objectstore.NewClient(objectstore.DefaultClientConfig(url, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())
+	client := storeClient(url)
 	model := standin.NewEngine(standin.EngineConfig{ID: "engine-1", Models: []string{"chat-large"}})
 	b.Cleanup(model.Close)
 	engineBytes, engineURL := serve(b, model)
@@ -297,7 +296,7 @@
 	assert.NilError(b, err, bin)
 	site := newSite(demoZones)
 	defer site.Close()
-	client := objectstore.NewClient(objectstore.DefaultClientConfig(site.PlatformServer.URL, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())
+	client := storeClient(site.PlatformServer.URL)
 	_, err = notes.NewAcceptor(notes.AcceptorOptions{Store: client}).Accept(context.Background(), targetNote())
 	assert.NilError(b, err)
 	addresses, err := standin.FreeAddresses(3)
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -24,6 +23,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/notes"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/server"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
@@ -358,7 +358,7 @@
 	assert.NilError(t, err)
 	settings, err := config.Parse("router", []byte(settingsAt(addresses, site.PlatformServer.URL)))
 	assert.NilError(t, err)
-	_, err = notes.NewAcceptor(notes.AcceptorOptions{Store: objectstore.NewClient(objectstore.DefaultClientConfig(site.PlatformServer.URL, standin.SitePlatformToken), http.DefaultTransport, telemetry.NewMetrics())}).Accept(t.Context(), site.Note())
+	_, err = notes.NewAcceptor(notes.AcceptorOptions{Store: storeClient(site.PlatformServer.URL)}).Accept(t.Context(), site.Note())
 	assert.NilError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	started, done := make(chan struct{}), make(chan error, 1)
@@ -426,3 +426,10 @@
 	defer o.mu.Unlock()
 	return o.buffer.String()
 }
+
+// storeClient returns a client of the stand-in of the platform.
+func storeClient(url string) *objectstore.Client {
+	metrics := telemetry.NewMetrics()
+	backend := platform.Keys{Store: platform.NewStore(url, standin.SitePlatformToken, metrics)}
+	return objectstore.NewClient(objectstore.DefaultClientConfig(), backend, metrics)
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -78,7 +78,7 @@
 
 func (p *process) assemble() error {
 	s := p.options.Settings
-	p.store = platform.NewStore(s.Store.Address, p.metrics)
+	p.store = platform.NewStore("http://"+s.Store.Address, "", p.metrics)
 	peers, err := exchange.Listen(exchange.Config{
 		Router: s.Router.ID, Address: s.Listen.Peers, Logger: p.logger, Metrics: p.metrics,
 		Loads:       func() map[string]int { return p.gateway.Loads() },
@@ -153,7 +153,7 @@
 			return nil
 		case settings := <-p.options.Reload:
 			p.gateway.SetBounds(boundsOf(settings))
-			p.store.SetAddress(settings.Store.Address)
+			p.store.SetBase("http://" + settings.Store.Address)
 			p.logger.Info("settings reloaded")
 		}
 	}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -61,9 +61,9 @@
 		f.logger.Error("registration", zap.Error(err))
 		return false
 	}
-	err = f.store.Create(ctx, platform.KindRouters, f.router, value)
+	_, err = f.store.Create(ctx, platform.KindRouters, f.router, value)
 	if errors.Is(err, objectstore.ErrConflict) {
-		err = f.store.Replace(ctx, platform.KindRouters, f.router, value)
+		_, err = f.store.Replace(ctx, platform.KindRouters, f.router, value, 0)
 	}
 	if err != nil {
 		f.logger.Warn("router not registered", zap.Error(err))
@@ -114,7 +114,7 @@
 		if now.Sub(f.silent[id]) < deadAfter {
 			continue
 		}
-		if err := f.store.Remove(ctx, platform.KindRouters, id); err != nil {
+		if err := f.store.Remove(ctx, platform.KindRouters, id, 0); err != nil {
 			f.logger.Warn("registration not removed", zap.String("router", id), zap.Error(err))
 			continue
 		}
--- a/objectstore/client_test.go
+++ b/objectstore/client_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -20,18 +21,18 @@
 func newClient(t *testing.T, handler http.Handler) (*objectstore.Client, *telemetry.Metrics) {
 	t.Helper()
 	server := httptest.NewServer(handler)
-	transport := &http.Transport{}
+	metrics := telemetry.NewMetrics()
+	backend := platform.NewStore(server.URL, "secret", metrics)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
-		transport.CloseIdleConnections()
+		backend.Close()
 	})
-	cfg := objectstore.DefaultClientConfig(server.URL, "secret")
+	cfg := objectstore.DefaultClientConfig()
 	cfg.Timeout = 100 * time.Millisecond
 	cfg.ProbeInterval = 10 * time.Millisecond
 	cfg.MaxProbeInterval = 20 * time.Millisecond
-	metrics := telemetry.NewMetrics()
-	return objectstore.NewClient(cfg, transport, metrics), metrics
+	return objectstore.NewClient(cfg, platform.Keys{Store: backend}, metrics), metrics
 }
 
 // Guards against a wire format that differs from the Store contract, also for
@@ -93,23 +94,19 @@
 func TestStatusOfWrites(t *testing.T) {
 	for _, c := range []struct {
 		status int
-		effect string
 		want   error
 		calls  int
 	}{
-		{http.StatusInternalServerError, "", objectstore.ErrAmbiguous, 1},
-		{http.StatusServiceUnavailable, "none", objectstore.ErrUnavailable, 3},
-		{http.StatusTooManyRequests, "", objectstore.ErrUnavailable, 3},
-		{http.StatusForbidden, "", objectstore.ErrUnavailable, 1},
-		{http.StatusTemporaryRedirect, "", objectstore.ErrAmbiguous, 1},
-		{http.StatusOK, "", objectstore.ErrAmbiguous, 1}, // without version
+		{http.StatusInternalServerError, objectstore.ErrAmbiguous, 1},
+		{http.StatusServiceUnavailable, objectstore.ErrUnavailable, 3},
+		{http.StatusTooManyRequests, objectstore.ErrUnavailable, 3},
+		{http.StatusForbidden, objectstore.ErrUnavailable, 1},
+		{http.StatusTemporaryRedirect, objectstore.ErrAmbiguous, 1},
+		{http.StatusOK, objectstore.ErrAmbiguous, 1}, // without version
 	} {
 		calls := 0
 		client, _ := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			calls++
-			if c.effect != "" {
-				w.Header().Set(objectstore.EffectHeader, c.effect)
-			}
 			w.WriteHeader(c.status)
 		}))
 		_, err := client.Put(context.Background(), "a", nil, 0)
@@ -122,7 +119,9 @@
 func TestUnsentWriteHadNoEffect(t *testing.T) {
 	server := httptest.NewServer(nil)
 	server.Close()
-	client := objectstore.NewClient(objectstore.DefaultClientConfig(server.URL, ""), &http.Transport{}, telemetry.NewMetrics())
+	metrics := telemetry.NewMetrics()
+	backend := platform.Keys{Store: platform.NewStore(server.URL, "", metrics)}
+	client := objectstore.NewClient(objectstore.DefaultClientConfig(), backend, metrics)
 	_, err := client.Put(context.Background(), "a", nil, 0)
 	assert.ErrorIs(t, err, objectstore.ErrUnavailable)
 	assert.Assert(t, !errors.Is(err, objectstore.ErrAmbiguous))
@@ -189,28 +188,3 @@
 	_, err = client.Get(ctx, "a")
 	assert.NilError(t, err)
 }
-
-// Guards against answers that crash the client, and against answers without
-// bound or version that are taken as objects.
-func FuzzAnswers(f *testing.F) {
-	f.Add([]byte(`{"objects":[{"key":"a","version":1}],"version":1}`), `"1"`)
-	f.Fuzz(func(t *testing.T, body []byte, tag string) {
-		transport := roundTrip(func(*http.Request) *http.Response {
-			recorder := httptest.NewRecorder()
-			recorder.Header()["Etag"] = []string{tag}
-			_, _ = recorder.Write(body)
-			return recorder.Result()
-		})
-		cfg := objectstore.DefaultClientConfig("http://platform.invalid", "")
-		cfg.MaxListBytes = 1 << 10
-		client := objectstore.NewClient(cfg, transport, telemetry.NewMetrics())
-		object, err := client.Get(context.Background(), "a")
-		assert.Assert(t, err != nil || object.Version > 0 && len(object.Value) <= objectstore.MaxValueBytes)
-		_, err = client.List(context.Background(), "")
-		assert.Assert(t, err != nil || len(body) <= 1<<10)
-	})
-}
-
-type roundTrip func(*http.Request) *http.Response
-
-func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r), nil }
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -1,15 +1,15 @@
-// Package objectstore is the client of the platform's object API and instance
-// list. The Store interface is all that the rest of the router knows of it.
 package objectstore
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
-// MaxValueBytes is the largest value that the object API holds.
-const MaxValueBytes = 1 << 20
+// MaxValueBytes is the largest value that the product stores: the platform's
+// store holds 1 MiB in text, of which four bytes carry three of a value.
+const MaxValueBytes = 3<<18 - 1<<10
 
 var (
 	// ErrNotFound says that the object does not exist.
@@ -20,6 +20,10 @@
 	// ErrUnavailable says that the call had no effect because the object API
 	// could not be reached or refused it.
 	ErrUnavailable = errors.New("object store: unavailable")
+	// ErrRateLimited and ErrRefused are kinds of ErrUnavailable: the store took
+	// no more calls, or will not take this one.
+	ErrRateLimited = fmt.Errorf("%w: rate limited", ErrUnavailable)
+	ErrRefused     = fmt.Errorf("%w: refused", ErrUnavailable)
 	// ErrAmbiguous says that a write may have taken effect, or may still do so.
 	// The caller resolves it by reading.
 	ErrAmbiguous = errors.New("object store: outcome of write unknown")
--- a/records/keeper_test.go
+++ b/records/keeper_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -17,6 +16,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -375,16 +375,12 @@
 func TestKeeperOverHTTP(t *testing.T) {
 	stand := standin.NewPlatform("secret")
 	server := httptest.NewServer(stand)
-	transport := &http.Transport{}
-	t.Cleanup(func() {
-		transport.CloseIdleConnections()
-		server.Close()
-	})
+	t.Cleanup(server.Close)
 	f := newFleet(1, 3)
 	for _, k := range f.live {
-		cfg := objectstore.DefaultClientConfig(server.URL, "secret")
+		cfg := objectstore.DefaultClientConfig()
 		cfg.ProbeInterval, cfg.MaxProbeInterval = time.Millisecond, time.Millisecond
-		k.opts.Store = objectstore.NewClient(cfg, transport, k.opts.Metrics)
+		k.opts.Store = objectstore.NewClient(cfg, platform.Keys{Store: platform.NewStore(server.URL, "secret", k.opts.Metrics)}, k.opts.Metrics)
 	}
 	dead := f.live[0]
 	faults := []standin.PlatformFaults{{LoseAnswers: 2}, {Outage: true}, {WritesPerSecond: 5}, {LoseProbability: 0.5}}
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/config"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/router"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -70,9 +71,10 @@
 	if registry == nil {
 		registry = telemetry.NewMetrics()
 	}
-	clientConfig := objectstore.DefaultClientConfig(o.Settings.Platform.URL, o.Secrets.PlatformToken)
+	backend := platform.Keys{Store: platform.NewStore(o.Settings.Platform.URL, o.Secrets.PlatformToken, registry)}
+	clientConfig := objectstore.DefaultClientConfig()
 	clientConfig.Timeout = o.Settings.Platform.Timeout.Duration
-	store := objectstore.NewClient(clientConfig, http.DefaultTransport, registry)
+	store := objectstore.NewClient(clientConfig, backend, registry)
 	r, err := router.New(router.Config{
 		Settings:  o.Settings,
 		Secrets:   o.Secrets,
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,6 +11,8 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,7 +47,7 @@
 	StaleFor time.Duration
 }
 
-// Platform is the object API and the instance list over a Memory store. It is
+// Platform speaks the protocol of the platform's store over a Memory store. It is
 // an http.Handler and safe for concurrent use.
 type Platform struct {
 	token string
@@ -58,13 +60,14 @@
 	reads      *rate.Limiter
 	stale      map[string]objectstore.Object
 	staleUntil time.Time
-	instances  []api.Instance
 	calls      map[string]int
+	plain      map[string]bool // kinds whose values are JSON
+	compacted  uint64
 }
 
 // NewPlatform returns a platform that accepts the bearer token.
 func NewPlatform(token string) *Platform {
-	p := &Platform{token: token, store: objectstore.NewMemory(), calls: map[string]int{}, instances: []api.Instance{}}
+	p := &Platform{token: token, store: objectstore.NewMemory(), calls: map[string]int{}, plain: map[string]bool{}}
 	p.SetFaults(PlatformFaults{})
 	return p
 }
@@ -95,11 +98,50 @@
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
 }
 
-// SetInstances replaces the instance list.
+// SetInstances replaces the instance list, which lies in the store.
 func (p *Platform) SetInstances(instances []api.Instance) {
+	ctx := context.Background()
+	listed, _ := p.store.List(ctx, instancesKind+"/")
+	versions := map[string]uint64{}
+	for _, object := range listed {
+		versions[object.Key] = object.Version
+	}
+	for _, instance := range instances {
+		key := instancesKind + "/" + instance.ID
+		value, _ := json.Marshal(instance)
+		_, _ = p.store.Put(ctx, key, value, versions[key])
+		delete(versions, key)
+	}
+	for key, version := range versions {
+		_ = p.store.Delete(ctx, key, version)
+	}
+}
+
+// SetSpec writes an object of the platform's own kinds, as the operator and the
+// endpoints do.
+func (p *Platform) SetSpec(kind, name string, spec any) {
+	value, _ := json.Marshal(spec)
+	p.mu.Lock()
+	p.plain[kind] = true
+	p.mu.Unlock()
+	key := kind + "/" + name
+	object, _ := p.store.Get(context.Background(), key)
+	_, _ = p.store.Put(context.Background(), key, value, object.Version)
+}
+
+// RemoveSpec removes an object of the platform's own kinds.
+func (p *Platform) RemoveSpec(kind, name string) {
+	key := kind + "/" + name
+	object, _ := p.store.Get(context.Background(), key)
+	_ = p.store.Delete(context.Background(), key, object.Version)
+}
+
+// Compact drops the history: watches from before are answered with 410.
+func (p *Platform) Compact() {
+	_, version, _ := p.store.Watch(context.Background(), "", 0, 0)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.instances = append([]api.Instance{}, instances...)
+	p.compacted = version
 }
 
 // Calls returns the number of calls so far by operation.
@@ -116,9 +158,9 @@
 		http.Error(w, "unauthorized", http.StatusUnauthorized)
 		return
 	}
-	operation, key := operationOf(r)
+	operation, kind, name := operationOf(r)
 	write := operation == "put" || operation == "delete"
-	faults, allowed := p.admit(operation, write)
+	faults, allowed := p.admit(operation, kind, write)
 	if !sleep(r.Context(), faults.Latency) || faults.Outage {
 		panic(http.ErrAbortHandler)
 	}
@@ -128,43 +170,49 @@
 	}
 	switch operation {
 	case "get":
-		p.get(w, key)
+		p.get(w, kind, name)
 	case "list":
-		p.list(w, r.URL.Query().Get("prefix"))
+		p.list(w, kind, r.URL.Query().Get("after"))
 	case "watch":
-		p.watch(w, r)
-	case "instances":
-		p.mu.Lock()
-		list := api.InstanceList{Instances: p.instances}
-		p.mu.Unlock()
-		writeJSON(w, list)
+		p.watch(w, r, kind)
 	case "put", "delete":
-		p.write(w, r, operation, key)
+		p.write(w, r, kind, name)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
-func operationOf(r *http.Request) (operation, key string) {
-	key, isObject := strings.CutPrefix(r.URL.Path, "/v1/objects/")
-	if isObject {
-		return strings.ToLower(r.Method), key
+// operationOf returns what a call does, and the kind and name that it names. A
+// call that creates an object counts as a put.
+func operationOf(r *http.Request) (operation, kind, name string) {
+	path, ok := strings.CutPrefix(r.URL.EscapedPath(), "/v1/objects/")
+	if !ok {
+		return "unknown", "", ""
 	}
-	switch r.Method + " " + r.URL.Path {
-	case "GET /v1/objects":
-		return "list", ""
-	case "GET /v1/watch":
-		return "watch", ""
-	case "GET /v1/instances":
-		return "instances", ""
+	kind, escaped, named := strings.Cut(path, "/")
+	name, err := url.PathUnescape(escaped)
+	switch {
+	case err != nil:
+		return "unknown", "", ""
+	case named && r.Method != http.MethodPost:
+		return strings.ToLower(r.Method), kind, name
+	case !named && r.Method == http.MethodPost:
+		return "put", kind, ""
+	case r.Method != http.MethodGet:
+		return "unknown", "", ""
+	case r.URL.Query().Has("watch"):
+		return "watch", kind, ""
 	}
-	return "unknown", ""
+	return "list", kind, ""
 }
 
 // admit counts a call and reports whether the rate limits allow it.
-func (p *Platform) admit(operation string, write bool) (PlatformFaults, bool) {
+func (p *Platform) admit(operation, kind string, write bool) (PlatformFaults, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if operation == "list" && kind == instancesKind {
+		operation = instancesKind
+	}
 	p.calls[operation]++
 	if write {
 		return p.faults, p.writes.Allow()
@@ -194,81 +242,221 @@
 	return p.stale
 }
 
-func (p *Platform) get(w http.ResponseWriter, key string) {
-	object, err := p.store.Get(context.Background(), key)
-	if stale := p.snapshot(); stale != nil {
-		var ok bool
-		err = nil
-		if object, ok = stale[key]; !ok {
-			err = objectstore.ErrNotFound
+// wireObject is an object as the store sends and takes it.
+type wireObject struct {
+	Metadata struct {
+		Name     string `json:"name"`
+		Revision uint64 `json:"revision,omitempty"`
+	} `json:"metadata"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+// wire returns an object with its value: as it is for the platform's own kinds,
+// and as a text of bytes for the product's.
+func (p *Platform) wire(kind string, object objectstore.Object) wireObject {
+	var o wireObject
+	o.Metadata.Name = strings.TrimPrefix(object.Key, kindPrefix(kind))
+	o.Metadata.Revision = object.Version
+	p.mu.Lock()
+	plain := p.plain[kind]
+	p.mu.Unlock()
+	if plain {
+		o.Spec = object.Value
+		if object.Deleted {
+			o.Spec = json.RawMessage("null")
 		}
+		return o
 	}
-	if err != nil {
-		writeError(w, err)
-		return
+	o.Spec, _ = json.Marshal(append([]byte{}, object.Value...))
+	return o
+}
+
+// singlesKind holds the objects whose key has no slash.
+const (
+	singlesKind   = "hornbeam"
+	instancesKind = "instances"
+	// pageItems is the number of objects in one answer to a list.
+	pageItems = 500
+)
+
+func kindPrefix(kind string) string {
+	if kind == singlesKind {
+		return ""
 	}
-	w.Header().Set("ETag", etag(object.Version))
-	_, _ = w.Write(object.Value)
+	return kind + "/"
 }
 
-func (p *Platform) list(w http.ResponseWriter, prefix string) {
+// stored returns the objects of a kind as reads see them now, in key order.
+func (p *Platform) stored(kind string) []objectstore.Object {
+	prefix := kindPrefix(kind)
 	objects, _ := p.store.List(context.Background(), prefix)
 	if stale := p.snapshot(); stale != nil {
 		objects = nil
-		for _, object := range stale {
-			if strings.HasPrefix(object.Key, prefix) {
-				objects = append(objects, object)
+		for _, key := range slices.Sorted(maps.Keys(stale)) {
+			if strings.HasPrefix(key, prefix) {
+				objects = append(objects, stale[key])
 			}
 		}
 	}
-	writeJSON(w, objectList(objects, 0))
+	if kind == singlesKind {
+		objects = slices.DeleteFunc(objects, func(o objectstore.Object) bool { return strings.Contains(o.Key, "/") })
+	}
+	return objects
+}
+
+func (p *Platform) get(w http.ResponseWriter, kind, name string) {
+	for _, object := range p.stored(kind) {
+		if object.Key == kindPrefix(kind)+name {
+			writeJSON(w, http.StatusOK, p.wire(kind, object))
+			return
+		}
+	}
+	writeError(w, objectstore.ErrNotFound)
 }
 
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) list(w http.ResponseWriter, kind, after string) {
+	_, revision, _ := p.store.Watch(context.Background(), "", 0, 0)
+	page := struct {
+		Items    []wireObject `json:"items"`
+		More     bool         `json:"more"`
+		Revision uint64       `json:"store_revision"`
+	}{Items: []wireObject{}, Revision: revision}
+	for _, object := range p.stored(kind) {
+		o := p.wire(kind, object)
+		if o.Metadata.Name <= after && after != "" {
+			continue
+		}
+		if len(page.Items) == pageItems {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, o)
+	}
+	writeJSON(w, http.StatusOK, page)
+}
+
+type wireEvent struct {
+	Object  wireObject `json:"object"`
+	Deleted bool       `json:"deleted"`
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	query := r.URL.Query()
-	since, err1 := strconv.ParseUint(query.Get("since"), 10, 64)
+	since, err1 := strconv.ParseUint(query.Get("watch"), 10, 64)
 	wait, err2 := strconv.Atoi(query.Get("wait_ms"))
 	if err1 != nil || err2 != nil {
 		http.Error(w, "bad query", http.StatusBadRequest)
 		return
 	}
-	objects, version, err := p.store.Watch(r.Context(), query.Get("prefix"), since, time.Duration(wait)*time.Millisecond)
+	p.mu.Lock()
+	compacted := p.compacted
+	p.mu.Unlock()
+	if since < compacted {
+		http.Error(w, "history is gone", http.StatusGone)
+		return
+	}
+	objects, revision, err := p.store.Watch(r.Context(), kindPrefix(kind), since, time.Duration(wait)*time.Millisecond)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(w, objectList(objects, version))
+	answer := struct {
+		Events   []wireEvent `json:"events"`
+		Revision uint64      `json:"store_revision"`
+	}{Events: []wireEvent{}, Revision: revision}
+	for _, object := range objects {
+		if kind == singlesKind && strings.Contains(object.Key, "/") {
+			continue
+		}
+		answer.Events = append(answer.Events, wireEvent{Object: p.wire(kind, object), Deleted: object.Deleted})
+	}
+	writeJSON(w, http.StatusOK, answer)
 }
 
-func (p *Platform) write(w http.ResponseWriter, r *http.Request, operation, key string) {
-	value, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValueBytes+1))
+// change is a write call that has been read.
+type change struct {
+	method string
+	key    string
+	value  []byte
+	// revision is the condition; 0 means that there is none.
+	revision uint64
+}
+
+func (p *Platform) readChange(r *http.Request, kind, name string) (change, error) {
+	c := change{method: r.Method}
+	if r.Method == http.MethodDelete {
+		c.key = kindPrefix(kind) + name
+		if text := r.URL.Query().Get("revision"); text != "" {
+			var err error
+			c.revision, err = strconv.ParseUint(text, 10, 64)
+			return c, err
+		}
+		return c, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, 2*objectstore.MaxValueBytes))
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	condition, err := conditionOf(r.Header)
+	var object wireObject
+	if err := json.Unmarshal(body, &object); err != nil {
+		return c, err
+	}
+	c.key = kindPrefix(kind) + object.Metadata.Name
+	c.revision = object.Metadata.Revision
+	c.value = object.Spec
+	if len(object.Spec) > 0 && object.Spec[0] == '"' {
+		return c, json.Unmarshal(object.Spec, &c.value)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.plain[kind] = true
+	return c, nil
+}
+
+// apply makes a change and returns the object as it is then.
+func (p *Platform) apply(c change) (objectstore.Object, error) {
+	ctx := context.Background()
+	current, err := p.store.Get(ctx, c.key)
+	condition := current.Version
+	switch {
+	case c.method == http.MethodPost:
+		condition = 0
+	case err != nil:
+		return current, err
+	case c.revision != 0:
+		condition = c.revision
+	}
+	if c.method == http.MethodDelete {
+		return current, p.store.Delete(ctx, c.key, condition)
+	}
+	version, err := p.store.Put(ctx, c.key, c.value, condition)
+	if err != nil {
+		return current, err
+	}
+	return objectstore.Object{Key: c.key, Version: version, Value: c.value}, nil
+}
+
+func (p *Platform) write(w http.ResponseWriter, r *http.Request, kind, name string) {
+	c, err := p.readChange(r, kind, name)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	apply := func() (uint64, error) {
-		if operation == "delete" {
-			return 0, p.store.Delete(context.Background(), key, condition)
-		}
-		return p.store.Put(context.Background(), key, value, condition)
-	}
 	lose, delay := p.writeFault()
 	if delay > 0 {
-		time.AfterFunc(delay, func() { _, _ = apply() })
+		time.AfterFunc(delay, func() { _, _ = p.apply(c) })
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	version, err := apply()
+	object, err := p.apply(c)
 	switch {
 	case lose:
 		panic(http.ErrAbortHandler)
+	case errors.Is(err, objectstore.ErrConflict):
+		writeJSON(w, http.StatusConflict, p.wire(kind, object))
 	case err != nil:
 		writeError(w, err)
 	default:
-		w.Header().Set("ETag", etag(version))
+		writeJSON(w, http.StatusOK, p.wire(kind, object))
 	}
 }
 
@@ -286,43 +474,19 @@
 	return p.random.Float64() < p.faults.LoseProbability, 0
 }
 
-func conditionOf(header http.Header) (uint64, error) {
-	if header.Get("If-None-Match") == "*" {
-		return 0, nil
-	}
-	version, err := strconv.ParseUint(strings.Trim(header.Get("If-Match"), `"`), 10, 64)
-	if err != nil || version == 0 {
-		return 0, errors.New("a condition is required")
-	}
-	return version, nil
-}
-
-func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
-
-func objectList(objects []objectstore.Object, version uint64) api.ObjectList {
-	list := api.ObjectList{Objects: []api.StoredObject{}, Version: version}
-	for _, object := range objects {
-		list.Objects = append(list.Objects, api.StoredObject{
-			Key: object.Key, Version: object.Version, Value: object.Value, Deleted: object.Deleted,
-		})
-	}
-	return list
-}
-
 func writeError(w http.ResponseWriter, err error) {
 	status := http.StatusInternalServerError
 	switch {
 	case errors.Is(err, objectstore.ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, objectstore.ErrConflict):
-		status = http.StatusPreconditionFailed
 	case errors.Is(err, objectstore.ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	}
 	http.Error(w, err.Error(), status)
 }
 
-func writeJSON(w http.ResponseWriter, value any) {
+func writeJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(value)
 }
