--- /dev/null
+++ b/config/edge_test.go
@@ -0,0 +1,66 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const edgeText = `[router]
+id = "edge-1"
+zone = "z"
+memory_mb = 284
+
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+
+[store]
+address = "127.0.0.1:4"
+
+[bounds]
+grace_s = 8
+cold_factor = 1.5
+`
+
+func loadEdge(t *testing.T, text string) (*EdgeSettings, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "router.toml")
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	return LoadEdge(file)
+}
+
+// Guards against bounds that are lost, and defaults that replace given values.
+func TestLoadEdge(t *testing.T) {
+	settings, err := loadEdge(t, edgeText)
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Bounds.ColdFactor, 1.5)
+	assert.Equal(t, settings.Bounds.LoadFactor, float64(defaultLoadFactor))
+	assert.Equal(t, settings.Router.MemoryMB, 284)
+}
+
+// Guards against a bad file that is accepted, and against a problem that does not
+// say where it is.
+func TestLoadEdgeProblems(t *testing.T) {
+	for name, c := range map[string]struct{ from, to, key string }{
+		"unknown key":  {"zone =", "zoen =", "zoen"},
+		"wrong type":   {"memory_mb = 284", `memory_mb = "much"`, "memory_mb"},
+		"no id":        {`id = "edge-1"`, `id = ""`, "router.id"},
+		"no store":     {`address = "127.0.0.1:4"`, ``, "store.address"},
+		"no peers":     {`peers = "127.0.0.1:3"`, ``, "listen.peers"},
+		"no grace":     {"grace_s = 8", "grace_s = 0", "bounds.grace_s"},
+		"not TOML":     {"[bounds]", "[bounds", ""},
+		"negative":     {"cold_factor = 1.5", "cold_factor = -1", "bounds.cold_factor"},
+		"empty number": {"grace_s = 8", "grace_s =", ""},
+	} {
+		_, err := loadEdge(t, strings.Replace(edgeText, c.from, c.to, 1))
+		var problems *Error
+		assert.Assert(t, errors.As(err, &problems), name)
+		assert.Assert(t, strings.Contains(problems.Problems[0].Key, c.key), "%s: %v", name, err)
+	}
+}
--- /dev/null
+++ b/edge/edge_test.go
@@ -0,0 +1,245 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/config"
+	"github.com/hornbeamproxy/hornbeamproxy/edge"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+// site is the stand-in of a platform with one endpoint and some routers.
+type site struct {
+	stand    *standin.Platform
+	store    *httptest.Server
+	endpoint *httptest.Server
+	revision int
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{stand: standin.NewPlatform("")}
+	s.store = httptest.NewServer(s.stand)
+	s.endpoint = httptest.NewServer(http.HandlerFunc(serveEndpoint))
+	t.Cleanup(func() {
+		s.endpoint.CloseClientConnections()
+		s.endpoint.Close()
+		s.store.CloseClientConnections()
+		s.store.Close()
+	})
+	return s
+}
+
+// serveEndpoint answers at once, or with an event every 100 ms for 3 s.
+func serveEndpoint(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Server-Stamp", "stamp")
+	if !strings.HasPrefix(r.URL.Path, "/stream/") {
+		_, _ = io.WriteString(w, r.Header.Get("Tenant"))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for id := 1; id <= 30; id++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", id)
+		w.(http.Flusher).Flush()
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (s *site) configure(keys ...string) {
+	s.revision++
+	s.stand.SetSpec("config", "main", map[string]any{
+		"version": s.revision,
+		"routes": []map[string]any{
+			{"name": "c", "host": "h", "path_prefix": "/call/", "kind": "unsafe", "timeout_ms": 2000, "service": "s", "attempts": 1},
+			{"name": "s", "host": "h", "path_prefix": "/stream/", "kind": "streaming", "timeout_ms": 9000, "service": "s", "attempts": 1},
+		},
+		"services": []map[string]any{{"name": "s"}},
+		"tenants":  []map[string]any{{"name": "w", "api_keys": keys}},
+	})
+}
+
+func (s *site) register(state string) {
+	s.stand.SetSpec("servers", "i-1", map[string]any{
+		"service": "s", "address": s.endpoint.Listener.Addr().String(), "zone": "z", "slots": 8, "state": state,
+	})
+}
+
+// router is a running router.
+type router struct {
+	settings *config.EdgeSettings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func (s *site) start(t *testing.T, id string) *router {
+	t.Helper()
+	addresses, err := standin.FreeAddresses(4)
+	assert.NilError(t, err)
+	settings := &config.EdgeSettings{}
+	settings.Router.ID, settings.Router.Zone = id, "z"
+	settings.Listen.Callers, settings.Listen.Readiness = addresses[0], addresses[1]
+	settings.Listen.Metrics, settings.Listen.Peers = addresses[2], addresses[3]
+	settings.Store.Address = s.store.Listener.Addr().String()
+	settings.Bounds.GraceS, settings.Bounds.ColdFactor, settings.Bounds.LoadFactor = 8, 1, 2
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &router{settings: settings, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- edge.Run(ctx, edge.Options{Settings: settings, Logger: zap.NewNop()}) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case <-r.done:
+		case <-time.After(10 * time.Second):
+			t.Error("router does not stop")
+		}
+	})
+	return r
+}
+
+func (r *router) ready() bool {
+	response, err := http.Get("http://" + r.settings.Listen.Readiness + "/v1/ready")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// call returns the status and body of a request, or 0 and the error's text.
+func (r *router) call(path, key string) (int, string) {
+	request, _ := http.NewRequest(http.MethodPost, "http://"+r.settings.Listen.Callers+path, strings.NewReader("b"))
+	request.Host = "h"
+	request.Header.Set("Request-Id", "r")
+	request.Header.Set("Api-Key", key)
+	request.Header.Set("Deadline-Ms", "8000")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+func eventually(t *testing.T, within time.Duration, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for !condition() {
+		assert.Assert(t, time.Now().Before(deadline), what)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against a router that is ready before it knows the configuration, a key
+// that is accepted after it was taken away, and work for an endpoint that drains.
+func TestFollowsTheStore(t *testing.T) {
+	s := newSite(t)
+	s.register("ready")
+	r := s.start(t, "r1")
+	time.Sleep(200 * time.Millisecond)
+	assert.Assert(t, !r.ready())
+	status, _ := r.call("/call/1", "k1")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	s.configure("k1", "k2")
+	eventually(t, 2*time.Second, "ready", r.ready)
+	status, body := r.call("/call/1", "k1")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "w")
+	s.configure("k2")
+	eventually(t, time.Second, "key taken away", func() bool {
+		status, _ := r.call("/call/1", "k1")
+		return status == http.StatusUnauthorized
+	})
+	s.register("draining")
+	eventually(t, time.Second, "endpoint drains", func() bool {
+		status, _ := r.call("/call/1", "k2")
+		return status == http.StatusServiceUnavailable
+	})
+	s.register("ready")
+	eventually(t, time.Second, "endpoint is back", func() bool {
+		status, _ := r.call("/call/1", "k2")
+		return status == http.StatusOK
+	})
+	response, err := http.Get("http://" + r.settings.Listen.Metrics + "/metrics")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(text), "refusals.unauthorized"))
+}
+
+// Guards against a fleet in which each router asks the store for each change, and
+// against routers that miss what the relays tell them.
+func TestRelaysServeTheFleet(t *testing.T) {
+	s := newSite(t)
+	s.register("ready")
+	s.configure("k0")
+	routers := make([]*router, 6)
+	for i := range routers {
+		routers[i] = s.start(t, fmt.Sprintf("r%d", i))
+	}
+	for _, r := range routers {
+		eventually(t, 3*time.Second, "ready", r.ready)
+	}
+	time.Sleep(4 * time.Second)
+	before := s.stand.Calls()["watch"]
+	const changes = 10
+	for i := range changes {
+		s.register("draining")
+		s.register("ready")
+		s.configure("k0", fmt.Sprintf("k%d", i+1))
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, r := range routers {
+		eventually(t, 2*time.Second, "newest key", func() bool {
+			status, _ := r.call("/call/1", fmt.Sprintf("k%d", changes))
+			return status == http.StatusOK
+		})
+	}
+	calls := s.stand.Calls()["watch"] - before
+	// Three relays make a call for each of the 30 changes and some to wait; the
+	// other routers none for news that arrive.
+	assert.Assert(t, calls < 6*3*changes*8/10, "%d watches", calls)
+}
+
+// Guards against a graceful stop that cuts a stream, refuses what still arrives,
+// or stays ready.
+func TestStops(t *testing.T) {
+	s := newSite(t)
+	s.register("ready")
+	s.configure("k")
+	r := s.start(t, "r1")
+	eventually(t, 2*time.Second, "ready", r.ready)
+	stream := make(chan string, 1)
+	go func() {
+		_, body := r.call("/stream/1", "k")
+		stream <- body
+	}()
+	time.Sleep(300 * time.Millisecond)
+	r.stop()
+	eventually(t, time.Second, "out of readiness", func() bool { return !r.ready() })
+	status, _ := r.call("/call/1", "k")
+	assert.Equal(t, status, http.StatusOK, "a request that still arrives")
+	body := <-stream
+	assert.Assert(t, strings.HasSuffix(body, "id: 30\ndata: x\n\n"), body)
+	select {
+	case err := <-r.done:
+		assert.NilError(t, err)
+		r.done <- nil
+	case <-time.After(6 * time.Second):
+		t.Fatal("router goes on after its last request")
+	}
+}
