Let relays pause after a change

The first relay now pauses 50 ms after a change and the others 400 ms, in which they mostly learn of further changes from the first; routers that must ask the store themselves spread their calls over 0.1 s.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -98,7 +98,8 @@
 	t.Cleanup(func() {
 		cancel()
 		select {
-		case <-r.done:
+		case err := <-r.done:
+			assert.Check(t, err)
 		case <-time.After(10 * time.Second):
 			t.Error("router does not stop")
 		}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -106,7 +106,7 @@
 	count := func() int {
 		n := 0
 		for _, r := range fleet {
-			if r.Relay() {
+			if relay, _ := r.Relay(); relay {
 				n++
 			}
 		}
@@ -115,7 +115,7 @@
 	eventually(t, "three relays", func() bool { return count() == fewRelays })
 	var first int
 	for i, r := range fleet {
-		if r.Relay() {
+		if relay, _ := r.Relay(); relay {
 			first = i
 			break
 		}
@@ -133,7 +133,7 @@
 	eventually(t, "relays", func() bool {
 		n := 0
 		for _, r := range fleet {
-			if r.Relay() {
+			if relay, _ := r.Relay(); relay {
 				n++
 			}
 		}
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -41,10 +41,10 @@
 
 // Relay implements mirror.Peers. A router that has not found the others yet
 // watches the store itself.
-func (e *Exchange) Relay() bool {
+func (e *Exchange) Relay() (relay, first bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.rank < relays(len(e.peers)+1)
+	return e.rank < relays(len(e.peers)+1), e.rank == 0
 }
 
 // Head implements mirror.Peers.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -27,6 +27,15 @@
 	newsDelay = 300 * time.Millisecond
 	// catchUpWait is the wait of a watch for what has changed already.
 	catchUpWait = time.Millisecond
+	// firstPauseAfter and backupPauseAfter are the times between a change and the
+	// next watch of the first relay and of the others, so that changes that come
+	// together cost one call. The others mostly learn of them from the first.
+	firstPauseAfter  = 50 * time.Millisecond
+	backupPauseAfter = 400 * time.Millisecond
+	// partialDelay is the time until a router asks the store for news that came
+	// without their objects; it is spread up to twice as long, so that the
+	// routers do not ask together and changes that come together cost one call.
+	partialDelay = 100 * time.Millisecond
 	// newsQueue bounds the news that wait; news beyond it are asked for again.
 	newsQueue = 64
 )
@@ -50,8 +59,9 @@
 
 // Peers are the other routers. Implementations are safe for concurrent use.
 type Peers interface {
-	// Relay reports whether this router watches the store for the others.
-	Relay() bool
+	// Relay reports whether this router watches the store for the others, and
+	// whether it is the first to pass on what it sees.
+	Relay() (relay, first bool)
 	// Head returns the newest revision that a fresh relay has announced; ok is
 	// false if there is no such relay.
 	Head(kind string) (changed uint64, ok bool)
@@ -150,7 +160,7 @@
 		m.versions[object.Key] = object.Version
 	}
 	m.Receiver.Replace(objects)
-	if m.Peers.Relay() {
+	if relay, _ := m.Peers.Relay(); relay {
 		m.Peers.Publish(News{Kind: m.Kind, To: revision, Partial: true})
 	}
 	return nil
@@ -158,7 +168,7 @@
 
 // follows reports whether the router takes the changes from relays.
 func (m *Mirror) follows() bool {
-	if m.Peers.Relay() {
+	if relay, _ := m.Peers.Relay(); relay {
 		return false
 	}
 	changed, ok := m.Peers.Head(m.Kind)
@@ -195,8 +205,10 @@
 		return
 	}
 	if news.Partial || news.From > m.revision {
-		// The router asks the store at once.
-		m.behind = time.Now().Add(-newsDelay)
+		soon := partialDelay + rand.N(partialDelay)
+		if m.behind.IsZero() {
+			m.behind = time.Now().Add(soon - newsDelay)
+		}
 		return
 	}
 	m.apply(news.Objects)
@@ -229,7 +241,35 @@
 		case news := <-m.news:
 			m.take(news)
 		case r := <-result:
-			return m.enter(asked, r)
+			if err := m.enter(asked, r); err != nil || len(r.objects) == 0 {
+				return err
+			}
+			m.pause(ctx, m.pauseAfter())
+			return nil
+		}
+	}
+}
+
+// pauseAfter returns the time between a change and the next watch.
+func (m *Mirror) pauseAfter() time.Duration {
+	if relay, first := m.Peers.Relay(); relay && !first {
+		return backupPauseAfter
+	}
+	return firstPauseAfter
+}
+
+// pause waits, and takes news meanwhile.
+func (m *Mirror) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case news := <-m.news:
+			m.take(news)
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
 		}
 	}
 }
@@ -247,7 +287,7 @@
 	m.behind = time.Time{}
 	m.apply(r.objects)
 	if len(r.objects) > 0 {
-		if m.Peers.Relay() {
+		if relay, _ := m.Peers.Relay(); relay {
 			m.Peers.Publish(News{Kind: m.Kind, From: min(m.changed, asked), To: r.revision, Objects: r.objects})
 		}
 		m.changed = max(m.changed, r.revision)
@@ -280,18 +320,7 @@
 	m.Receiver.Lost(err)
 	m.Peers.Announce(m.Kind, Head{Changed: m.changed})
 	pause := min(firstPause<<min(m.failures-1, 8), longestPause)
-	timer := time.NewTimer(pause/2 + rand.N(pause/2+1))
-	defer timer.Stop()
-	for {
-		select {
-		case news := <-m.news:
-			m.take(news)
-		case <-timer.C:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
+	m.pause(ctx, pause/2+rand.N(pause/2+1))
 }
 
 func (m *Mirror) answered() {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -74,7 +74,7 @@
 	published []News
 }
 
-func (p *fakePeers) Relay() bool { return p.relay }
+func (p *fakePeers) Relay() (relay, first bool) { return p.relay, p.relay }
 
 func (p *fakePeers) Head(string) (uint64, bool) {
 	p.mu.Lock()
