Use an ejected endpoint when nothing else is left, and eject one that is not at its address

And a service whose endpoints had all failed once just now refused everything, although ejection is only a guess.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,7 +39,8 @@
 	NoEndpoint
 	// AllCold says that all endpoints are cold and have had their share.
 	AllCold
-	// AllEjected says that all endpoints have failed just now.
+	// AllEjected says that all endpoints have failed just now. The one that may be
+	// back first is chosen instead.
 	AllEjected
 	// AllTried says that the request has been to all endpoints.
 	AllTried
@@ -136,11 +137,13 @@
 	MaxLoad float64
 }
 
-// Pick chooses an endpoint.
+// Pick chooses an endpoint. One that has failed just now is chosen only if there
+// is no other.
 func (b *Balancer) Pick(now time.Time, ask Ask) (*State, Refusal) {
 	refusal := NoEndpoint
 	b.scratch = b.scratch[:0]
 	total := 0.0
+	var ejected *State // the one that may be back first
 	for _, endpoint := range ask.Members {
 		if !ask.Usable(endpoint) {
 			continue
@@ -150,11 +153,17 @@
 		total += load
 		if reason := state.blocked(now, ask, load); reason != None {
 			refusal = max(refusal, reason)
+			if reason == AllEjected && (ejected == nil || state.ejectedUntil.Before(ejected.ejectedUntil)) {
+				ejected = state
+			}
 			continue
 		}
 		b.scratch = append(b.scratch, candidate{state: state, load: load})
 	}
 	if len(b.scratch) == 0 {
+		if ejected != nil {
+			return ejected, None
+		}
 		return nil, refusal
 	}
 	if ask.Key != 0 {
@@ -170,15 +179,15 @@
 			return AllTried
 		}
 	}
-	if now.Before(s.ejectedUntil) {
-		return AllEjected
-	}
 	if ask.ColdShare > 0 && s.Endpoint.Cold(now) && s.sends.Count(now) >= ask.ColdShare {
 		return AllCold
 	}
 	if ask.MaxLoad > 0 && s.Endpoint.Slots > 0 && load >= ask.MaxLoad*float64(s.Endpoint.Slots) {
 		return AllFull
 	}
+	if now.Before(s.ejectedUntil) {
+		return AllEjected
+	}
 	return None
 }
 
@@ -251,6 +260,9 @@
 	return true
 }
 
+// Misdirected says that the endpoint is no longer at its address.
+func (s *State) Misdirected(now time.Time) { s.ejectedUntil = now.Add(longestEjection) }
+
 // SetRemote enters the load that another router reports for its own requests.
 func (b *Balancer) SetRemote(now time.Time, router, endpointID string, requests int) {
 	if state, ok := b.states[endpointID]; ok {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,8 @@
 	"os"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
 	"github.com/hornbeamproxy/hornbeamproxy/upstream"
@@ -166,6 +168,15 @@
 	return x.passWhole(conn, pool, state, response)
 }
 
+// misdirected keeps work from an address that another endpoint has now.
+func (g *Gateway) misdirected(state *balance.State, request string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state.Misdirected(time.Now())
+	g.logger.Warn("endpoint is not at its address", zap.String("endpoint", state.Endpoint.ID),
+		zap.String("address", state.Endpoint.Address), zap.String("request", request))
+}
+
 // notRun handles an endpoint's word that it did not run the request.
 func (x *exchange) notRun(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response, answer Answer) result {
 	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered))
@@ -176,6 +187,7 @@
 	}
 	x.release(state, nil)
 	if answer.Misdirected {
+		x.g.misdirected(state, x.request.ID)
 		return result{refusal: api.RefusalEndpointWithdrawn, retry: api.RetryReasonRefusedByEndpoint, retryAfter: 100 * time.Millisecond}
 	}
 	return result{refusal: api.RefusalEndpointFull, retry: api.RetryReasonRefusedByEndpoint, retryAfter: 200 * time.Millisecond}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -239,8 +239,6 @@
 	switch refusal {
 	case balance.AllCold:
 		return nil, result{refusal: api.RefusalEndpointCold, retryAfter: 300 * time.Millisecond, notSent: true}
-	case balance.AllEjected:
-		return nil, result{refusal: api.RefusalEndpointDown, retryAfter: 500 * time.Millisecond, notSent: true}
 	case balance.AllTried:
 		return nil, result{refusal: api.RefusalUpstreamFailed, retryAfter: 300 * time.Millisecond, notSent: true}
 	case balance.AllFull:
