Log without blocking, count what is dropped, and describe how to find a cause

Cause: the buffered log writer wrote to standard error within a request's path when its buffer was full, and lines that the sampler left out were not counted. The writer now drops and counts them (log.dropped); latency timers are served with the counters. docs/OPERATIONS.md leads from a request's id to its cause on recorded lines, and a test runs its commands.

--- a/cmd/hornbeamproxy/router.go
+++ b/cmd/hornbeamproxy/router.go
@@ -40,7 +40,8 @@
 	if err != nil {
 		return &exitError{code: exitProblems, err: err}
 	}
-	logger, flush := telemetry.NewEdgeLogger(settings.Router.ID)
+	registry := telemetry.NewMetrics()
+	logger, flush := telemetry.NewEdgeLogger(settings.Router.ID, registry)
 	defer flush()
 	if settings.Router.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Router.MemoryMB) * heapShare * (1 << 20)))
@@ -50,7 +51,7 @@
 	reloads := make(chan *config.EdgeSettings)
 	var group run.Group
 	group.Add(func() error {
-		return edge.Run(ctx, edge.Options{Settings: settings, Logger: logger, Reload: reloads})
+		return edge.Run(ctx, edge.Options{Settings: settings, Logger: logger, Metrics: registry, Reload: reloads})
 	}, func(error) { stop() })
 	done := make(chan struct{})
 	group.Add(func() error { return awaitSignals(done, stop) }, func(error) { close(done) })
--- /dev/null
+++ b/docs/operations_test.go
@@ -0,0 +1,38 @@
+package docs
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against commands on the operations page that find nothing, and against
+// explanations of lines that say something else.
+func TestOperationsPage(t *testing.T) {
+	text, err := os.ReadFile("OPERATIONS.md")
+	assert.NilError(t, err)
+	found := map[string]string{}
+	for _, line := range strings.Split(string(text), "\n") {
+		command, ok := strings.CutPrefix(line, "    ")
+		if !ok {
+			continue
+		}
+		out, err := exec.Command("sh", "-c", command).CombinedOutput()
+		assert.NilError(t, err, "%s: %s", command, out)
+		found[command] = string(out)
+	}
+	assert.Equal(t, len(found), 5)
+	for command, out := range found {
+		switch {
+		case strings.Contains(command, "af9c2c558f8d965d"):
+			assert.Assert(t, strings.Contains(out, `"reason":"endpoint_withdrawn"`) && strings.Contains(out, `"may_have_run":false`))
+		case strings.Contains(command, "54c21c101b8df638"):
+			assert.Assert(t, strings.Contains(out, `"msg":"cut"`) && strings.Contains(out, "unexpected EOF") && strings.Contains(out, `"sends":1`))
+		case strings.Contains(command, "2158c2a1215223f2"):
+			assert.Assert(t, strings.Contains(out, `"status":502`) && strings.Contains(out, "connection reset by peer") && strings.Contains(out, `"may_have_run":true`))
+		}
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -50,6 +50,8 @@
 type Options struct {
 	Settings *config.EdgeSettings
 	Logger   *zap.Logger
+	// Metrics is the router's registry; nil means a new one.
+	Metrics *telemetry.Metrics
 	// Reload delivers settings that replace the ones before.
 	Reload <-chan *config.EdgeSettings
 }
@@ -69,7 +71,10 @@
 
 // Run serves until ctx ends, and then shuts down gracefully.
 func Run(ctx context.Context, options Options) error {
-	p := &process{options: options, logger: options.Logger, metrics: telemetry.NewMetrics()}
+	p := &process{options: options, logger: options.Logger, metrics: options.Metrics}
+	if p.metrics == nil {
+		p.metrics = telemetry.NewMetrics()
+	}
 	if err := p.assemble(); err != nil {
 		return err
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -155,6 +155,7 @@
 		return x.notRun(conn, pool, state, response, answer)
 	}
 	x.mayHaveRun = true
+	x.g.firstByte.UpdateSince(x.arrived)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if !answer.Signed || success && answer.Encoded {
 		conn.Close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
@@ -68,6 +69,9 @@
 	table   atomic.Pointer[routing.Table]
 	// draining says that connections are to be closed after their answer.
 	draining atomic.Bool
+	// latency is from the head of a request to its last byte, and firstByte to the
+	// head of the endpoint's answer.
+	latency, firstByte metrics.Timer
 
 	mu       sync.Mutex
 	roster   *roster.Roster
@@ -82,6 +86,8 @@
 		config: config, logger: config.Logger, metrics: config.Metrics,
 		balancer: balance.New(config.Zone),
 		pools:    map[*roster.Endpoint]*upstream.Pool{},
+		latency:   metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
+		firstByte: metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
 	}
 	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapseHold: lapseHold})
 	g.budget = retry.NewBudget(retry.BudgetConfig{
@@ -174,6 +180,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	defer g.latency.UpdateSince(arrived)
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- /dev/null
+++ b/telemetry/async.go
@@ -0,0 +1,75 @@
+package telemetry
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// asyncWriter takes lines without ever waiting for where they go: lines beyond
+// its buffer are dropped and counted.
+type asyncWriter struct {
+	out     io.Writer
+	limit   int // bytes
+	dropped metrics.Counter
+
+	mu      sync.Mutex
+	pending []byte
+	writing []byte
+	stop    chan struct{}
+	stopped chan struct{}
+}
+
+func newAsyncWriter(out io.Writer, limit int, interval time.Duration, dropped metrics.Counter) *asyncWriter {
+	w := &asyncWriter{out: out, limit: limit, dropped: dropped, stop: make(chan struct{}), stopped: make(chan struct{})}
+	go w.run(interval)
+	return w
+}
+
+// Write takes a line. It never fails and never blocks on the output.
+func (w *asyncWriter) Write(line []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.pending)+len(line) > w.limit {
+		w.dropped.Inc(1)
+		return len(line), nil
+	}
+	w.pending = append(w.pending, line...)
+	return len(line), nil
+}
+
+// Sync does nothing: the lines are written soon.
+func (w *asyncWriter) Sync() error { return nil }
+
+func (w *asyncWriter) run(interval time.Duration) {
+	defer close(w.stopped)
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.stop:
+			w.flush()
+			return
+		case <-ticker.C:
+			w.flush()
+		}
+	}
+}
+
+func (w *asyncWriter) flush() {
+	w.mu.Lock()
+	w.writing, w.pending = w.pending, w.writing[:0]
+	w.mu.Unlock()
+	if len(w.writing) > 0 {
+		// There is nowhere to report that the log cannot be written.
+		_, _ = w.out.Write(w.writing)
+	}
+}
+
+// Close writes what is pending.
+func (w *asyncWriter) Close() {
+	close(w.stop)
+	<-w.stopped
+}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -62,9 +62,8 @@
 }
 
 const (
-	// logBuffer and logFlush bound what is written late, so that writing never
-	// holds up a request.
-	logBuffer = 64 << 10
+	// logBuffer bytes are held until they are written, every logFlush.
+	logBuffer = 256 << 10
 	logFlush  = 500 * time.Millisecond
 	// logFirst lines of each message are written in a second, and of the others
 	// each logThereafter-th.
@@ -73,13 +72,19 @@
 )
 
 // NewEdgeLogger returns the logger of a router on the platform: JSON lines on
-// standard error, at a bounded rate for each message. The function that is
-// returned writes what is buffered.
-func NewEdgeLogger(router string) (*zap.Logger, func()) {
+// standard error, at a bounded rate for each message. Lines that are left out are
+// counted under log.dropped. The function that is returned writes what is pending.
+func NewEdgeLogger(router string, registry *Metrics) (*zap.Logger, func()) {
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
-	writer := &zapcore.BufferedWriteSyncer{WS: zapcore.Lock(os.Stderr), Size: logBuffer, FlushInterval: logFlush}
+	dropped := registry.Counter("log.dropped")
+	writer := newAsyncWriter(os.Stderr, logBuffer, logFlush, dropped)
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), writer, zapcore.InfoLevel)
-	logger := zap.New(zapcore.NewSamplerWithOptions(core, time.Second, logFirst, logThereafter))
-	return logger.With(zap.String("router", router)), func() { _ = writer.Stop() }
+	sampled := zapcore.NewSamplerWithOptions(core, time.Second, logFirst, logThereafter,
+		zapcore.SamplerHook(func(_ zapcore.Entry, decision zapcore.SamplingDecision) {
+			if decision&zapcore.LogDropped != 0 {
+				dropped.Inc(1)
+			}
+		}))
+	return zap.New(sampled).With(zap.String("router", router)), writer.Close
 }
