Keep a share of an endpoint's connections, and remove what nothing used

Cause: endpoints reset connections beyond what they accept of all routers, and nothing kept the routers below it; with 91 routers before 4 endpoints of a plain service that is 5 connections each. A router's requests at an endpoint now stay within its share. The load at which a prompt leaves its home follows from the load factor of the settings. Removed: facts of engines, idle timeout and settings that no code read, and the limit by slots.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// homeLoad and homeSlack bound the load at which a prompt stays with the
-	// endpoint that holds its parts: homeLoad x the mean + homeSlack. Both lie
-	// below the factor that no endpoint may exceed.
-	homeLoad  = 1.25
-	homeSlack = 2
+	// defaultHomeLoad and homeSlack bound the load at which a prompt stays with the
+	// endpoint that holds its parts: HomeLoad x the mean + homeSlack. Both lie
+	// below what no endpoint may exceed, the load factor x the mean + 3.
+	defaultHomeLoad = 1.25
+	homeSlack       = 2
 	// zoneBonus is the load that an endpoint of the router's own zone may have
 	// above one of another zone, in requests.
 	zoneBonus = 0.5
@@ -44,7 +44,8 @@
 	AllEjected
 	// AllTried says that the request has been to all endpoints.
 	AllTried
-	// AllFull says that all endpoints hold as much as they may.
+	// AllFull says that the router has as many requests at all endpoints as its
+	// share of their connections allows.
 	AllFull
 )
 
@@ -132,9 +133,12 @@
 	// ColdShare is the number of requests a second that this router may send to
 	// a cold endpoint; 0 means that it is not limited.
 	ColdShare int
-	// MaxLoad is the number of requests that an endpoint may hold for each slot;
-	// 0 means that it is not limited.
-	MaxLoad float64
+	// MaxLocal is the number of requests, each on a connection of its own, that
+	// this router may have at an endpoint; 0 means that it is not limited.
+	MaxLocal int
+	// HomeLoad bounds the load at which a prompt stays at its home, as a multiple
+	// of the mean. 0 means defaultHomeLoad.
+	HomeLoad float64
 }
 
 // Pick chooses an endpoint. One that has failed just now is chosen only if there
@@ -151,7 +155,7 @@
 		state := b.State(endpoint)
 		load := state.load(now)
 		total += load
-		if reason := state.blocked(now, ask, load); reason != None {
+		if reason := state.blocked(now, ask); reason != None {
 			refusal = max(refusal, reason)
 			if reason == AllEjected && (ejected == nil || state.ejectedUntil.Before(ejected.ejectedUntil)) {
 				ejected = state
@@ -167,13 +171,16 @@
 		return nil, refusal
 	}
 	if ask.Key != 0 {
-		bound := homeLoad*total/float64(len(b.scratch)) + homeSlack
-		return b.home(ask.Key, bound), None
+		factor := ask.HomeLoad
+		if factor <= 0 {
+			factor = defaultHomeLoad
+		}
+		return b.home(ask.Key, factor*total/float64(len(b.scratch))+homeSlack), None
 	}
 	return b.least(), None
 }
 
-func (s *State) blocked(now time.Time, ask Ask, load float64) Refusal {
+func (s *State) blocked(now time.Time, ask Ask) Refusal {
 	for _, tried := range ask.Tried {
 		if tried == s.Endpoint {
 			return AllTried
@@ -182,7 +189,7 @@
 	if ask.ColdShare > 0 && s.Endpoint.Cold(now) && s.sends.Count(now) >= ask.ColdShare {
 		return AllCold
 	}
-	if ask.MaxLoad > 0 && s.Endpoint.Slots > 0 && load >= ask.MaxLoad*float64(s.Endpoint.Slots) {
+	if ask.MaxLocal > 0 && s.Local >= ask.MaxLocal {
 		return AllFull
 	}
 	if now.Before(s.ejectedUntil) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -170,3 +170,17 @@
 		state.Started(start)
 	}
 }
+
+// Guards against more connections than the router's share of what an endpoint
+// accepts.
+func TestMaxLocal(t *testing.T) {
+	b := New("z0")
+	ask := Ask{Members: members(2), Usable: anyUsable, MaxLocal: 3}
+	for range 6 {
+		state, _ := b.Pick(start, ask)
+		state.Started(start)
+		assert.Assert(t, state.Local <= 3)
+	}
+	_, refusal := b.Pick(start, ask)
+	assert.Equal(t, refusal, AllFull)
+}
--- a/config/edge.go
+++ b/config/edge.go
@@ -13,10 +13,9 @@
 // the platform.
 type EdgeSettings struct {
 	Router struct {
-		ID             string `toml:"id"`
-		Zone           string `toml:"zone"`
-		MemoryMB       int    `toml:"memory_mb"`       // the process is killed above it
-		MaxDescriptors int    `toml:"max_descriptors"` // open files and sockets
+		ID       string `toml:"id"`
+		Zone     string `toml:"zone"`
+		MemoryMB int    `toml:"memory_mb"` // the process is killed above it
 	} `toml:"router"`
 	Listen struct {
 		Callers   string `toml:"callers"`
@@ -28,14 +27,12 @@
 		Address string `toml:"address"`
 	} `toml:"store"`
 	Bounds struct {
-		DrainMS      float64 `toml:"drain_ms"`       // a leaving endpoint gets nothing new after it
-		GraceS       float64 `toml:"grace_s"`        // a process is killed so long after SIGTERM
-		RetryRatio   float64 `toml:"retry_ratio"`    // repeats per request, all routers together
-		RetryWindowS float64 `toml:"retry_window_s"` // the span over which repeats are counted
-		RetrySlack   float64 `toml:"retry_slack"`    // repeats allowed besides in each window
-		ColdFactor   float64 `toml:"cold_factor"`    // times the rate that a cold endpoint bears
-		ColdSlack    float64 `toml:"cold_slack"`     // requests a second besides
-		LoadFactor   float64 `toml:"load_factor"`    // most load of an endpoint, times the mean
+		GraceS     float64 `toml:"grace_s"`     // a process is killed so long after SIGTERM
+		RetryRatio float64 `toml:"retry_ratio"` // repeats per request, all routers together
+		RetrySlack float64 `toml:"retry_slack"` // repeats allowed besides in each window
+		ColdFactor float64 `toml:"cold_factor"` // times the rate that a cold endpoint bears
+		ColdSlack  float64 `toml:"cold_slack"`  // requests a second besides
+		LoadFactor float64 `toml:"load_factor"` // most load of an endpoint, times the mean
 	} `toml:"bounds"`
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,7 +31,7 @@
 	readHeaderTimeout = 5 * time.Second
 	// idleTimeout is above the time for which callers reuse a connection, so
 	// that a request does not cross a close.
-	idleTimeout = 60 * time.Second
+	idleTimeout = 3 * time.Minute
 	// maxHeaderBytes bounds the head of a caller's request; the platform's own
 	// limit is 16 KiB.
 	maxHeaderBytes = 64 << 10
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -214,6 +214,9 @@
 	// Three relays make a call for each of the 30 changes and some to wait; the
 	// other routers none for news that arrive.
 	assert.Assert(t, calls < 6*3*changes*8/10, "%d watches", calls)
+	for _, r := range routers {
+		r.stop()
+	}
 }
 
 // Guards against a graceful stop that cuts a stream, refuses what still arrives,
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -221,12 +221,10 @@
 // pick chooses an endpoint and counts the request there.
 func (x *exchange) pick() (*balance.State, result) {
 	now := time.Now()
-	service := x.table.Services[x.service]
-	ask := balance.Ask{Key: x.key, Tried: x.tried, ColdShare: x.g.coldShare(service)}
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	ask.Members = x.g.roster.Members(x.service)
-	ask.Usable = x.g.roster.Usable
+	ask := x.g.ask(x.table.Services[x.service])
+	ask.Key, ask.Tried = x.key, x.tried
 	state, refusal := x.g.balancer.Pick(now, ask)
 	if state != nil {
 		state.Started(now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,8 +84,8 @@
 func New(config Config) *Gateway {
 	g := &Gateway{
 		config: config, logger: config.Logger, metrics: config.Metrics,
-		balancer: balance.New(config.Zone),
-		pools:    map[*roster.Endpoint]*upstream.Pool{},
+		balancer:  balance.New(config.Zone),
+		pools:     map[*roster.Endpoint]*upstream.Pool{},
 		latency:   metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
 		firstByte: metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
 	}
@@ -166,15 +166,26 @@
 // Drain makes all further answers close their connections.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// coldShare returns this router's part of a cold endpoint's rate.
-func (g *Gateway) coldShare(service *routing.Service) int {
-	if service == nil || service.ColdRate <= 0 {
-		return 0
+// homeReserve is the part of the way from the mean to the load factor at which a
+// prompt leaves its home: loads that other routers report are some datagrams old.
+const homeReserve = 0.25
+
+// ask returns the limits of a request to the service. Callers hold g.mu.
+func (g *Gateway) ask(service *routing.Service) balance.Ask {
+	bounds := g.config.Bounds
+	ask := balance.Ask{Usable: g.roster.Usable, HomeLoad: 1 + homeReserve*(bounds.LoadFactor-1)}
+	if service == nil {
+		return ask
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	limit := service.ColdRate*g.config.Bounds.ColdFactor + g.config.Bounds.ColdSlack
-	return quota.Share(limit*limitMargin, g.config.Routers())
+	ask.Members = g.roster.Members(service.Name)
+	routers := g.config.Routers()
+	if service.ColdRate > 0 {
+		ask.ColdShare = quota.Share((service.ColdRate*bounds.ColdFactor+bounds.ColdSlack)*limitMargin, routers)
+	}
+	if service.MaxConnections > 0 {
+		ask.MaxLocal = quota.Share(float64(service.MaxConnections)*limitMargin, routers)
+	}
+	return ask
 }
 
 // ServeHTTP implements http.Handler.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -89,21 +89,11 @@
 	// ColdRate is the number of requests a second that a cold endpoint bears; 0
 	// means that it is not limited.
 	ColdRate float64
-	// Engine is set for services of model engines.
-	Engine *Engine
-}
-
-// Engine holds the facts of a service's model engines.
-type Engine struct {
-	Slots          int
-	CacheTokens    int // memory for prompts and answers, in tokens
-	TokensPerEvent int
 }
 
 // Limits bound what a caller may send.
 type Limits struct {
 	MaxBodyBytes int64
-	IdleTimeout  time.Duration
 }
 
 // Workspace is a customer whose requests are kept apart.
