List again after a failed watch, and instead of catching up on the configuration

Each asked with a watch for all versions since the outage, a storm of large ones, and timed out after 1 s each time on a link of 10 Mbit/s; the servers' watch of the same router was answered at once. Ruled out: the store (it answered other kinds) and the relays (their heads were not fresh either).

Change: after a failed watch, the next call is a list; a router that is behind on the configuration lists it, which brings one version.

--- a/cmd/hornbeamproxy/settings.go
+++ b/cmd/hornbeamproxy/settings.go
@@ -15,9 +15,10 @@
 	parent := app.Command("settings", "Work with settings files.")
 	command := parent.Command("check", "List all mistakes of a settings file.")
 	file := command.Arg("file", "Settings file in TOML.").Required().String()
+	onPlatform := command.Flag("platform", "The file is for the router command.").Bool()
 	output := command.Flag("output", "Output format.").Default("text").Enum("text", "json")
 	command.Action(func(*kingpin.ParseContext) error {
-		return checkSettings(*file, *output)
+		return checkSettings(*file, *onPlatform, *output)
 	})
 }
 
@@ -28,8 +29,13 @@
 	Problems []config.Problem `json:"problems"`
 }
 
-func checkSettings(file, output string) error {
-	_, err := config.Load(file)
+func checkSettings(file string, onPlatform bool, output string) error {
+	var err error
+	if onPlatform {
+		_, err = config.LoadEdge(file)
+	} else {
+		_, err = config.Load(file)
+	}
 	var invalid *config.Error
 	if err != nil && !errors.As(err, &invalid) {
 		return &exitError{code: exitUsage, err: err}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -105,7 +105,8 @@
 		platform.KindEvacuations: platform.EvacuationReceiver{Gateway: p.gateway},
 	} {
 		p.mirrors[kind] = mirror.New(mirror.Config{
-			Source: p.store, Kind: kind, Wait: watchWait, Receiver: receiver, Peers: peers, Logger: p.logger,
+			Source: p.store, Kind: kind, Wait: watchWait, ListToCatchUp: kind == platform.KindConfig,
+			Receiver: receiver, Peers: peers, Logger: p.logger,
 		})
 	}
 	p.fleet = &fleet{
@@ -168,7 +169,7 @@
 func (p *process) listen(ctx context.Context, group *run.Group) error {
 	s := p.options.Settings
 	operators := echo.New()
-	operators.GET("/v1/ready", p.ready)
+	operators.GET(platform.ReadinessPath, p.ready)
 	operators.GET("/metrics", p.exportMetrics)
 	for _, address := range []string{s.Listen.Readiness, s.Listen.Metrics} {
 		if address == "" {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -90,10 +90,13 @@
 	// Wait is the longest time that one watch waits. A store that has lost its
 	// history leaves watches waiting without their events; only the next watch
 	// finds out.
-	Wait     time.Duration
-	Receiver Receiver
-	Peers    Peers
-	Logger   *zap.Logger
+	Wait time.Duration
+	// ListToCatchUp is set for kinds with few large objects, of which only the
+	// newest version counts: a list costs less than all changes.
+	ListToCatchUp bool
+	Receiver      Receiver
+	Peers         Peers
+	Logger        *zap.Logger
 }
 
 // Mirror is the local copy of one kind.
@@ -101,7 +104,10 @@
 	Config
 	news chan News
 
-	listed   bool
+	listed bool
+	// relist is set after a failed watch. The next one would bring all that
+	// changed meanwhile, which may take longer than a watch is given.
+	relist   bool
 	revision uint64 // of the store, up to which all is known
 	changed  uint64 // of the newest list or batch of changes
 	// versions are the newest versions seen, so that news and watches that
@@ -136,6 +142,8 @@
 		case m.follows():
 			m.follow(ctx)
 			continue
+		case m.relist || m.ListToCatchUp && !m.behind.IsZero():
+			err = m.list(ctx)
 		default:
 			err = m.watch(ctx)
 		}
@@ -154,7 +162,8 @@
 	if err != nil {
 		return err
 	}
-	m.listed, m.revision, m.changed = true, revision, revision
+	m.listed, m.relist, m.revision, m.changed = true, false, revision, revision
+	m.behind = time.Time{}
 	clear(m.versions)
 	for _, object := range objects {
 		m.versions[object.Key] = object.Version
@@ -317,6 +326,7 @@
 		m.Logger.Warn("store lost", zap.String("kind", m.Kind), zap.Uint64("revision", m.revision), zap.Error(err))
 	}
 	m.failures++
+	m.relist = true
 	m.Receiver.Lost(err)
 	m.Peers.Announce(m.Kind, Head{Changed: m.changed})
 	pause := min(firstPause<<min(m.failures-1, 8), longestPause)
