--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -24,8 +24,8 @@
 	// larger fleets, so that what a router receives stays the same.
 	beatInterval = 250 * time.Millisecond
 	beatRouters  = 32
-	// aliveAge is the silence after which a router is not a relay in the eyes of
-	// others: three of its datagrams, one of which may be lost.
+	// aliveBeats is the number of datagrams in whose time a router must be heard to
+	// count as alive; some of them may be lost.
 	aliveBeats = 4
 	// headAge is the age up to which what a relay announced counts.
 	headAge = 900 * time.Millisecond
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -36,7 +36,8 @@
 	return rank
 }
 
-// order spreads the duty over the zones, whose names begin the routers' names.
+// order returns a router's place among the relays. By hash, relays lie in several
+// zones although the routers of a zone have similar names.
 func order(router string) uint64 { return xxhash.Sum64String(router) }
 
 // Relay implements mirror.Peers. A router that has not found the others yet
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -127,7 +127,9 @@
 	}
 	if err != nil {
 		conn.Close()
-		x.release(state, errCallerGone)
+		x.release(state, x.blame(err))
+		x.g.metrics.Refused(api.RefusalUpstreamIncomplete)
+		x.log("cut", string(api.RefusalUpstreamIncomplete), zap.Error(err))
 		panic(http.ErrAbortHandler)
 	}
 	pool.Keep(conn, response, time.Now())
