--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -50,15 +50,14 @@
 
 // routerProcess is a router of the built binary.
 type routerProcess struct {
-	binary   string
-	file     string
-	log      string
-	callers  string
-	ready    string
-	mu       sync.Mutex
-	command  *exec.Cmd
-	stopping bool
-	exited   chan struct{}
+	binary  string
+	file    string
+	log     string
+	callers string
+	ready   string
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
 }
 
 func (r *routerProcess) start(t *testing.T) {
@@ -74,7 +73,7 @@
 	r.mu.Unlock()
 	go func() {
 		_ = command.Wait()
-		log.Close()
+		_ = log.Close()
 		close(exited)
 	}()
 }
