Bound the time for a caller's body, and split what grew

Cause: a caller that sends a head and never its body held a request and its memory for as long as it liked; a route without a time limit, asked without a deadline, would have been over at once. A body has 10 s now, then 408 (not run); without any limit a request has 30 s.

The harness of the gateway's tests and the stand-in's calls are files of their own.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -13,12 +13,9 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
-	"github.com/hornbeamproxy/hornbeamproxy/routing"
 	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
 
-const routeStream = routing.Stream
-
 const (
 	// maxBuffered is the size up to which an answer is held until it is whole, so
 	// that one that breaks off can be repeated or told plainly.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/routing"
 	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
 
@@ -162,7 +163,7 @@
 		x.release(state, nil)
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
-	if success && x.route.Kind == routeStream {
+	if success && x.route.Kind == routing.Stream {
 		x.g.noteRead(x.key, state)
 		return x.pass(conn, pool, state, response)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,14 @@
 // its deadline: links to callers take 3 ms each way.
 const returnMargin = 12 * time.Millisecond
 
+const (
+	// bodyTimeout bounds the time that a caller takes for a body: the largest
+	// takes a few seconds on a link of 10 Mbit/s.
+	bodyTimeout = 10 * time.Second
+	// defaultTimeout bounds a request when neither its route nor its caller does.
+	defaultTimeout = 30 * time.Second
+)
+
 // exchange is one caller's request on its way.
 type exchange struct {
 	g       *Gateway
@@ -52,10 +61,6 @@
 	failure *bufferedAnswer
 }
 
-func newExchange(g *Gateway, w http.ResponseWriter, r *http.Request, arrived time.Time) *exchange {
-	return &exchange{g: g, w: w, r: r, arrived: arrived}
-}
-
 // serve answers the request. Each path ends with exactly one final answer, or
 // with a connection that is cut in the middle of an answer.
 func (x *exchange) serve() {
@@ -113,6 +118,9 @@
 	if request.Deadline > 0 && (wait <= 0 || request.Deadline < wait) {
 		wait = request.Deadline
 	}
+	if wait <= 0 {
+		wait = defaultTimeout
+	}
 	x.deadline = x.arrived.Add(wait - min(returnMargin, wait/10))
 	return true
 }
@@ -130,14 +138,23 @@
 		return true
 	}
 	var body []byte
-	var err error
-	if x.r.ContentLength > 0 {
+	control := http.NewResponseController(x.w)
+	err := control.SetReadDeadline(x.arrived.Add(x.g.bodyTimeout))
+	switch {
+	case err != nil:
+	case x.r.ContentLength > 0:
 		body = make([]byte, x.r.ContentLength)
 		_, err = io.ReadFull(x.r.Body, body)
-	} else {
+	default:
 		body, err = io.ReadAll(io.LimitReader(x.r.Body, limit+1))
 	}
+	if err == nil {
+		err = control.SetReadDeadline(time.Time{})
+	}
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.refuse(http.StatusRequestTimeout, api.RefusalBadRequest, 0)
+		return false
 	case err != nil:
 		x.refuse(http.StatusBadRequest, api.RefusalBadRequest, 0)
 		return false
@@ -170,7 +187,7 @@
 	if x.mayHaveRun && !x.route.Repeatable() {
 		return false
 	}
-	if x.stream.started && !x.stream.resumable() {
+	if x.stream.started && !x.stream.whole {
 		return false
 	}
 	if x.sends >= x.route.MaxEndpoints {
--- /dev/null
+++ b/gateway/export_test.go
@@ -0,0 +1,6 @@
+package gateway
+
+import "time"
+
+// SetBodyTimeout shortens the wait for a caller's body.
+func (g *Gateway) SetBodyTimeout(d time.Duration) { g.bodyTimeout = d }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,8 @@
 	table   atomic.Pointer[routing.Table]
 	// draining says that connections are to be closed after their answer.
 	draining atomic.Bool
+	// bodyTimeout bounds the time that a caller takes for a body.
+	bodyTimeout time.Duration
 	// latency is from the head of a request to its last byte, and firstByte to the
 	// head of the endpoint's answer.
 	latency, firstByte metrics.Timer
@@ -84,10 +86,11 @@
 func New(config Config) *Gateway {
 	g := &Gateway{
 		config: config, logger: config.Logger, metrics: config.Metrics,
-		balancer:  balance.New(config.Zone),
-		pools:     map[*roster.Endpoint]*upstream.Pool{},
-		latency:   metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
-		firstByte: metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
+		balancer:    balance.New(config.Zone),
+		bodyTimeout: bodyTimeout,
+		pools:       map[*roster.Endpoint]*upstream.Pool{},
+		latency:     metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
+		firstByte:   metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
 	}
 	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapseHold: lapseHold})
 	g.budget = retry.NewBudget(retry.BudgetConfig{
@@ -195,5 +198,5 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	newExchange(g, w, r, arrived).serve()
+	(&exchange{g: g, w: w, r: r, arrived: arrived}).serve()
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,209 +2,19 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
-	"github.com/hornbeamproxy/hornbeamproxy/gateway"
-	"github.com/hornbeamproxy/hornbeamproxy/platform"
-	"github.com/hornbeamproxy/hornbeamproxy/roster"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
-	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
-// endpoint is an endpoint that answers each request on a connection with the
-// next script, and the last script again when there are no more.
-type endpoint struct {
-	id       string
-	listener net.Listener
-
-	mu       sync.Mutex
-	scripts  []script
-	requests []*http.Request
-	closed   int // connections that the router closed
-}
-
-// script writes an answer; the connection is closed when it returns false.
-type script func(r *http.Request, w io.Writer) bool
-
-func newEndpoint(t *testing.T, id string, scripts ...script) *endpoint {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	e := &endpoint{id: id, listener: listener, scripts: scripts}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(conn)
-		}
-	}()
-	return e
-}
-
-func (e *endpoint) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			e.mu.Lock()
-			e.closed++
-			e.mu.Unlock()
-			return
-		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
-		}
-		request.Body = io.NopCloser(strings.NewReader(string(body)))
-		e.mu.Lock()
-		e.requests = append(e.requests, request)
-		next := e.scripts[0]
-		if len(e.scripts) > 1 {
-			e.scripts = e.scripts[1:]
-		}
-		e.mu.Unlock()
-		if !next(request, conn) {
-			return
-		}
-	}
-}
-
-func (e *endpoint) got() []*http.Request {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]*http.Request(nil), e.requests...)
-}
-
-func answer(status int, headers, body string) script {
-	return func(r *http.Request, w io.Writer) bool {
-		_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n%sContent-Length: %d\r\n\r\n%s",
-			status, r.Header.Get("Request-Id"), headers, len(body), body)
-		return true
-	}
-}
-
-func refuse(r *http.Request, w io.Writer) bool {
-	_, _ = fmt.Fprintf(w, "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
-	return true
-}
-
-func cut(*http.Request, io.Writer) bool { return false }
-
-func truncated(r *http.Request, w io.Writer) bool {
-	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: 9\r\n\r\nhalf", r.Header.Get("Request-Id"))
-	return false
-}
-
-// events writes a stream with the events from first to last, and its end if
-// whole is true.
-func events(first, last int, whole bool) script {
-	return func(r *http.Request, w io.Writer) bool {
-		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nServer-Stamp: s%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-			r.Header.Get("Request-Id"), first)
-		for id := first; id <= last; id++ {
-			event := fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
-			_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
-		}
-		if whole {
-			_, _ = io.WriteString(w, "0\r\n\r\n")
-		} else {
-			_, _ = io.WriteString(w, "7\r\nid: 99\n\r\n")
-		}
-		return whole
-	}
-}
-
-const timeout = 2 * time.Second
-
-// front is a gateway in front of endpoints, behind a listener.
-type front struct {
-	*gateway.Gateway
-	url     string
-	metrics *telemetry.Metrics
-}
-
-func newFront(t *testing.T, endpoints ...*endpoint) front {
-	t.Helper()
-	metrics := telemetry.NewMetrics()
-	g := gateway.New(gateway.Config{
-		Zone: "z", Codec: platform.Codec{}, Logger: zap.NewNop(), Metrics: metrics,
-		Bounds:  gateway.Bounds{RetryRatio: 0.2, RetrySlack: 20, ColdFactor: 1.5, ColdSlack: 5, LoadFactor: 2},
-		Routers: func() int { return 1 },
-	})
-	server := httptest.NewServer(g)
-	t.Cleanup(server.Close)
-	f := front{Gateway: g, url: server.URL, metrics: metrics}
-	for _, e := range endpoints {
-		f.enter(e)
-	}
-	names := map[string]bool{}
-	for _, e := range endpoints {
-		names[e.id] = true
-	}
-	g.KeepEndpoints(names)
-	return f
-}
-
-func (f front) enter(e *endpoint) {
-	f.SetEndpoint(roster.Entry{ID: e.id, Service: "s", Address: e.listener.Addr().String(), Zone: "z", Slots: 8})
-}
-
-func (f front) configure() front {
-	target := []routing.Target{{Service: "s", Weight: 1}}
-	f.SetConfig(routing.Config{
-		Revision: 1,
-		Services: map[string]*routing.Service{"s": {Name: "s"}},
-		Routes: []*routing.Route{
-			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Safe, Timeout: timeout, Targets: target, MaxEndpoints: 2},
-			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routing.Unsafe, Timeout: timeout, Targets: target, MaxEndpoints: 2},
-			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: routing.Stream, Timeout: timeout, Targets: target, MaxEndpoints: 3, Resumable: true},
-			{Name: "report", Host: "h", Prefix: "/report/", Kind: routing.Stream, Timeout: timeout, Targets: target, MaxEndpoints: 2},
-		},
-		Workspaces: []*routing.Workspace{{Name: "w", Keys: []string{"key"}}},
-	})
-	return f
-}
-
-func (f front) request(t *testing.T, path string, headers ...string) *http.Request {
-	t.Helper()
-	r, err := http.NewRequest(http.MethodPost, f.url+path, strings.NewReader("body"))
-	assert.NilError(t, err)
-	r.Host = "h"
-	r.Header.Set("Request-Id", "r1")
-	r.Header.Set("Api-Key", "key")
-	r.Header.Set("Deadline-Ms", "1500")
-	for i := 0; i+1 < len(headers); i += 2 {
-		r.Header.Set(headers[i], headers[i+1])
-	}
-	return r
-}
-
-// do returns the status, the body and the error of reading it.
-func (f front) do(t *testing.T, path string, headers ...string) (*http.Response, string, error) {
-	t.Helper()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Do(f.request(t, path, headers...))
-	assert.NilError(t, err)
-	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return response, string(body), err
-}
-
 // Guards against answers before a configuration is known, for what no route
 // allows, and for keys that nobody holds.
 func TestAdmission(t *testing.T) {
@@ -436,11 +246,47 @@
 	assert.Assert(t, f.SetConfig(routing.Config{Revision: 2}))
 }
 
-func eventually(t *testing.T, condition func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(3 * time.Second)
-	for !condition() {
-		assert.Assert(t, time.Now().Before(deadline), "condition not met in time")
-		time.Sleep(5 * time.Millisecond)
+// Guards against a caller that keeps a request open by never sending its body,
+// and against a route without a time limit that answers nothing.
+func TestSlowBodyAndNoTimeout(t *testing.T) {
+	e := newEndpoint(t, "e1", answer(200, "", "ok"))
+	f := newFront(t, e).configure()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	f.SetBodyTimeout(100 * time.Millisecond)
+	_, err = io.WriteString(conn, "POST /safe/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nApi-Key: key\r\nContent-Length: 4\r\n\r\nbo")
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
+	assert.Equal(t, len(e.got()), 0)
+
+	f.SetConfig(routing.Config{
+		Revision: 2, Services: map[string]*routing.Service{"s": {Name: "s"}},
+		Routes: []*routing.Route{{Host: "h", Prefix: "/", Kind: routing.Safe, Targets: []routing.Target{{Service: "s"}}, MaxEndpoints: 1, Public: true}},
+	})
+	later, _, err := f.do(t, "/safe/1", "Deadline-Ms", "")
+	assert.NilError(t, err)
+	assert.Equal(t, later.StatusCode, http.StatusOK)
+}
+
+// Guards against a body that is refused because it comes a little after the head.
+func TestLateBody(t *testing.T) {
+	e := newEndpoint(t, "e1", answer(200, "", "ok"))
+	f := newFront(t, e).configure()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	for _, part := range []string{"POST /safe/1 HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nApi-Key: key\r\nContent-Length: 4\r\n\r\n", "bo", "dy"} {
+		_, err = io.WriteString(conn, part)
+		assert.NilError(t, err)
+		time.Sleep(100 * time.Millisecond)
 	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,8 +25,6 @@
 	lastID string
 }
 
-func (s *streamState) resumable() bool { return s.whole }
-
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
--- /dev/null
+++ b/standin/platformcalls.go
@@ -0,0 +1,265 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+)
+
+// wireObject is an object as the store sends and takes it.
+type wireObject struct {
+	Metadata struct {
+		Name     string `json:"name"`
+		Revision uint64 `json:"revision,omitempty"`
+	} `json:"metadata"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+// wire returns an object with its value: as it is for the platform's own kinds,
+// and as a text of bytes for the product's.
+func (p *Platform) wire(kind string, object objectstore.Object) wireObject {
+	var o wireObject
+	o.Metadata.Name = strings.TrimPrefix(object.Key, kindPrefix(kind))
+	o.Metadata.Revision = object.Version
+	p.mu.Lock()
+	plain := p.plain[kind]
+	p.mu.Unlock()
+	if plain {
+		o.Spec = object.Value
+		if object.Deleted {
+			o.Spec = json.RawMessage("null")
+		}
+		return o
+	}
+	o.Spec, _ = json.Marshal(append([]byte{}, object.Value...))
+	return o
+}
+
+// singlesKind holds the objects whose key has no slash.
+const (
+	singlesKind   = "hornbeam"
+	instancesKind = "instances"
+	// pageItems is the number of objects in one answer to a list.
+	pageItems = 500
+)
+
+func kindPrefix(kind string) string {
+	if kind == singlesKind {
+		return ""
+	}
+	return kind + "/"
+}
+
+// stored returns the objects of a kind as reads see them now, in key order.
+func (p *Platform) stored(kind string) []objectstore.Object {
+	prefix := kindPrefix(kind)
+	objects, _ := p.store.List(context.Background(), prefix)
+	if stale := p.snapshot(); stale != nil {
+		objects = nil
+		for _, key := range slices.Sorted(maps.Keys(stale)) {
+			if strings.HasPrefix(key, prefix) {
+				objects = append(objects, stale[key])
+			}
+		}
+	}
+	if kind == singlesKind {
+		objects = slices.DeleteFunc(objects, func(o objectstore.Object) bool { return strings.Contains(o.Key, "/") })
+	}
+	return objects
+}
+
+func (p *Platform) get(w http.ResponseWriter, kind, name string) {
+	for _, object := range p.stored(kind) {
+		if object.Key == kindPrefix(kind)+name {
+			writeJSON(w, http.StatusOK, p.wire(kind, object))
+			return
+		}
+	}
+	writeError(w, objectstore.ErrNotFound)
+}
+
+func (p *Platform) list(w http.ResponseWriter, kind, after string) {
+	_, revision, _ := p.store.Watch(context.Background(), "", 0, 0)
+	page := struct {
+		Items    []wireObject `json:"items"`
+		More     bool         `json:"more"`
+		Revision uint64       `json:"store_revision"`
+	}{Items: []wireObject{}, Revision: revision}
+	for _, object := range p.stored(kind) {
+		o := p.wire(kind, object)
+		if o.Metadata.Name <= after && after != "" {
+			continue
+		}
+		if len(page.Items) == pageItems {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, o)
+	}
+	writeJSON(w, http.StatusOK, page)
+}
+
+type wireEvent struct {
+	Object  wireObject `json:"object"`
+	Deleted bool       `json:"deleted"`
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	query := r.URL.Query()
+	since, err1 := strconv.ParseUint(query.Get("watch"), 10, 64)
+	wait, err2 := strconv.Atoi(query.Get("wait_ms"))
+	if err1 != nil || err2 != nil {
+		http.Error(w, "bad query", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	compacted := p.compacted
+	p.mu.Unlock()
+	if since < compacted {
+		http.Error(w, "history is gone", http.StatusGone)
+		return
+	}
+	objects, revision, err := p.store.Watch(r.Context(), kindPrefix(kind), since, time.Duration(wait)*time.Millisecond)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	answer := struct {
+		Events   []wireEvent `json:"events"`
+		Revision uint64      `json:"store_revision"`
+	}{Events: []wireEvent{}, Revision: revision}
+	for _, object := range objects {
+		if kind == singlesKind && strings.Contains(object.Key, "/") {
+			continue
+		}
+		answer.Events = append(answer.Events, wireEvent{Object: p.wire(kind, object), Deleted: object.Deleted})
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// change is a write call that has been read.
+type change struct {
+	method string
+	key    string
+	value  []byte
+	// revision is the condition; 0 means that there is none.
+	revision uint64
+}
+
+func (p *Platform) readChange(r *http.Request, kind, name string) (change, error) {
+	c := change{method: r.Method}
+	if r.Method == http.MethodDelete {
+		c.key = kindPrefix(kind) + name
+		if text := r.URL.Query().Get("revision"); text != "" {
+			var err error
+			c.revision, err = strconv.ParseUint(text, 10, 64)
+			return c, err
+		}
+		return c, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, 2*objectstore.MaxValueBytes))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	var object wireObject
+	if err := json.Unmarshal(body, &object); err != nil {
+		return c, err
+	}
+	c.key = kindPrefix(kind) + object.Metadata.Name
+	c.revision = object.Metadata.Revision
+	c.value = object.Spec
+	if len(object.Spec) > 0 && object.Spec[0] == '"' {
+		return c, json.Unmarshal(object.Spec, &c.value)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.plain[kind] = true
+	return c, nil
+}
+
+// apply makes a change and returns the object as it is then.
+func (p *Platform) apply(c change) (objectstore.Object, error) {
+	ctx := context.Background()
+	current, err := p.store.Get(ctx, c.key)
+	condition := current.Version
+	switch {
+	case c.method == http.MethodPost:
+		condition = 0
+	case err != nil:
+		return current, err
+	case c.revision != 0:
+		condition = c.revision
+	}
+	if c.method == http.MethodDelete {
+		return current, p.store.Delete(ctx, c.key, condition)
+	}
+	version, err := p.store.Put(ctx, c.key, c.value, condition)
+	if err != nil {
+		return current, err
+	}
+	return objectstore.Object{Key: c.key, Version: version, Value: c.value}, nil
+}
+
+func (p *Platform) write(w http.ResponseWriter, r *http.Request, kind, name string) {
+	c, err := p.readChange(r, kind, name)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	lose, delay := p.writeFault()
+	if delay > 0 {
+		time.AfterFunc(delay, func() { _, _ = p.apply(c) })
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	object, err := p.apply(c)
+	switch {
+	case lose:
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, objectstore.ErrConflict):
+		writeJSON(w, http.StatusConflict, p.wire(kind, object))
+	case err != nil:
+		writeError(w, err)
+	default:
+		writeJSON(w, http.StatusOK, p.wire(kind, object))
+	}
+}
+
+func (p *Platform) writeFault() (lose bool, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.faults.DelayWrites > 0 {
+		p.faults.DelayWrites--
+		return false, p.faults.WriteDelay
+	}
+	if p.faults.LoseAnswers > 0 {
+		p.faults.LoseAnswers--
+		return true, 0
+	}
+	return p.random.Float64() < p.faults.LoseProbability, 0
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	status := http.StatusInternalServerError
+	switch {
+	case errors.Is(err, objectstore.ErrNotFound):
+		status = http.StatusNotFound
+	case errors.Is(err, objectstore.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	}
+	http.Error(w, err.Error(), status)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
