Find out by a connection whether a lost endpoint is back

Of the requests that failed, 119 had a 502 after 500 ms and more on a connection that was dead before they were sent.

Change: an endpoint that could not be reached gets no work until a new connection to it has been opened, beside the requests. When an endpoint falls silent its idle connections are closed, and requests that may move and have waited for 300 ms go on elsewhere; when two of a zone do within a second, all of the zone are doubted until a connection shows otherwise. Bytes count as lost after 500 ms (1.5 s before), a connection after 200 ms (400 ms). Claims of the product's own calls log their decisions, to trace the red tests.

What is left of a cut are requests in progress that may not move.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,6 +61,9 @@
 	sends        quota.Window
 	failures     int
 	ejectedUntil time.Time
+	// unverified endpoints could not be reached. They get no work until a new
+	// connection to them has been opened; verifying says that one is being tried.
+	unverified, verifying bool
 }
 
 type remoteLoad struct {
@@ -73,6 +76,8 @@
 	zone    string
 	states  map[string]*State // by endpoint id
 	holders holders
+	// silent are the endpoints that fell silent lately, by zone.
+	silent map[string]map[*State]time.Time
 	// scratch is reused by Pick.
 	scratch []candidate
 }
@@ -85,7 +90,7 @@
 
 // New returns a balancer of a router in the zone.
 func New(zone string) *Balancer {
-	return &Balancer{zone: zone, states: map[string]*State{}, holders: newHolders()}
+	return &Balancer{zone: zone, states: map[string]*State{}, holders: newHolders(), silent: map[string]map[*State]time.Time{}}
 }
 
 // Join enters an endpoint. Those that are there at the start have joined long
@@ -192,7 +197,7 @@
 	if ask.MaxLocal > 0 && s.Local >= ask.MaxLocal {
 		return AllFull
 	}
-	if now.Before(s.ejectedUntil) {
+	if s.unverified || now.Before(s.ejectedUntil) {
 		return AllEjected
 	}
 	return None
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,6 +85,7 @@
 	stop := context.AfterFunc(x.r.Context(), func() { conn.Close() })
 	defer stop()
 	conn.SetDeadline(x.deadline)
+	conn.SetMovable(x.route.Repeatable())
 	left := time.Until(x.deadline) - answerMargin
 	send := Send{
 		EndpointID: state.Endpoint.ID, Left: left, ResumeAfter: x.stream.lastID,
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
+	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
 
 // defaultMaxBody bounds a body when the configuration does not say.
@@ -274,8 +275,13 @@
 	if errors.Is(broken, errCallerGone) {
 		return
 	}
-	if state.Failed(time.Now()) {
-		x.g.roster.MarkCold(time.Now(), state.Endpoint)
+	now := time.Now()
+	failed := state.Failed
+	if errors.Is(broken, upstream.ErrNotSent) || upstream.Silent(broken) {
+		failed = func(now time.Time) bool { return x.g.unreachable(now, state, broken) }
+	}
+	if failed(now) {
+		x.g.roster.MarkCold(now, state.Endpoint)
 		x.g.logger.Warn("endpoint ejected", zap.String("endpoint", state.Endpoint.ID), zap.String("request", x.request.ID), zap.Error(broken))
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,7 +25,7 @@
 const (
 	// dialTimeout bounds a new connection: round trips are a few milliseconds,
 	// and a lost opening packet is sent again only after a second.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 200 * time.Millisecond
 	// lapseHold is how long an endpoint whose entry lapsed in an outage of the
 	// store may take to register again.
 	lapseHold = 2 * time.Second
@@ -111,14 +111,19 @@
 
 // Run closes idle connections and gives up endpoints until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
-	ticker := time.NewTicker(pruneInterval)
+	ticker := time.NewTicker(verifyInterval)
 	defer ticker.Stop()
+	var pruned time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			g.prune(now)
+			g.verify(ctx, now)
+			if now.Sub(pruned) >= pruneInterval {
+				pruned = now
+				g.prune(now)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/gateway/reach.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/upstream"
+)
+
+const (
+	// verifyInterval is the time between looks for endpoints to verify.
+	verifyInterval = 100 * time.Millisecond
+	// quietFor is how long a request that may move has waited without a byte when
+	// its endpoint is found silent: longer than the pauses of a stream.
+	quietFor = 300 * time.Millisecond
+)
+
+// unreachable handles an endpoint that could not be reached or fell silent, and
+// its zone when several did together. Callers hold g.mu.
+func (g *Gateway) unreachable(now time.Time, state *balance.State, cause error) bool {
+	ejected := state.Unreachable(now)
+	if !upstream.Silent(cause) {
+		return ejected
+	}
+	g.distrust(now, state)
+	if !g.balancer.Silent(now, state) {
+		return ejected
+	}
+	g.balancer.Zone(state.Endpoint.Zone, func(other *balance.State) {
+		other.Doubt()
+		g.distrust(now, other)
+	})
+	g.metrics.Counter("zones.doubted").Inc(1)
+	return ejected
+}
+
+func (g *Gateway) distrust(now time.Time, state *balance.State) {
+	if pool, ok := g.pools[state.Endpoint]; ok {
+		pool.Distrust(now.Add(-quietFor))
+	}
+}
+
+// verify opens connections to the endpoints that could not be reached, so that no
+// request has to find out whether they are back.
+func (g *Gateway) verify(ctx context.Context, now time.Time) {
+	g.mu.Lock()
+	due := g.balancer.Unverified(now)
+	g.mu.Unlock()
+	for _, state := range due {
+		go g.verifyEndpoint(ctx, state)
+	}
+}
+
+func (g *Gateway) verifyEndpoint(ctx context.Context, state *balance.State) {
+	pool := g.pool(state)
+	conn, err := pool.Dial(ctx)
+	now := time.Now()
+	if err == nil {
+		pool.Restore(conn, now)
+		g.logger.Info("endpoint reached again", zap.String("endpoint", state.Endpoint.ID))
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state.Verified(now, err == nil)
+}
--- a/router/claim.go
+++ b/router/claim.go
@@ -65,15 +65,23 @@
 		reply, ok := c.ask(ctx, cl)
 		if ok && reply.Result != api.ClaimResultUnavailable {
 			err := c.decide(cl, reply)
+			c.log("claim decided", cl, zap.String("result", string(reply.Result)), zap.Error(err))
 			return cl, reply, err
 		}
 		if !pause(ctx, claimRetryDelay) {
 			c.attempts.Abandon(c.now(), cl.request.Attempt)
+			c.log("claim abandoned", cl)
 			return nil, api.ClaimReply{}, claimRefusal(api.RefusalClaimUnavailable, "the key could not be claimed")
 		}
 	}
 }
 
+// log writes a line about a decision on a claim.
+func (c *claimClient) log(message string, cl *claim, fields ...zap.Field) {
+	c.logger.Info(message, append(fields, zap.String("key", cl.request.Key), zap.String("attempt", cl.request.Attempt),
+		zap.Int("shard", cl.request.Shard), zap.Int("asked", cl.asked))...)
+}
+
 // shardsAgree returns whether this router's number of shards is the fleet's. It
 // asks the object API until it has got an answer once.
 func (c *claimClient) shardsAgree(ctx context.Context) bool {
@@ -143,6 +151,7 @@
 // complete records the outcome in the background until it is durable. A nil
 // outcome means that it is unknown.
 func (c *claimClient) complete(cl *claim, outcome *api.ClaimOutcome) {
+	c.log("claim completed", cl, zap.Bool("outcome_known", outcome != nil))
 	c.attempts.Complete(c.now(), cl.request.Attempt, outcome)
 }
 
@@ -152,6 +161,7 @@
 	if !c.attempts.NotSent(c.now(), cl.request.Attempt) {
 		return false
 	}
+	c.log("claim released", cl)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
 	defer cancel()
 	for !c.attempts.Reported(cl.request.Attempt) {
@@ -178,6 +188,8 @@
 	}
 	reply, err := c.network.Call(ctx, owner, api.PeerMessage{ClaimUpdate: &update})
 	if err != nil || reply.ClaimReply == nil {
+		c.logger.Warn("claim update not acknowledged", zap.String("key", update.Key), zap.String("attempt", update.Attempt),
+			zap.String("owner", owner), zap.Error(err))
 		return api.ClaimReply{Result: api.ClaimResultUnavailable}
 	}
 	return *reply.ClaimReply
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -23,6 +24,13 @@
 	ErrBroken = errors.New("upstream: connection broken")
 )
 
+// Silent reports whether an error of this package says that nothing came back from
+// the endpoint in time. A refused or reset connection is not silent.
+func Silent(err error) bool {
+	var dial net.Error
+	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, ErrNotSent) && errors.As(err, &dial) && dial.Timeout()
+}
+
 const (
 	readBufferBytes = 4 << 10
 	// idleMargin is taken off the time for which an endpoint keeps an idle
@@ -36,16 +44,23 @@
 // Conn is a connection to an endpoint. It carries one request at a time.
 type Conn struct {
 	net      net.Conn
+	pool     *Pool
 	raw      syscall.RawConn
 	reader   *bufio.Reader
 	idleFor  time.Duration
 	idleFrom time.Time
 	// Reused says that the connection has carried a request before.
 	Reused bool
+	// movable says that the request in progress may go on at another endpoint.
+	movable atomic.Bool
+	// heard is when the endpoint last sent anything, in Unix nanoseconds; before
+	// that, when the connection was taken for a request.
+	heard atomic.Int64
 }
 
-func newConn(conn net.Conn) *Conn {
-	c := &Conn{net: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), idleFor: defaultIdle}
+func newConn(conn net.Conn, pool *Pool) *Conn {
+	c := &Conn{net: conn, pool: pool, idleFor: defaultIdle}
+	c.reader = bufio.NewReaderSize(reading{c}, readBufferBytes)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		if raw, err := tcp.SyscallConn(); err == nil {
 			c.raw = raw
@@ -54,11 +69,29 @@
 	return c
 }
 
+// reading notes when the endpoint is heard.
+type reading struct{ conn *Conn }
+
+func (r reading) Read(b []byte) (int, error) {
+	n, err := r.conn.net.Read(b)
+	if n > 0 {
+		r.conn.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// SetMovable says whether the request that follows may go on at another endpoint
+// when this one falls silent.
+func (c *Conn) SetMovable(movable bool) { c.movable.Store(movable) }
+
 // SetDeadline bounds all reads and writes that follow.
 func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
 
 // Close ends the connection.
-func (c *Conn) Close() { _ = c.net.Close() }
+func (c *Conn) Close() {
+	c.pool.leave(c)
+	_ = c.net.Close()
+}
 
 // Send writes a whole request. Errors: ErrNotSent, ErrBroken.
 func (c *Conn) Send(request []byte) error {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// userTimeout ends a connection whose bytes are not acknowledged: links have
-	// round trips of a few milliseconds.
-	userTimeout = 1500 * time.Millisecond
+	// userTimeout ends a connection whose bytes are not acknowledged. Links have
+	// round trips of a few milliseconds; a lost packet is sent again after 200 ms.
+	userTimeout = 500 * time.Millisecond
 	// keepAliveInterval and keepAliveCount find a connection that went silent
 	// while it waits for an answer.
 	keepAliveInterval = time.Second
@@ -29,13 +29,14 @@
 
 	mu     sync.Mutex
 	idle   []*Conn // newest last
+	busy   map[*Conn]struct{}
 	closed bool
 }
 
 // NewPool returns an empty pool for the address (IP:PORT). A new connection
 // takes dialTimeout at most.
 func NewPool(address string, dialTimeout time.Duration) *Pool {
-	return &Pool{address: address, dialer: net.Dialer{
+	return &Pool{address: address, busy: map[*Conn]struct{}{}, dialer: net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
@@ -62,6 +63,7 @@
 		}
 		if now.Sub(conn.idleFrom) < conn.idleFor && conn.quiet() {
 			conn.Reused = true
+			p.enter(conn, now)
 			return conn
 		}
 		conn.Close()
@@ -85,7 +87,29 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return newConn(conn), nil
+	c := newConn(conn, p)
+	p.enter(c, time.Now())
+	return c, nil
+}
+
+// enter counts a connection that is taken for a request.
+func (p *Pool) enter(conn *Conn, now time.Time) {
+	conn.heard.Store(now.UnixNano())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy[conn] = struct{}{}
+}
+
+func (p *Pool) leave(conn *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, conn)
+}
+
+// Restore takes back a connection on which nothing was sent.
+func (p *Pool) Restore(conn *Conn, now time.Time) {
+	conn.idleFrom = now
+	p.put(conn)
 }
 
 // Keep takes back a connection after a complete answer, or closes it if the
@@ -98,40 +122,69 @@
 	}
 	conn.idleFrom = now
 	conn.SetDeadline(time.Time{})
+	conn.SetMovable(false)
+	p.put(conn)
+}
+
+func (p *Pool) put(conn *Conn) {
 	p.mu.Lock()
-	if !p.closed {
+	delete(p.busy, conn)
+	kept := !p.closed
+	if kept {
 		p.idle = append(p.idle, conn)
-		conn = nil
 	}
 	p.mu.Unlock()
-	if conn != nil {
+	if !kept {
+		conn.Close()
+	}
+}
+
+// Distrust is called when the endpoint has fallen silent. It closes the idle
+// connections, so that no request is lost on one of them, and those on which a
+// movable request has waited without a byte since the given time.
+func (p *Pool) Distrust(since time.Time) {
+	p.mu.Lock()
+	closing := p.idle
+	p.idle = nil
+	for conn := range p.busy {
+		if conn.movable.Load() && conn.heard.Load() < since.UnixNano() {
+			closing = append(closing, conn)
+		}
+	}
+	p.mu.Unlock()
+	for _, conn := range closing {
 		conn.Close()
 	}
 }
 
 // Prune closes connections that have been idle for their time.
 func (p *Pool) Prune(now time.Time) {
+	var expired []*Conn
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	kept := p.idle[:0]
 	for _, conn := range p.idle {
 		if now.Sub(conn.idleFrom) < conn.idleFor {
 			kept = append(kept, conn)
 		} else {
-			conn.Close()
+			expired = append(expired, conn)
 		}
 	}
 	clear(p.idle[len(kept):])
 	p.idle = kept
+	p.mu.Unlock()
+	for _, conn := range expired {
+		conn.Close()
+	}
 }
 
 // Close closes the idle connections and those that are given back later.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
-	for _, conn := range p.idle {
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, conn := range idle {
 		conn.Close()
 	}
-	p.idle = nil
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -149,3 +152,60 @@
 	assert.Assert(t, pool.pop() == nil)
 	assert.Assert(t, !errors.Is(ErrBroken, ErrNotSent))
 }
+
+// Guards against requests on connections to an endpoint that has fallen silent, and
+// against requests that may not move being cut.
+func TestDistrust(t *testing.T) {
+	pool := serve(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if r.URL.Path == "/" {
+				_, _ = io.WriteString(conn, whole)
+			}
+		}
+	})
+	now := time.Now()
+	idle, waiting, staying := dial(t, pool), dial(t, pool), dial(t, pool)
+	use(t, pool, idle, now)
+	waiting.SetMovable(true)
+	failed := make(chan error, 2)
+	for _, conn := range []*Conn{waiting, staying} {
+		assert.NilError(t, conn.Send([]byte("GET /mute HTTP/1.1\r\nHost: h\r\n\r\n")))
+		go func() {
+			_, err := conn.Receive(nil) //nolint:bodyclose // there is no answer
+			failed <- err
+		}()
+	}
+	pool.Distrust(now.Add(-time.Minute))
+	assert.Assert(t, pool.Idle(now) == nil, "kept a connection to a silent endpoint")
+	select {
+	case err := <-failed:
+		t.Fatalf("cut a request that has not waited long: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	pool.Distrust(time.Now())
+	assert.ErrorIs(t, <-failed, ErrBroken)
+	select {
+	case err := <-failed:
+		t.Fatalf("cut a request that may not move: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	staying.Close()
+	assert.Equal(t, len(pool.busy), 0)
+}
+
+// Guards against an endpoint that is taken for silent when it refuses or resets,
+// and the other way round.
+func TestSilent(t *testing.T) {
+	refused := fmt.Errorf("%w: %w", ErrNotSent, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED})
+	timedOut := fmt.Errorf("%w: %w", ErrNotSent, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded})
+	unacknowledged := fmt.Errorf("%w: %w", ErrBroken, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT})
+	ownDeadline := fmt.Errorf("%w: %w", ErrBroken, &net.OpError{Op: "read", Err: os.ErrDeadlineExceeded})
+	for err, want := range map[error]bool{refused: false, timedOut: true, unacknowledged: true, ownDeadline: false} {
+		assert.Equal(t, Silent(err), want, "%v", err)
+	}
+}
