Tell routers that a lost router is back before it may own things

The list of dead routers was made only when the owners changed. A router that is heard again after it was removed owns nothing for a second or more (damping), so that it counted as dead all that time.

Ruled out: a second run (each key has one run) and an outcome that was lost (it was replayed by the next router asked).

Change: a change of the members is signalled like one of the owners.

Test: TestMembersVersion (membership).

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -82,6 +82,8 @@
 	table        *membership.Table
 	registration uint64            // version of the own registration, 0 when not known
 	listed       map[string]string // registered id by address
+	// membersVersion is the table's when Changed was last signalled.
+	membersVersion uint64
 
 	// Used by discoverLoop only.
 	written   time.Time
@@ -194,11 +196,19 @@
 	}
 }
 
-// publish makes new owners visible. The caller holds c.mu, or no other
-// goroutine exists yet.
+// publish makes new owners visible and reports changes of the owners and of the
+// members. The caller holds c.mu, or no other goroutine exists yet.
 func (c *Cluster) publish(now time.Time) {
 	ids, version := c.table.Owners(now)
-	if old := c.owners.Load(); old != nil && old.Version == version {
+	members := c.table.MembersVersion()
+	old := c.owners.Load()
+	ownersStay := old != nil && old.Version == version
+	if ownersStay && members == c.membersVersion {
+		return
+	}
+	c.membersVersion = members
+	defer c.signal()
+	if ownersStay {
 		return
 	}
 	next := &Owners{IDs: slices.Clone(ids), Version: version, addresses: map[string]string{}}
@@ -206,6 +216,9 @@
 		next.addresses[id] = c.table.Address(id)
 	}
 	c.owners.Store(next)
+}
+
+func (c *Cluster) signal() {
 	select {
 	case c.changed <- struct{}{}:
 	default:
--- a/cluster/view.go
+++ b/cluster/view.go
@@ -23,8 +23,9 @@
 	return id, o.addresses[id]
 }
 
-// Changed receives a value after the owners have changed. Changes that come
-// together may be reported once. It has one reader.
+// Changed receives a value after the owners or the members have changed. A router
+// that returns is a member before it may own things. Changes that come together may
+// be reported once. It has one reader.
 func (c *Cluster) Changed() <-chan struct{} { return c.changed }
 
 // LastPeerContact is when a peer was last heard or connected, and the zero time
--- a/membership/table.go
+++ b/membership/table.go
@@ -105,6 +105,8 @@
 	ownersVersion uint64
 	ownersUntil   time.Time
 	ownersDirty   bool
+	// membersVersion changes whenever a router is added or removed.
+	membersVersion uint64
 
 	lastTick  time.Time
 	regularAt time.Time
@@ -149,6 +151,7 @@
 }
 
 func (t *Table) membersChanged() {
+	t.membersVersion++
 	t.order = t.order[:0]
 	for _, m := range t.members {
 		if m != t.self {
@@ -331,6 +334,10 @@
 	return t.owners, t.ownersVersion
 }
 
+// MembersVersion changes whenever a router is added or removed, also one that owns
+// nothing yet.
+func (t *Table) MembersVersion() uint64 { return t.membersVersion }
+
 func (t *Table) computeOwners(now time.Time) {
 	var ids []string
 	t.ownersUntil = now.Add(time.Hour)
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -181,3 +181,25 @@
 		}
 	}
 }
+
+// Guards against a router that is heard again and still counts as dead, because
+// nothing tells that it is back before it may own things.
+func TestMembersVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := newTable(now)
+	entry := api.GossipEntry{R: "b", A: "2:2", Z: "z", I: 1, H: 1}
+	table.Merge(now, "b", gossipOf(entry))
+	joined := table.MembersVersion()
+	for range 2 * RemoveIntervals {
+		now = now.Add(table.Interval())
+		table.Tick(now)
+	}
+	lost := table.MembersVersion()
+	assert.Assert(t, lost != joined)
+	_, owners := table.Owners(now)
+	entry.H += 3 * RemoveIntervals
+	table.Merge(now, "b", gossipOf(entry))
+	_, after := table.Owners(now)
+	assert.Equal(t, after, owners, "it may not own things yet")
+	assert.Assert(t, table.MembersVersion() != lost)
+}
--- a/router/network.go
+++ b/router/network.go
@@ -163,6 +163,9 @@
 	live := map[string]bool{}
 	for _, member := range r.cluster.Members() {
 		live[member.ID] = true
+		if before, known := r.everSeen[member.ID]; known && !before.diedAt.IsZero() {
+			r.logger.Info("router heard again", zap.String("router", member.ID), zap.Duration("after", now.Sub(before.diedAt)))
+		}
 		r.everSeen[member.ID] = seenRouter{member: member}
 	}
 	var dead []string
@@ -173,6 +176,7 @@
 		case seen.diedAt.IsZero():
 			seen.diedAt = now
 			r.everSeen[id] = seen
+			r.logger.Warn("router lost", zap.String("router", id), zap.Duration("silent", seen.member.Silent))
 			r.owner.routerLost(id)
 			if !seen.member.Leaving {
 				r.failures.routerLost(seen.member)
