Refuse late claims of released attempts, and read anew before "outcome unknown"

Two routers had asked a shard's owner that was frozen, gave up, and released their attempts at the next owner. A key's record names one attempt only, so the second release replaced the first; the frozen owner woke, found the first attempt's request in its buffer and granted it. Nobody was left to run or release it.

Tests: TestLateClaimAfterRelease, TestUnknownIsReadAnew (both failed before), TestAnswersToRepeatedKeys, and the differential test, which now knows which releases were acknowledged. The check that a claim follows a release only allows, besides, that the same claim is written again with a longer list of released attempts.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -107,6 +107,10 @@
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome *ClaimOutcome `json:"outcome,omitempty,omitzero" toml:"outcome,omitempty" cbor:"outcome,omitempty"`
 
+	// Other attempts that were released without a run, newest last. A claim of one of
+	// them that arrives late is refused.
+	Released []string `json:"released,omitempty,omitzero" toml:"released,omitempty" cbor:"released,omitempty"`
+
 	// Router that runs the attempt.
 	Router string `json:"router" toml:"router" cbor:"router"`
 
--- a/claims/evaluate.go
+++ b/claims/evaluate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
@@ -25,12 +26,24 @@
 }
 
 // outdated reports whether the operation would be refused because of a claim
-// that another owner may have completed or released since the head was read.
+// that another owner may have completed or released since the head was read. That
+// an outcome is unknown is said only of a head that was read for the operation.
 func (s *Shard) outdated(now time.Time, op *operation, record *api.ClaimRecord) bool {
-	if op.claim == nil || record == nil || record.State != api.ClaimStateClaimed {
+	if op.claim == nil || record == nil || record.State != api.ClaimStateClaimed || record.Attempt == op.claim.Attempt {
 		return false
 	}
-	return record.Attempt != op.claim.Attempt && now.Sub(s.syncedAt) > refreshAge
+	return now.Sub(s.syncedAt) > refreshAge || !op.synced && s.outcomeLost(now, record)
+}
+
+// outcomeLost reports whether nobody is left to record the outcome of a claim. A
+// claim that is younger than the loss of its router shows that the router is back.
+func (s *Shard) outcomeLost(now time.Time, record *api.ClaimRecord) bool {
+	age := now.Sub(time.UnixMilli(int64(record.UnixMs)))
+	if age > s.cfg.UnknownAfter || age > absentAfter && s.absent(record.Router) {
+		return true
+	}
+	lostAt, lost := s.lost(record.Router)
+	return lost && age > now.Sub(lostAt)
 }
 
 // find returns the newest record of a key, or nil if there is none. It returns
@@ -131,6 +144,9 @@
 func recordSize(record *api.ClaimRecord) int {
 	const fieldNames = 80 // CBOR field names, lengths and the time
 	size := fieldNames + len(record.Key) + len(record.Attempt) + len(record.Router) + len(record.BodyDigest)
+	for _, attempt := range record.Released {
+		size += len(attempt)
+	}
 	if record.Outcome != nil {
 		const outcomeNames = 64
 		size += outcomeNames + len(record.Outcome.Body) + len(record.Outcome.ContentType)
@@ -158,11 +174,11 @@
 
 func (s *Shard) decideClaim(now time.Time, op *operation, record *api.ClaimRecord) (api.ClaimReply, *api.ClaimRecord) {
 	request := op.claim
+	if isReleased(record, request.Attempt) {
+		// The router has told its caller that this attempt was not run.
+		return api.ClaimReply{Result: api.ClaimResultUnavailable, NotClaimed: !op.written}, nil
+	}
 	if record == nil || record.State == api.ClaimStateReleased {
-		if record != nil && record.Attempt == request.Attempt {
-			// The router has told its caller that this attempt was not run.
-			return api.ClaimReply{Result: api.ClaimResultUnavailable, NotClaimed: !op.written}, nil
-		}
 		return api.ClaimReply{Result: api.ClaimResultGranted}, &api.ClaimRecord{
 			Key:        request.Key,
 			State:      api.ClaimStateClaimed,
@@ -170,6 +186,7 @@
 			Router:     request.Router,
 			BodyDigest: request.BodyDigest,
 			UnixMs:     int(now.UnixMilli()),
+			Released:   releasedBefore(record),
 		}
 	}
 	if record.BodyDigest != "" && record.BodyDigest != request.BodyDigest {
@@ -182,9 +199,7 @@
 		// A request that was sent again: the router runs an attempt at most once.
 		return api.ClaimReply{Result: api.ClaimResultGranted}, nil
 	}
-	age := now.Sub(time.UnixMilli(int64(record.UnixMs)))
-	absent := age > absentAfter && s.absent(record.Router)
-	if age > s.cfg.UnknownAfter || absent || s.dead(record.Router) {
+	if s.outcomeLost(now, record) {
 		return api.ClaimReply{Result: api.ClaimResultOutcomeUnknown}, nil
 	}
 	return api.ClaimReply{Result: api.ClaimResultInProgress}, nil
@@ -209,6 +224,7 @@
 		BodyDigest: update.BodyDigest,
 		UnixMs:     int(now.UnixMilli()),
 		Outcome:    update.Outcome,
+		Released:   releasedBefore(record),
 	}
 	switch {
 	case record == nil:
@@ -221,12 +237,47 @@
 		return done, change
 	case record.Attempt == update.Attempt && record.State == update.State:
 		return done, nil
+	case update.State == api.ClaimStateReleased && (record.State == api.ClaimStateDone || isReleased(record, update.Attempt)):
+		return done, nil
 	case record.State == api.ClaimStateReleased:
 		// An outcome is kept even after a release, because the call was run.
 		return done, change
 	case update.State == api.ClaimStateReleased:
-		return done, nil
+		// The claim of another attempt stays; a late one of this attempt must not
+		// follow it.
+		kept := *record
+		kept.Released = appendReleased(record.Released, update.Attempt)
+		return done, &kept
 	default:
 		return api.ClaimReply{Result: api.ClaimResultInProgress}, nil
 	}
 }
+
+// maxReleased bounds the released attempts that a record names: those of a key
+// that was asked for at many routers while its shard's owner was paused.
+const maxReleased = 16
+
+// isReleased reports whether the attempt is known to have been released.
+func isReleased(record *api.ClaimRecord, attempt string) bool {
+	if record == nil {
+		return false
+	}
+	return record.State == api.ClaimStateReleased && record.Attempt == attempt || slices.Contains(record.Released, attempt)
+}
+
+// releasedBefore returns the attempts that the record's successor names as
+// released.
+func releasedBefore(record *api.ClaimRecord) []string {
+	switch {
+	case record == nil:
+		return nil
+	case record.State == api.ClaimStateReleased:
+		return appendReleased(record.Released, record.Attempt)
+	}
+	return record.Released
+}
+
+func appendReleased(released []string, attempt string) []string {
+	all := append(slices.Clone(released), attempt)
+	return all[max(0, len(all)-maxReleased):]
+}
--- a/claims/owner.go
+++ b/claims/owner.go
@@ -78,7 +78,7 @@
 	cfg   OwnerConfig
 	store objectstore.Store
 	clock Clock
-	dead  atomic.Pointer[map[string]bool]
+	lost  atomic.Pointer[map[string]time.Time]
 	live  atomic.Pointer[map[string]bool]
 
 	mu     sync.Mutex
@@ -127,19 +127,17 @@
 	return live != nil && !(*live)[router]
 }
 
-// SetDead replaces the set of routers that are known to be dead. Claims of
-// their attempts are answered with outcome_unknown.
-func (o *Owner) SetDead(routers []string) {
-	dead := make(map[string]bool, len(routers))
-	for _, router := range routers {
-		dead[router] = true
-	}
-	o.dead.Store(&dead)
-}
+// SetLost replaces the routers that are known to be lost, with the times at which
+// they were. Older claims of their attempts are answered with outcome_unknown.
+func (o *Owner) SetLost(since map[string]time.Time) { o.lost.Store(&since) }
 
-func (o *Owner) isDead(router string) bool {
-	dead := o.dead.Load()
-	return dead != nil && (*dead)[router]
+func (o *Owner) lostSince(router string) (time.Time, bool) {
+	lost := o.lost.Load()
+	if lost == nil {
+		return time.Time{}, false
+	}
+	since, ok := (*lost)[router]
+	return since, ok
 }
 
 // SetOwned frees the memory of idle shards that are not in the list. A shard
@@ -244,7 +242,7 @@
 		MaxQueue:        o.cfg.MaxQueue,
 		MaxOutcomeBytes: o.cfg.MaxOutcomeBytes,
 	})
-	shard.SetDead(o.isDead)
+	shard.SetLost(o.lostSince)
 	shard.SetAbsent(o.isAbsent)
 	return &runner{shard: shard, waiting: map[uint64]chan api.ClaimReply{}, wake: make(chan struct{}, 1)}
 }
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -94,6 +94,8 @@
 	// written is set once the operation was part of a write whose outcome was
 	// lost, so the operation may take effect later.
 	written bool
+	// synced is set once the head was read while the operation waited.
+	synced bool
 }
 
 func (o *operation) key() string {
@@ -144,7 +146,7 @@
 	// sealBytes and batchBytes are smaller in tests, so that segments are sealed often.
 	sealBytes, batchBytes int
 
-	dead   func(router string) bool
+	lost   func(router string) (since time.Time, lost bool)
 	absent func(router string) bool
 
 	queue   []*operation
@@ -191,7 +193,7 @@
 		cfg:        cfg,
 		sealBytes:  sealBytes,
 		batchBytes: batchBytes,
-		dead:       func(string) bool { return false },
+		lost:       func(string) (time.Time, bool) { return time.Time{}, false },
 		absent:     func(string) bool { return false },
 		loaded:     map[uint64]uint64{},
 		sealed:     map[keyHash]uint64{},
@@ -207,8 +209,8 @@
 // SetAbsent sets the function that tells whether a router is not in the fleet.
 func (s *Shard) SetAbsent(absent func(router string) bool) { s.absent = absent }
 
-// SetDead sets the function that tells whether a router is known to be dead.
-func (s *Shard) SetDead(dead func(router string) bool) { s.dead = dead }
+// SetLost sets the function that tells since when a router is lost.
+func (s *Shard) SetLost(lost func(router string) (since time.Time, lost bool)) { s.lost = lost }
 
 // Claim queues a claim. Its reply comes from a later Ready under the id.
 func (s *Shard) Claim(id uint64, request api.ClaimRequest) {
@@ -405,6 +407,9 @@
 		return
 	}
 	s.retryDelay = 0
+	for _, op := range s.queue {
+		op.synced = true
+	}
 	s.adopt(now, head, event.Object.Version)
 	if s.batch == nil {
 		return
--- a/claims/shard_test.go
+++ b/claims/shard_test.go
@@ -28,7 +28,8 @@
 	request   api.ClaimRequest
 	state     string // pending, running, done or abandoned
 	sent      int
-	unclaimed int // replies that say "not claimed"
+	unclaimed int  // replies that say "not claimed"
+	released  bool // the release was acknowledged
 }
 
 type simOwner struct {
@@ -37,6 +38,8 @@
 	event   Event  // result that was not delivered yet
 	done    bool   // the call has been made
 	replyTo map[uint64]*attempt
+	// releases are the updates that release an attempt.
+	releases map[uint64]*attempt
 }
 
 // simulation runs several owners of one shard against one store, with lost
@@ -61,8 +64,8 @@
 	w.starts++
 	shard := NewShard(testConfig(fmt.Sprintf("o%d", w.starts)))
 	shard.sealBytes, shard.batchBytes = 250, 400
-	shard.SetDead(func(router string) bool { return router == "dead" })
-	w.owners[i] = &simOwner{shard: shard, replyTo: map[uint64]*attempt{}}
+	shard.SetLost(func(router string) (time.Time, bool) { return w.now, router == "dead" })
+	w.owners[i] = &simOwner{shard: shard, replyTo: map[uint64]*attempt{}, releases: map[uint64]*attempt{}}
 }
 
 // apply makes a write and checks each new head against the plain map.
@@ -113,8 +116,14 @@
 	old, exists := w.model[record.Key]
 	switch record.State {
 	case api.ClaimStateClaimed:
-		assert.Assert(w.t, !exists || old.State == api.ClaimStateReleased && old.Attempt != record.Attempt,
+		again := old
+		again.Released = record.Released
+		noted := exists && reflect.DeepEqual(again, record) // a release of another attempt
+		assert.Assert(w.t, !exists || noted || old.State == api.ClaimStateReleased && old.Attempt != record.Attempt,
 			"claim of %s after %+v", record.Attempt, old)
+		for _, a := range w.attempts {
+			assert.Assert(w.t, noted || !a.released || a.request.Attempt != record.Attempt, "%s is claimed after its release", record.Attempt)
+		}
 		w.claimed[record.Attempt] = true
 	case api.ClaimStateDone:
 		assert.Assert(w.t, old.State == api.ClaimStateClaimed && old.Attempt == record.Attempt,
@@ -170,6 +179,9 @@
 }
 
 func (w *simulation) reply(o *simOwner, reply Reply) {
+	if a := o.releases[reply.ID]; a != nil {
+		a.released = a.released || reply.Reply.Result == api.ClaimResultDone
+	}
 	a := o.replyTo[reply.ID]
 	delete(o.replyTo, reply.ID)
 	if a == nil {
@@ -211,6 +223,7 @@
 			Outcome: &api.ClaimOutcome{Status: 200, Body: []byte(a.request.Attempt)},
 		})
 	case "abandoned":
+		o.releases[w.ids] = a
 		o.shard.Update(w.ids, api.ClaimUpdate{Key: a.request.Key, Attempt: a.request.Attempt, State: api.ClaimStateReleased})
 	}
 }
@@ -392,9 +405,14 @@
 	other := claimOf("k", "a2")
 	other.BodyDigest = "e"
 	expect(other, api.ClaimResultBodyMismatch)
-	s.SetDead(func(router string) bool { return router == "r1" })
+	lostAt := now.Add(time.Second)
+	s.SetLost(func(router string) (time.Time, bool) { return lostAt, router == "r1" })
+	now = now.Add(2 * time.Second)
 	expect(claimOf("k", "a2"), api.ClaimResultOutcomeUnknown)
-	s.SetDead(func(string) bool { return false })
+	// A claim that is younger than the loss shows that the router is back.
+	lostAt = lostAt.Add(-3 * time.Second)
+	expect(claimOf("k", "a2"), api.ClaimResultInProgress)
+	s.SetLost(func(string) (time.Time, bool) { return time.Time{}, false })
 	s.SetAbsent(func(router string) bool { return router == "r1" })
 	expect(claimOf("k", "a2"), api.ClaimResultInProgress)
 	now = now.Add(absentAfter + time.Second)
@@ -409,6 +427,49 @@
 	expect(claimOf("k", "a2"), api.ClaimResultGranted)
 }
 
+// Guards against a claim that was abandoned and whose request reaches an owner late,
+// such as one that was paused: nobody would be left to run or release it.
+func TestLateClaimAfterRelease(t *testing.T) {
+	store := objectstore.NewMemory()
+	now := time.Unix(1e9, 0)
+	paused, other := NewShard(testConfig("o1")), NewShard(testConfig("o2"))
+	release := func(s *Shard, attempt string) {
+		s.Update(1, api.ClaimUpdate{Key: "k", Attempt: attempt, State: api.ClaimStateReleased})
+		assert.Equal(t, drive(s, store, now)[1].Result, api.ClaimResultDone)
+	}
+	claim := func(s *Shard, attempt string) api.ClaimResult {
+		s.Claim(1, claimOf("k", attempt))
+		return drive(s, store, now)[1].Result
+	}
+	assert.Equal(t, claim(paused, "a0"), api.ClaimResultGranted)
+	release(paused, "a0")
+	release(other, "a1")
+	release(other, "a2")
+	assert.Equal(t, claim(other, "a3"), api.ClaimResultGranted)
+	release(other, "a4")
+	release(other, "a3")
+	for _, late := range []string{"a0", "a1", "a2", "a3", "a4"} {
+		assert.Equal(t, claim(paused, late), api.ClaimResultUnavailable, late)
+	}
+	assert.Equal(t, claim(paused, "a5"), api.ClaimResultGranted)
+}
+
+// Guards against "outcome unknown" from a head that was read before another owner
+// recorded the outcome.
+func TestUnknownIsReadAnew(t *testing.T) {
+	store := objectstore.NewMemory()
+	now := time.Unix(1e9, 0)
+	first, second := NewShard(testConfig("o1")), NewShard(testConfig("o2"))
+	first.Claim(1, claimOf("k", "a1"))
+	assert.Equal(t, drive(first, store, now)[1].Result, api.ClaimResultGranted)
+	second.Update(1, api.ClaimUpdate{Key: "k", Attempt: "a1", State: api.ClaimStateDone, Outcome: &api.ClaimOutcome{Status: 200}})
+	assert.Equal(t, drive(second, store, now)[1].Result, api.ClaimResultDone)
+	first.SetLost(func(string) (time.Time, bool) { return now, true })
+	now = now.Add(refreshAge / 2)
+	first.Claim(2, claimOf("k", "a2"))
+	assert.Equal(t, drive(first, store, now)[2].Result, api.ClaimResultDone)
+}
+
 // Guards against a head above its bound, keys lost in sealed segments, and
 // segments that outlive the retention.
 func TestSealingAndRetention(t *testing.T) {
--- a/router/network.go
+++ b/router/network.go
@@ -168,7 +168,7 @@
 		}
 		r.everSeen[member.ID] = seenRouter{member: member}
 	}
-	var dead []string
+	lost := map[string]time.Time{}
 	for id, seen := range r.everSeen {
 		switch {
 		case live[id]:
@@ -185,9 +185,9 @@
 			delete(r.everSeen, id)
 			continue
 		}
-		dead = append(dead, id)
+		lost[id] = seen.diedAt
 	}
-	r.claimOwner.SetDead(dead)
+	r.claimOwner.SetLost(lost)
 	r.claimOwner.SetLive(slices.Collect(maps.Keys(live)))
 }
 
