Keep the cold limit in fleets larger than the limit

With 62 routers and a limit of 19 (0.85 x 23) each router's share was rounded up to 1, so that 62 were allowed together. The same holds at 91 and at 350 routers.

Ruled out: routers that do not know each other (all were registered for 19 s) and a wrong window (each router sent one).

Change: what an even division leaves over, the whole limit in a large fleet, goes to the routers that rank first for the endpoint by rendezvous hashing. The shares add up to the limit for any number of routers. A router that has not found the others yet has a share of 1 instead of the whole.

Tests: TestShare (the sum over up to 400 routers; it failed for the old share above the limit), TestRank. Lost to caution: at 62 routers 19 of them may send to a given cold endpoint.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -135,9 +135,9 @@
 	Key uint64
 	// Tried are endpoints that the request does not go to again.
 	Tried []*roster.Endpoint
-	// ColdShare is the number of requests a second that this router may send to
-	// a cold endpoint; 0 means that it is not limited.
-	ColdShare int
+	// ColdShare returns the number of requests a second that this router may send
+	// to a cold endpoint. Nil means that it is not limited.
+	ColdShare func(*roster.Endpoint) int
 	// MaxLocal is the number of requests, each on a connection of its own, that
 	// this router may have at an endpoint; 0 means that it is not limited.
 	MaxLocal int
@@ -191,7 +191,7 @@
 			return AllTried
 		}
 	}
-	if ask.ColdShare > 0 && s.Endpoint.Cold(now) && s.sends.Count(now) >= ask.ColdShare {
+	if ask.ColdShare != nil && s.Endpoint.Cold(now) && s.sends.Count(now) >= ask.ColdShare(s.Endpoint) {
 		return AllCold
 	}
 	if ask.MaxLocal > 0 && s.Local >= ask.MaxLocal {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -28,7 +28,7 @@
 	b := New("z0")
 	endpoints := members(1)
 	endpoints[0].ColdUntil = start.Add(time.Minute)
-	ask := Ask{Members: endpoints, Usable: anyUsable, ColdShare: 3}
+	ask := Ask{Members: endpoints, Usable: anyUsable, ColdShare: func(*roster.Endpoint) int { return 3 }}
 	sent := 0
 	for i := range 30 {
 		now := start.Add(time.Duration(i) * 30 * time.Millisecond)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,7 +96,7 @@
 	p.peers = peers
 	p.gateway = gateway.New(gateway.Config{
 		Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
-		Routers: peers.Routers,
+		Fleet: peers.Fleet,
 	})
 	p.mirrors = map[string]*mirror.Mirror{}
 	for kind, receiver := range map[string]mirror.Receiver{
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/mirror"
+	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -71,6 +72,7 @@
 	peers   map[string]*peer       // by router id
 	heads   map[string]mirror.Head // what this router announces
 	pending []pendingNews
+	fleet   *quota.Fleet
 	rank    int       // among the relays; relays have a rank below relays()
 	loadsAt time.Time // when the loads were sent
 }
@@ -126,14 +128,19 @@
 		}
 		e.peers[id] = &peer{address: address, loads: map[string]int{}}
 	}
+	ids := make([]string, 0, len(e.peers))
+	for id := range e.peers {
+		ids = append(ids, id)
+	}
+	e.fleet = quota.NewFleet(e.config.Router, ids)
 	e.rank = e.rankNow(time.Now())
 }
 
-// Routers returns the number of routers that are registered, at least 1.
-func (e *Exchange) Routers() int {
+// Fleet returns the routers that are registered, and nil before they are known.
+func (e *Exchange) Fleet() *quota.Fleet {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.peers) + 1
+	return e.fleet
 }
 
 // Alive returns the routers that were heard lately, this one among them.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,8 +57,8 @@
 	Codec   Codec
 	Logger  *zap.Logger
 	Metrics *telemetry.Metrics
-	// Routers returns the number of routers that share the limits.
-	Routers func() int
+	// Fleet returns the routers that share the limits; nil if they are not known.
+	Fleet func() *quota.Fleet
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
@@ -95,11 +95,16 @@
 	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapseHold: lapseHold})
 	g.budget = retry.NewBudget(retry.BudgetConfig{
 		Fraction: config.Bounds.RetryRatio * limitMargin,
-		Capacity: config.Bounds.RetrySlack * limitMargin / float64(max(1, config.Routers())),
+		Capacity: g.retryCapacity(),
 	})
 	return g
 }
 
+// retryCapacity returns the repeats that this router may save up for a service.
+func (g *Gateway) retryCapacity() float64 {
+	return g.config.Bounds.RetrySlack * limitMargin / float64(g.config.Fleet().Routers())
+}
+
 func (g *Gateway) coldFor(service string) time.Duration {
 	if table := g.table.Load(); table != nil {
 		if s := table.Services[service]; s != nil {
@@ -130,7 +135,7 @@
 
 func (g *Gateway) prune(now time.Time) {
 	g.mu.Lock()
-	g.budget.SetCapacity(g.config.Bounds.RetrySlack * limitMargin / float64(max(1, g.config.Routers())))
+	g.budget.SetCapacity(g.retryCapacity())
 	for _, endpoint := range g.roster.Expire(now) {
 		g.logger.Info("endpoint given up after the store's outage", zap.String("endpoint", endpoint.ID))
 		g.drop(endpoint)
@@ -186,12 +191,13 @@
 		return ask
 	}
 	ask.Members = g.roster.Members(service.Name)
-	routers := g.config.Routers()
+	fleet := g.config.Fleet()
 	if service.ColdRate > 0 {
-		ask.ColdShare = quota.Share((service.ColdRate*bounds.ColdFactor+bounds.ColdSlack)*limitMargin, routers)
+		limit := (service.ColdRate*bounds.ColdFactor + bounds.ColdSlack) * limitMargin
+		ask.ColdShare = func(e *roster.Endpoint) int { return fleet.Share(limit, e.ID) }
 	}
 	if service.MaxConnections > 0 {
-		ask.MaxLocal = quota.Share(float64(service.MaxConnections)*limitMargin, routers)
+		ask.MaxLocal = fleet.Even(float64(service.MaxConnections) * limitMargin)
 	}
 	return ask
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/gateway"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
@@ -143,8 +144,8 @@
 	metrics := telemetry.NewMetrics()
 	g := gateway.New(gateway.Config{
 		Zone: "z", Codec: platform.Codec{}, Logger: zap.NewNop(), Metrics: metrics,
-		Bounds:  gateway.Bounds{RetryRatio: 0.2, RetrySlack: 20, ColdFactor: 1.5, ColdSlack: 5, LoadFactor: 2},
-		Routers: func() int { return 1 },
+		Bounds: gateway.Bounds{RetryRatio: 0.2, RetrySlack: 20, ColdFactor: 1.5, ColdSlack: 5, LoadFactor: 2},
+		Fleet:  func() *quota.Fleet { return quota.NewFleet("r", nil) },
 	})
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
--- a/placement/owner.go
+++ b/placement/owner.go
@@ -22,6 +22,21 @@
 	return owner
 }
 
+// Rank returns the number of members that come before member in the order whose
+// first is Owner. It is 0 if there are no others. Rank does not allocate.
+func Rank(name, member string, members []string) int {
+	nameHash := xxhash.Sum64String(name)
+	own := mix(nameHash ^ mix(xxhash.Sum64String(member)))
+	rank := 0
+	for _, other := range members {
+		score := mix(nameHash ^ mix(xxhash.Sum64String(other)))
+		if score > own || score == own && other < member {
+			rank++
+		}
+	}
+	return rank
+}
+
 // mix is the finalizer of SplitMix64. Without it, the exclusive or of two hashes
 // would order the members of all names by the same high bits.
 func mix(x uint64) uint64 {
--- a/placement/owner_test.go
+++ b/placement/owner_test.go
@@ -48,3 +48,17 @@
 		Owner("endpoint-17", all)
 	}
 }
+
+// Guards against two members with one rank, which would share a limit twice.
+func TestRank(t *testing.T) {
+	members := []string{"a", "b", "c", "d", "e"}
+	for _, name := range []string{"x", "y", "z"} {
+		seen := map[int]bool{}
+		for _, member := range members {
+			rank := Rank(name, member, members)
+			assert.Assert(t, !seen[rank] && rank < len(members))
+			seen[rank] = true
+			assert.Equal(t, rank == 0, Owner(name, members) == member)
+		}
+	}
+}
--- a/quota/rate_test.go
+++ b/quota/rate_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,17 +9,35 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against shares that add up to more than the limit while there are not
-// more routers than the limit allows events.
+// Guards against shares that add up to more than the limit, also in a fleet with
+// more routers than the limit allows events, and against a remainder that nobody
+// has.
 func TestShare(t *testing.T) {
-	assert.Equal(t, Share(35, 6), 5)
-	assert.Equal(t, Share(35, 0), 35)
-	assert.Equal(t, Share(0.5, 6), 1)
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Float64Range(1, 500).Draw(t, "limit")
-		routers := rapid.IntRange(1, int(limit)).Draw(t, "routers")
-		assert.Assert(t, float64(Share(limit, routers)*routers) <= limit)
+		var routers []string
+		for i := range rapid.IntRange(1, 400).Draw(t, "routers") {
+			routers = append(routers, fmt.Sprintf("router-%d", i))
+		}
+		name := rapid.SampledFrom([]string{"e1", "e2", "e3"}).Draw(t, "name")
+		sum := 0
+		for _, self := range routers {
+			sum += NewFleet(self, routers).Share(limit, name)
+		}
+		assert.Equal(t, sum, int(limit))
 	})
+	assert.Equal(t, NewFleet("a", nil).Share(35, "e"), 35)
+	assert.Equal(t, NewFleet("a", nil).Share(0.5, "e"), 1)
+	var unknown *Fleet
+	assert.Equal(t, unknown.Share(35, "e"), 1)
+}
+
+// Guards against a share of a large limit that stops a router altogether.
+func TestEven(t *testing.T) {
+	assert.Equal(t, NewFleet("a", []string{"a", "b"}).Even(35), 17)
+	assert.Equal(t, NewFleet("a", []string{"b", "c"}).Even(0.5), 1)
+	var unknown *Fleet
+	assert.Equal(t, unknown.Even(35), 35)
 }
 
 // Guards against a sliding second with more events than were let through by
