Record the failures of the platform's requests for the morning report

Change: a request with an unknown outcome (unsafe, may have run, no answer), broken and missing answers, endpoints that cannot be reached for 3.5 s, lost routers and outages of the store become records, by the product's own keeper and client, in kind "records" of the platform's store. What all routers see is recorded by the one that ranks first (three for the store, which may turn some away). A stopping router writes what is left; routers on the platform hold no copies for each other, so that a killed one loses its last 2 s.

Tests: TestReported (gateway), TestFailuresAreRecorded (a router process against the stand-in, stopped right after a lost call), TestReportFromStore (command line).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -272,6 +272,9 @@
 	return true
 }
 
+// Failures returns the number of failures in a row.
+func (s *State) Failures() int { return s.failures }
+
 // Misdirected says that the endpoint is no longer at its address.
 func (s *State) Misdirected(now time.Time) { s.ejectedUntil = now.Add(longestEjection) }
 
--- a/cmd/hornbeamproxy/report.go
+++ b/cmd/hornbeamproxy/report.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -11,7 +12,9 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/records"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
 // errLeftForPerson is the outcome of a report with exit code exitProblems.
@@ -22,9 +25,14 @@
 type reportCommand struct {
 	noteCommands
 	since string
+	store string
 	now   func() time.Time
 }
 
+// reportTimeout bounds the reading of records from the platform's store. What could
+// not be read by then is named in the report.
+const reportTimeout = 20 * time.Second
+
 // addReportCommand adds the morning report. Its error asks for exit code
 // exitProblems when something is left for a person.
 func addReportCommand(app *kingpin.Application) {
@@ -35,7 +43,8 @@
 	r := &reportCommand{noteCommands: noteCommands{out: out}, now: now}
 	c := app.Command("report", "Say what failed, what was done and what is left for a person.")
 	c.Flag("since", "Start: 18:00 (the last such time, UTC), 12h, or 2026-12-03T18:00:00Z.").Required().StringVar(&r.since)
-	c.Flag("admin", "Admin listener of a router, such as http://192.0.2.1:9090.").Required().StringVar(&r.admin)
+	c.Flag("admin", "Admin listener of a router, such as http://192.0.2.1:9090.").StringVar(&r.admin)
+	c.Flag("store", "Address of the platform's store (IP:PORT), to read the records of its routers there.").StringVar(&r.store)
 	c.Flag("token-file", "File with the operators' bearer token.").StringVar(&r.tokenFile)
 	c.Flag("token-env", "Environment variable with the operators' bearer token.").StringVar(&r.tokenEnv)
 	c.Flag("output", "Output format.").Default("text").EnumVar(&r.output, "text", "json")
@@ -47,9 +56,8 @@
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
 	}
-	var report records.Report
-	path := "/report?" + url.Values{"since": {since.UTC().Format(time.RFC3339)}}.Encode()
-	if err := r.call(http.MethodGet, path, nil, &report); err != nil {
+	report, err := r.read(since)
+	if err != nil {
 		return &exitError{code: exitUsage, err: err}
 	}
 	write := report.WriteText
@@ -65,6 +73,31 @@
 	return nil
 }
 
+// read asks a router for the report, or builds it from the records in the platform's
+// store.
+func (r *reportCommand) read(since time.Time) (records.Report, error) {
+	var report records.Report
+	switch {
+	case (r.admin == "") == (r.store == ""):
+		return report, errors.New("one of --admin and --store is required")
+	case r.admin != "":
+		path := "/report?" + url.Values{"since": {since.UTC().Format(time.RFC3339)}}.Encode()
+		return report, r.call(http.MethodGet, path, nil, &report)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	store := platform.NewStore("http://"+r.store, "", telemetry.NewMetrics())
+	defer store.Close()
+	found, err := records.Read(ctx, platform.Keys{Store: store}, since)
+	if err != nil {
+		return report, fmt.Errorf("read the records: %w", err)
+	}
+	now := r.now()
+	report = records.Build(found.Records, since, now, now)
+	report.SetUnread(found.Unread)
+	return report, nil
+}
+
 // parseSince reads a time of day (the latest in the past, UTC), a duration back
 // from now, or an RFC 3339 time in the past.
 func parseSince(text string, now time.Time) (time.Time, error) {
--- a/cmd/hornbeamproxy/report_test.go
+++ b/cmd/hornbeamproxy/report_test.go
@@ -13,7 +13,10 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/admin"
 	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/records"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
 type bookReport struct{ book *records.Book }
@@ -68,6 +71,45 @@
 	}
 }
 
+// Guards against a report of the platform's routers that misses their records, and
+// against a store that does not answer taken for a quiet night.
+func TestReportFromStore(t *testing.T) {
+	stand := httptest.NewServer(standin.NewPlatform(""))
+	defer stand.Close()
+	address := stand.Listener.Addr().String()
+	now := time.Now()
+	book := records.NewBook(records.BookOptions{Router: "r1", Incarnation: 1})
+	book.Event(api.RecordKindOutcomeUnknown, "s/1", "", now.Add(-time.Hour), "call 1 may have run", "", "", "look up call 1")
+	batch, err := records.EncodeBatch(book.Batch(records.MaxBatchBytes))
+	assert.NilError(t, err)
+	store := platform.Keys{Store: platform.NewStore(stand.URL, "", telemetry.NewMetrics())}
+	key := "records/" + now.Add(-time.Hour).UTC().Format("2006-01-02") + "/r1/1-000001"
+	_, err = store.Put(context.Background(), key, batch, 0)
+	assert.NilError(t, err)
+	for _, c := range []struct {
+		args []string
+		code int
+		text string
+	}{
+		{[]string{"--store", address}, 1, "Left for a person: look up call 1."},
+		{[]string{"--store", "127.0.0.1:1"}, 2, "read the records"},
+		{[]string{"--store", address, "--admin", "http://127.0.0.1:1"}, 2, "one of --admin and --store"},
+		{nil, 2, "one of --admin and --store"},
+	} {
+		out := &bytes.Buffer{}
+		app := kingpin.New("hornbeamproxy", "").Terminate(nil)
+		addReportCommandTo(app, out, time.Now)
+		_, err := app.Parse(append([]string{"report", "--since", "12h"}, c.args...))
+		code := 0
+		if err != nil {
+			out.WriteString(err.Error())
+			code = exitCode(err)
+		}
+		assert.Equal(t, code, c.code, "%v: %s", c.args, out)
+		assert.Assert(t, bytes.Contains(out.Bytes(), []byte(c.text)), "%v: %s", c.args, out)
+	}
+}
+
 // Guards against a night that begins on the wrong day.
 func TestParseSince(t *testing.T) {
 	now := time.Date(2026, 12, 4, 7, 30, 0, 0, time.FixedZone("", 6*3600)) // 01:30 UTC
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -66,6 +66,7 @@
 	peers    *exchange.Exchange
 	mirrors  map[string]*mirror.Mirror // by kind
 	fleet    *fleet
+	failures *failures
 	stopping atomic.Bool
 }
 
@@ -94,13 +95,14 @@
 		return err
 	}
 	p.peers = peers
+	p.failures = newFailures(s.Router.ID, platform.Keys{Store: p.store}, peers.Alive, p.metrics, p.logger)
 	p.gateway = gateway.New(gateway.Config{
 		Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
-		Fleet: peers.Fleet,
+		Fleet: peers.Fleet, Reporter: p.failures,
 	})
 	p.mirrors = map[string]*mirror.Mirror{}
 	for kind, receiver := range map[string]mirror.Receiver{
-		platform.KindConfig:      platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger},
+		platform.KindConfig:      storeWatch{platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger}, p.failures},
 		platform.KindEndpoints:   platform.EndpointReceiver{Gateway: p.gateway, Logger: p.logger},
 		platform.KindEvacuations: platform.EvacuationReceiver{Gateway: p.gateway},
 	} {
@@ -111,6 +113,7 @@
 	}
 	p.fleet = &fleet{
 		store: p.store, peers: peers, router: s.Router.ID, address: s.Listen.Peers, logger: p.logger,
+		routerLost: p.failures.routerLost,
 	}
 	return nil
 }
@@ -135,6 +138,7 @@
 	}
 	add(p.gateway.Run)
 	add(p.fleet.run)
+	add(p.failures.run)
 	add(p.peers.Send)
 	add(p.reload)
 	group.Add(p.peers.Receive, func(error) { p.peers.Close() })
@@ -246,6 +250,7 @@
 	grace := time.Duration(p.options.Settings.Bounds.GraceS*float64(time.Second)) - exitMargin
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace))
 	defer cancel()
+	go p.failures.flush()
 	if err := callers.Shutdown(ctx); err != nil {
 		p.logger.Warn("requests cut at the end of the grace period", zap.Error(err))
 		callers.Close()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -44,6 +44,9 @@
 func serveEndpoint(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Server-Stamp", "stamp")
+	if r.URL.Path == "/call/cut" {
+		panic(http.ErrAbortHandler)
+	}
 	if !strings.HasPrefix(r.URL.Path, "/stream/") {
 		_, _ = io.WriteString(w, r.Header.Get("Tenant"))
 		return
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -29,6 +29,8 @@
 	address    string
 	logger     *zap.Logger
 	registered bool
+	// routerLost is told of a router whose registration was removed.
+	routerLost func(router string)
 	// silent is the time since when a registered router has not been heard.
 	silent map[string]time.Time
 }
@@ -119,6 +121,7 @@
 			continue
 		}
 		delete(f.silent, id)
+		f.routerLost(id)
 		f.logger.Info("registration of a dead router removed", zap.String("router", id))
 	}
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -127,6 +127,7 @@
 		x.release(state, x.blame(err))
 		x.g.metrics.Refused(api.RefusalUpstreamIncomplete)
 		x.log("cut", string(api.RefusalUpstreamIncomplete), zap.Error(err))
+		x.report(api.RefusalUpstreamIncomplete)
 		panic(http.ErrAbortHandler)
 	}
 	pool.Keep(conn, response, time.Now())
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -213,6 +213,7 @@
 	if x.stream.started {
 		x.g.metrics.Refused(api.RefusalUpstreamIncomplete)
 		x.log("cut", string(api.RefusalUpstreamIncomplete))
+		x.report(api.RefusalUpstreamIncomplete)
 		panic(http.ErrAbortHandler)
 	}
 	if x.failure != nil {
@@ -223,6 +224,7 @@
 		x.refuse(http.StatusServiceUnavailable, r.refusal, r.retryAfter)
 		return
 	}
+	x.report(r.refusal)
 	if r.refusal == api.RefusalDeadlineExceeded {
 		x.refuse(http.StatusGatewayTimeout, r.refusal, 0)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	Metrics *telemetry.Metrics
 	// Fleet returns the routers that share the limits; nil if they are not known.
 	Fleet func() *quota.Fleet
+	// Reporter takes what operators read about afterwards.
+	Reporter Reporter
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
@@ -152,6 +154,7 @@
 
 // drop forgets an endpoint that gets nothing more. Callers hold g.mu.
 func (g *Gateway) drop(endpoint *roster.Endpoint) {
+	g.config.Reporter.EndpointBack(endpoint.ID)
 	g.balancer.Forget(endpoint)
 	if pool, ok := g.pools[endpoint]; ok {
 		pool.Close()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -135,21 +135,50 @@
 // front is a gateway in front of endpoints, behind a listener.
 type front struct {
 	*gateway.Gateway
-	url     string
-	metrics *telemetry.Metrics
+	url      string
+	metrics  *telemetry.Metrics
+	reporter *recorder
 }
 
+// recorder keeps what it is told, a line for each.
+type recorder struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (r *recorder) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, fmt.Sprintf(format, args...))
+}
+
+func (r *recorder) take() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lines := r.lines
+	r.lines = nil
+	return lines
+}
+
+func (r *recorder) OutcomeUnknown(f gateway.FailedRequest) {
+	r.add("unknown %s %s %s", f.ID, f.Workspace, f.Reason)
+}
+func (r *recorder) AnswerBroken(f gateway.FailedRequest) { r.add("broken %s %s", f.Route, f.Reason) }
+func (r *recorder) EndpointLost(entry roster.Entry)      { r.add("lost %s", entry.ID) }
+func (r *recorder) EndpointBack(id string)               { r.add("back %s", id) }
+
 func newFront(t *testing.T, endpoints ...*endpoint) front {
 	t.Helper()
-	metrics := telemetry.NewMetrics()
+	metrics, reporter := telemetry.NewMetrics(), &recorder{}
 	g := gateway.New(gateway.Config{
 		Zone: "z", Codec: platform.Codec{}, Logger: zap.NewNop(), Metrics: metrics,
-		Bounds: gateway.Bounds{RetryRatio: 0.2, RetrySlack: 20, ColdFactor: 1.5, ColdSlack: 5, LoadFactor: 2},
-		Fleet:  func() *quota.Fleet { return quota.NewFleet("r", nil) },
+		Bounds:   gateway.Bounds{RetryRatio: 0.2, RetrySlack: 20, ColdFactor: 1.5, ColdSlack: 5, LoadFactor: 2},
+		Reporter: reporter,
+		Fleet:    func() *quota.Fleet { return quota.NewFleet("r", nil) },
 	})
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
-	f := front{Gateway: g, url: server.URL, metrics: metrics}
+	f := front{Gateway: g, url: server.URL, metrics: metrics, reporter: reporter}
 	for _, e := range endpoints {
 		f.enter(e)
 	}
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -65,4 +65,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state.Verified(now, err == nil)
+	switch {
+	case err == nil:
+		g.config.Reporter.EndpointBack(state.Endpoint.ID)
+	case state.Failures() >= lostAfter && !state.Endpoint.Withdrawn:
+		g.config.Reporter.EndpointLost(state.Endpoint.Entry)
+	}
 }
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -23,6 +24,7 @@
 		assert.Equal(t, response.StatusCode, 200)
 	}
 	assert.Assert(t, f.metrics.Counter("upstream.dials").Count() <= 5, "requests tried the lost endpoint again")
+	eventually(t, func() bool { return slices.Contains(f.reporter.take(), "lost e1") })
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	defer listener.Close()
@@ -34,4 +36,5 @@
 		assert.Equal(t, response.StatusCode, 200)
 		return len(lost.got()) > 0
 	})
+	assert.Assert(t, slices.Contains(f.reporter.take(), "back e1"))
 }
