Send loads to the owners of endpoints in large fleets

Cause: each router sent its loads to all others.

Ruled out: a longer interval alone (loads are useless after 3 s), loads from answers (a router of 91 sees a small part of an endpoint's work), relays that send all totals to all (240 KB/s for a relay at 300).

Change: above 32 routers the load of an endpoint goes to the router that owns it by rendezvous hashing, twice a second; the owner tells the total to those that report. What a router sends depends on its own requests, not on the fleet. A heartbeat by turns takes 10 s for all. Routers become relays in the order of their hashes; one that is due is presumed to be one for 0.9 s, so that not all take over at once. Three relays at any size (four before above 32 routers), as fewer calls outweigh a third loss at once.

Tests: TestLoadsThroughOwner, TestDatagramsOfLargeFleet, TestHeartbeatsReachAll, TestRank; TestLoadInterval went with the interval that it checked, and the bound on datagrams replaces it.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,13 +1,16 @@
 // Package exchange lets the routers tell each other, in datagrams, how many
 // requests they have at each endpoint, and lets a few of them, the relays, pass
-// on what changes in the store.
+// on what changes in the store. What a router sends and receives does not grow with
+// the fleet, but for the relays and for a slow heartbeat.
 package exchange
 
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,32 +24,26 @@
 
 const (
 	// beatInterval is the time between two datagrams of a relay, and of any
-	// router in a fleet of up to beatRouters. The others send less often in
-	// larger fleets, so that what a router receives stays the same.
+	// router in a small fleet.
 	beatInterval = 250 * time.Millisecond
-	beatRouters  = 32
-	// aliveBeats is the number of datagrams in whose time a router must be heard to
-	// count as alive; some of them may be lost.
-	aliveBeats = 4
-	// headAge is the age up to which what a relay announced counts.
-	headAge = 900 * time.Millisecond
-	// backupDelay is how long a relay waits for the first relay to pass on what
-	// it has seen itself.
-	backupDelay = 300 * time.Millisecond
-	// maxPending bounds the news that a backup relay holds.
-	maxPending = 32
 	// maxDatagram bounds a datagram. News that do not fit are sent without their
 	// objects.
 	maxDatagram = 8 << 10
 )
 
-// message is one datagram. Loads is nil in datagrams without loads.
+// message is one datagram.
 type message struct {
-	Router string                 `cbor:"1,keyasint"`
-	Loads  map[string]int         `cbor:"2,keyasint,omitempty"` // requests by endpoint id
-	Whole  bool                   `cbor:"3,keyasint,omitempty"` // Loads has all endpoints with requests
-	Heads  map[string]mirror.Head `cbor:"4,keyasint,omitempty"` // by kind
-	News   *mirror.News           `cbor:"5,keyasint,omitempty"`
+	Router string `cbor:"1,keyasint"`
+	// Loads are the sender's requests by endpoint id, as far as they concern the
+	// receiver. With Whole, endpoints that are missing have none.
+	Loads map[string]int         `cbor:"2,keyasint,omitempty"`
+	Whole bool                   `cbor:"3,keyasint,omitempty"`
+	Heads map[string]mirror.Head `cbor:"4,keyasint,omitempty"` // by kind
+	News  *mirror.News           `cbor:"5,keyasint,omitempty"`
+	Relay bool                   `cbor:"6,keyasint,omitempty"` // the sender is a relay
+	// Totals are the requests that all routers but the receiver have at endpoints
+	// of which it reported some.
+	Totals map[string]int `cbor:"7,keyasint,omitempty"`
 }
 
 // Config holds what an Exchange needs.
@@ -57,7 +54,8 @@
 	Metrics *telemetry.Metrics
 	// Loads returns this router's requests by endpoint.
 	Loads func() map[string]int
-	// ReceiveLoad takes the requests that another router has at an endpoint.
+	// ReceiveLoad takes the requests that another router, or all others together,
+	// have at an endpoint.
 	ReceiveLoad func(router, endpointID string, requests int)
 	// ReceiveNews takes what a relay passes on.
 	ReceiveNews func(news mirror.News)
@@ -69,31 +67,34 @@
 	socket *net.UDPConn
 
 	mu      sync.Mutex
-	peers   map[string]*peer       // by router id
+	peers   map[string]*peer // by router id
+	relays  []*peer          // the peers in the order in which they become relays
+	fleet   *quota.Fleet
+	ids     []string               // of all routers, with this one
 	heads   map[string]mirror.Head // what this router announces
 	pending []pendingNews
-	fleet   *quota.Fleet
-	rank    int       // among the relays; relays have a rank below relays()
+	rank    int       // among the relays; relays have a rank below relayCount
 	loadsAt time.Time // when the loads were sent
+	turn    int       // of the heartbeat
 }
 
-type pendingNews struct {
-	news mirror.News
-	at   time.Time
-}
-
+// peer is another router.
 type peer struct {
+	id      string
 	address netip.AddrPort
 	heard   time.Time
 	headsAt time.Time
 	heads   map[string]mirror.Head
+	// relayAt is when the peer was last heard as a relay, and expectedAt since when
+	// it should be one; zero if it need not.
+	relayAt, expectedAt time.Time
 	// loads are the endpoints in the newest datagram, so that those that are
 	// missing in the next one are set to 0.
 	loads map[string]int
+	// told says that the newest loads sent to the peer were not empty.
+	told bool
 }
 
-var _ mirror.Peers = (*Exchange)(nil)
-
 // Listen opens the socket.
 func Listen(config Config) (*Exchange, error) {
 	address, err := net.ResolveUDPAddr("udp4", config.Address)
@@ -126,13 +127,16 @@
 		if known, ok := e.peers[id]; ok && known.address == address {
 			continue
 		}
-		e.peers[id] = &peer{address: address, loads: map[string]int{}}
+		e.peers[id] = &peer{id: id, address: address, loads: map[string]int{}}
 	}
-	ids := make([]string, 0, len(e.peers))
-	for id := range e.peers {
-		ids = append(ids, id)
+	e.ids = []string{e.config.Router}
+	e.relays = e.relays[:0]
+	for id, p := range e.peers {
+		e.ids = append(e.ids, id)
+		e.relays = append(e.relays, p)
 	}
-	e.fleet = quota.NewFleet(e.config.Router, ids)
+	slices.SortFunc(e.relays, func(a, b *peer) int { return compareOrder(a.id, b.id) })
+	e.fleet = quota.NewFleet(e.config.Router, e.ids)
 	e.rank = e.rankNow(time.Now())
 }
 
@@ -143,28 +147,6 @@
 	return e.fleet
 }
 
-// Alive returns the routers that were heard lately, this one among them.
-func (e *Exchange) Alive(now time.Time) map[string]bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	alive := map[string]bool{e.config.Router: true}
-	for id, p := range e.peers {
-		if e.alive(p, now) {
-			alive[id] = true
-		}
-	}
-	return alive
-}
-
-func (e *Exchange) alive(p *peer, now time.Time) bool {
-	return now.Sub(p.heard) < aliveBeats*loadInterval(len(e.peers)+1)
-}
-
-// loadInterval returns the time between two datagrams with loads in a fleet.
-func loadInterval(routers int) time.Duration {
-	return beatInterval * time.Duration(max(1, (routers+beatRouters-1)/beatRouters))
-}
-
 // Send sends datagrams until ctx ends.
 func (e *Exchange) Send(ctx context.Context) error {
 	ticker := time.NewTicker(beatInterval)
@@ -179,56 +161,58 @@
 	}
 }
 
-// beat sends what is due: the loads, the heads of a relay, and the news that the
-// first relay has not passed on.
+// beat sends what is due: the loads, the heads of a relay, a heartbeat, and the news
+// that the first relay has not passed on.
 func (e *Exchange) beat(now time.Time) {
+	own := e.config.Loads()
 	e.mu.Lock()
 	e.rank = e.rankNow(now)
-	m := message{Router: e.config.Router}
-	relay := e.rank < relays(len(e.peers)+1)
-	if relay {
-		m.Heads = make(map[string]mirror.Head, len(e.heads))
-		for kind, head := range e.heads {
-			m.Heads[kind] = head
+	outgoing := e.loadMessages(now, own)
+	if e.rank < relayCount {
+		m := &message{Router: e.config.Router, Relay: true, Heads: maps.Clone(e.heads)}
+		for _, p := range e.peers {
+			outgoing = append(outgoing, addressed{p.address, m})
 		}
 	}
-	due := now.Sub(e.loadsAt) >= loadInterval(len(e.peers)+1)-beatInterval/2
-	if due {
-		e.loadsAt = now
-	}
+	outgoing = append(outgoing, e.heartbeats()...)
 	late := e.lateNews(now)
 	e.mu.Unlock()
-	if due {
-		m.Loads, m.Whole = e.config.Loads(), true
-	}
-	if due || relay {
-		e.broadcast(m)
-	}
+	e.send(outgoing)
 	for i := range late {
 		e.config.Metrics.Counter("exchange.news.backup").Inc(1)
-		e.broadcast(message{Router: e.config.Router, News: &late[i]})
+		e.broadcast(&message{Router: e.config.Router, News: &late[i]})
 	}
 }
 
+// addressed is a datagram with its receiver.
+type addressed struct {
+	to netip.AddrPort
+	m  *message
+}
+
 // broadcast sends a datagram to all peers.
-func (e *Exchange) broadcast(m message) {
-	datagram, err := cbor.Marshal(m)
-	if err == nil && len(datagram) > maxDatagram && m.News != nil {
-		m.News = &mirror.News{Kind: m.News.Kind, From: m.News.From, To: m.News.To, Partial: true}
-		datagram, err = cbor.Marshal(m)
-	}
-	if err != nil || len(datagram) > maxDatagram {
-		e.config.Metrics.Counter("exchange.unsent").Inc(1)
-		return
-	}
+func (e *Exchange) broadcast(m *message) {
 	e.mu.Lock()
-	addresses := make([]netip.AddrPort, 0, len(e.peers))
+	outgoing := make([]addressed, 0, len(e.peers))
 	for _, p := range e.peers {
-		addresses = append(addresses, p.address)
+		outgoing = append(outgoing, addressed{p.address, m})
 	}
 	e.mu.Unlock()
-	for _, address := range addresses {
-		if _, err := e.socket.WriteToUDPAddrPort(datagram, address); err != nil {
+	e.send(outgoing)
+}
+
+// send writes datagrams. One that follows with the same message is encoded once.
+func (e *Exchange) send(outgoing []addressed) {
+	var last *message
+	var datagram []byte
+	for _, next := range outgoing {
+		if next.m != last {
+			last, datagram = next.m, e.encode(next.m)
+		}
+		if datagram == nil {
+			continue
+		}
+		if _, err := e.socket.WriteToUDPAddrPort(datagram, next.to); err != nil {
 			e.config.Metrics.Counter("exchange.unsent").Inc(1)
 			continue
 		}
@@ -236,6 +220,21 @@
 	}
 }
 
+// encode returns the datagram of a message, or nil if it is too large to be sent.
+func (e *Exchange) encode(m *message) []byte {
+	datagram, err := cbor.Marshal(m)
+	if err == nil && len(datagram) > maxDatagram && m.News != nil {
+		short := *m
+		short.News = &mirror.News{Kind: m.News.Kind, From: m.News.From, To: m.News.To, Partial: true}
+		datagram, err = cbor.Marshal(short)
+	}
+	if err != nil || len(datagram) > maxDatagram {
+		e.config.Metrics.Counter("exchange.unsent").Inc(1)
+		return nil
+	}
+	return datagram
+}
+
 // Receive takes datagrams until the socket is closed.
 func (e *Exchange) Receive() error {
 	buffer := make([]byte, maxDatagram+1)
@@ -259,7 +258,8 @@
 	var before map[string]int
 	if ok {
 		p.heard = now
-		if m.Heads != nil {
+		if m.Relay {
+			p.relayAt = now
 			p.heads, p.headsAt = m.Heads, now
 		}
 		if m.Whole {
@@ -270,16 +270,8 @@
 	if m.News != nil {
 		e.config.ReceiveNews(*m.News)
 	}
-	if !ok || !m.Whole {
-		return
-	}
-	for id, requests := range m.Loads {
-		e.config.ReceiveLoad(m.Router, id, requests)
-	}
-	for id := range before {
-		if _, ok := m.Loads[id]; !ok {
-			e.config.ReceiveLoad(m.Router, id, 0)
-		}
+	if ok {
+		e.enterLoads(m, before)
 	}
 }
 
--- /dev/null
+++ b/exchange/loads_test.go
@@ -0,0 +1,118 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/placement"
+)
+
+// offline returns an exchange of a fleet that sends nothing by itself.
+func offline(t *testing.T, self, routers int) *Exchange {
+	t.Helper()
+	e, err := Listen(Config{Router: fmt.Sprintf("r%d", self), Address: "127.0.0.1:0"})
+	assert.NilError(t, err)
+	t.Cleanup(e.Close)
+	addresses := map[string]string{}
+	for i := range routers {
+		addresses[fmt.Sprintf("r%d", i)] = fmt.Sprintf("127.0.0.1:%d", 1000+i)
+	}
+	e.SetPeers(addresses)
+	return e
+}
+
+// Guards against loads of a large fleet that the routers with requests at the same
+// endpoint do not learn, or never forget.
+func TestLoadsThroughOwner(t *testing.T) {
+	fleet := newFleet(t, directRouters+3)
+	owner := placement.Owner("e", fleet[0].ids)
+	var users []*router
+	for _, r := range fleet {
+		if r.config.Router != owner && len(users) < 2 {
+			users = append(users, r)
+		}
+	}
+	set := func(r *router, requests int) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.own["e"] = requests
+		if requests == 0 {
+			delete(r.own, "e")
+		}
+	}
+	set(users[0], 3)
+	set(users[1], 2)
+	eventually(t, "totals", func() bool {
+		return users[0].load(allOthers+"/e") == 2 && users[1].load(allOthers+"/e") == 3
+	})
+	set(users[1], 0)
+	eventually(t, "the total falls", func() bool { return users[0].load(allOthers+"/e") == 0 })
+	for _, r := range fleet {
+		if r.config.Router == owner {
+			assert.Equal(t, r.load(users[0].config.Router+"/e"), 3)
+			assert.Equal(t, r.load(users[1].config.Router+"/e"), 0)
+		}
+	}
+}
+
+// Guards against control traffic that grows with the fleet.
+func TestDatagramsOfLargeFleet(t *testing.T) {
+	now := time.Unix(1000, 0)
+	own := map[string]int{"a": 1, "b": 2, "c": 1, "d": 4, "e": 1}
+	for _, routers := range []int{60, 350} {
+		e := offline(t, 0, routers)
+		for i, p := range e.relays[:5] {
+			p.heard, p.loads = now, map[string]int{fmt.Sprintf("x%d", i): 1}
+		}
+		assert.Assert(t, len(e.loadMessages(now, own)) <= 10, "5 reports and 5 totals")
+		assert.Equal(t, len(e.loadMessages(now.Add(beatInterval), own)), 0, "not due yet")
+		assert.Assert(t, len(e.heartbeats()) <= 9)
+	}
+}
+
+// Guards against routers that are not heard by each of the others in a period.
+func TestHeartbeatsReachAll(t *testing.T) {
+	e := offline(t, 0, 91)
+	reached := map[string]bool{}
+	for range heartbeatPeriod / beatInterval {
+		for _, next := range e.heartbeats() {
+			reached[next.to.String()] = true
+		}
+	}
+	assert.Equal(t, len(reached), 90)
+}
+
+// Guards against a fleet in which all become relays when one falls silent, and one in
+// which nobody does.
+func TestRank(t *testing.T) {
+	now := time.Now()
+	probe := offline(t, 0, 10)
+	var order []string
+	for _, p := range probe.relays {
+		order = append(order, p.id)
+	}
+	last := order[len(order)-1]
+	var self int
+	_, err := fmt.Sscanf(last, "r%d", &self)
+	assert.NilError(t, err)
+	e := offline(t, self, 10)
+	relays := func() int { return e.rankNow(now) }
+	assert.Equal(t, relays(), relayCount, "those that come first are presumed to be relays")
+	now = now.Add(headAge / 2)
+	for _, p := range e.relays[:relayCount] {
+		p.relayAt = now
+	}
+	now = now.Add(headAge)
+	assert.Equal(t, relays(), relayCount, "the next three are due, and presumed")
+	now = now.Add(headAge)
+	e.relays[3].relayAt = now
+	assert.Equal(t, relays(), relayCount, "one of them is heard, and two more are due")
+	for range 10 {
+		now = now.Add(headAge)
+		relays()
+	}
+	assert.Equal(t, relays(), 0, "nobody was heard")
+}
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,43 +10,61 @@
 )
 
 const (
-	// fewRelays is the number of relays of a small fleet and manyRelays of one
-	// with more than beatRouters routers: a disruption that hits a part of the
-	// routers should leave one relay in touch.
-	fewRelays  = 3
-	manyRelays = 4
+	// relayCount is the number of relays: a disruption that hits a part of the
+	// routers should leave one in touch with the store.
+	relayCount = 3
+	// headAge is the age up to which what a relay announced counts, and the silence
+	// after which another router takes its place.
+	headAge = 900 * time.Millisecond
+	// backupDelay is how long a relay waits for the first relay to pass on what
+	// it has seen itself.
+	backupDelay = 300 * time.Millisecond
+	// maxPending bounds the news that a backup relay holds.
+	maxPending = 32
 )
 
-func relays(routers int) int {
-	if routers > beatRouters {
-		return manyRelays
-	}
-	return fewRelays
+type pendingNews struct {
+	news mirror.News
+	at   time.Time
 }
 
-// rankNow returns the number of living routers that are relays before this one.
-// All routers agree on it as far as they agree on who lives.
+var _ mirror.Peers = (*Exchange)(nil)
+
+// rankNow returns the number of relays before this router. Routers become relays in
+// the order of their hashes. One that is heard as a relay counts, and so does one that
+// has just become due; one that is due and silent is passed over. Callers hold e.mu.
 func (e *Exchange) rankNow(now time.Time) int {
-	own := order(e.config.Router)
 	rank := 0
-	for id, p := range e.peers {
-		if other := order(id); e.alive(p, now) && (other < own || other == own && id < e.config.Router) {
+	for _, p := range e.relays {
+		if compareOrder(p.id, e.config.Router) > 0 {
+			break
+		}
+		if rank >= relayCount {
+			p.expectedAt = time.Time{}
+			continue
+		}
+		if p.expectedAt.IsZero() {
+			p.expectedAt = now
+		}
+		if now.Sub(p.relayAt) < headAge || now.Sub(p.expectedAt) < headAge {
 			rank++
 		}
 	}
 	return rank
 }
 
-// order returns a router's place among the relays. By hash, relays lie in several
-// zones although the routers of a zone have similar names.
-func order(router string) uint64 { return xxhash.Sum64String(router) }
+// compareOrder orders routers by hash: relays lie in several zones although the
+// routers of a zone have similar names.
+func compareOrder(a, b string) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+}
 
 // Relay implements mirror.Peers. A router that has not found the others yet
 // watches the store itself.
 func (e *Exchange) Relay() (relay, first bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.rank < relays(len(e.peers)+1), e.rank == 0
+	return e.rank < relayCount, e.rank == 0
 }
 
 // Head implements mirror.Peers.
@@ -87,7 +106,7 @@
 	}
 	e.mu.Unlock()
 	if first {
-		e.broadcast(message{Router: e.config.Router, News: &news})
+		e.broadcast(&message{Router: e.config.Router, News: &news})
 	}
 }
 
@@ -112,9 +131,11 @@
 // announced reports whether a relay before this one has the news. Callers hold
 // e.mu.
 func (e *Exchange) announced(news mirror.News) bool {
-	own := order(e.config.Router)
-	for id, p := range e.peers {
-		if order(id) < own && p.heads[news.Kind].Changed >= news.To {
+	for _, p := range e.relays {
+		if compareOrder(p.id, e.config.Router) > 0 {
+			break
+		}
+		if p.heads[news.Kind].Changed >= news.To {
 			return true
 		}
 	}
