Prefer routers with large links as relays

The first relay had a link of 10 Mbit/s and 8 MB of news to send in 50 s: datagrams were dropped when its link was full, and each router that missed one asked the store.

Change: a router registers the capacity of its link, which the platform's settings name; relays are chosen by link first and by hash among equal ones.

Test: TestRelaysHaveLargeLinks.

--- a/config/edge.go
+++ b/config/edge.go
@@ -16,6 +16,8 @@
 		ID       string `toml:"id"`
 		Zone     string `toml:"zone"`
 		MemoryMB int    `toml:"memory_mb"` // the process is killed above it
+		// LinkMbps is the capacity of the instance's link; 0 if it is not known.
+		LinkMbps float64 `toml:"link_mbps"`
 	} `toml:"router"`
 	Listen struct {
 		Callers   string `toml:"callers"`
--- a/config/edge_test.go
+++ b/config/edge_test.go
@@ -14,6 +14,7 @@
 id = "edge-1"
 zone = "z"
 memory_mb = 284
+link_mbps = 1000
 
 [listen]
 callers = "127.0.0.1:1"
@@ -42,6 +43,7 @@
 	assert.Equal(t, settings.Bounds.ColdFactor, 1.5)
 	assert.Equal(t, settings.Bounds.LoadFactor, float64(defaultLoadFactor))
 	assert.Equal(t, settings.Router.MemoryMB, 284)
+	assert.Equal(t, settings.Router.LinkMbps, 1000.0)
 }
 
 // Guards against a bad file that is accepted, and against a problem that does not
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -85,8 +85,9 @@
 func (p *process) assemble() error {
 	s := p.options.Settings
 	p.store = platform.NewStore("http://"+s.Store.Address, "", p.metrics)
+	own := exchange.Peer{Address: s.Listen.Peers, LinkMbps: s.Router.LinkMbps}
 	peers, err := exchange.Listen(exchange.Config{
-		Router: s.Router.ID, Address: s.Listen.Peers, Logger: p.logger, Metrics: p.metrics,
+		Router: s.Router.ID, Peer: own, Logger: p.logger, Metrics: p.metrics,
 		Loads:       func() map[string]int { return p.gateway.Loads() },
 		ReceiveLoad: func(router, endpoint string, requests int) { p.gateway.SetRemoteLoad(router, endpoint, requests) },
 		ReceiveNews: p.receiveNews,
@@ -112,7 +113,7 @@
 		})
 	}
 	p.fleet = &fleet{
-		store: p.store, peers: peers, router: s.Router.ID, address: s.Listen.Peers, logger: p.logger,
+		store: p.store, peers: peers, router: s.Router.ID, own: own, logger: p.logger,
 		routerLost: p.failures.routerLost,
 	}
 	return nil
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -26,7 +26,7 @@
 	store      *platform.Store
 	peers      *exchange.Exchange
 	router     string
-	address    string
+	own        exchange.Peer // as it is registered
 	logger     *zap.Logger
 	registered bool
 	// routerLost is told of a router whose registration was removed.
@@ -58,7 +58,7 @@
 
 // register enters this router, in place of an earlier process of the same name.
 func (f *fleet) register(ctx context.Context) bool {
-	value, err := platform.EncodeRouter(f.address)
+	value, err := platform.EncodeRouter(f.own)
 	if err != nil {
 		f.logger.Error("registration", zap.Error(err))
 		return false
@@ -81,23 +81,23 @@
 		f.logger.Warn("routers not listed", zap.Error(err))
 		return false
 	}
-	addresses := make(map[string]string, len(objects))
+	registered := make(map[string]exchange.Peer, len(objects))
 	for _, object := range objects {
-		address, err := platform.DecodeRouter(object.Value)
+		router, err := platform.DecodeRouter(object.Value)
 		if err != nil {
 			f.logger.Warn("registration passed over", zap.String("router", object.Key), zap.Error(err))
 			continue
 		}
-		addresses[object.Key] = address
+		registered[object.Key] = router
 	}
-	f.peers.SetPeers(addresses)
-	f.removeDead(ctx, addresses)
-	return len(addresses) > 1
+	f.peers.SetPeers(registered)
+	f.removeDead(ctx, registered)
+	return len(registered) > 1
 }
 
 // removeDead removes the registrations of routers that have been silent for
 // long. The living router with the lowest id does it for all.
-func (f *fleet) removeDead(ctx context.Context, addresses map[string]string) {
+func (f *fleet) removeDead(ctx context.Context, registered map[string]exchange.Peer) {
 	now := time.Now()
 	alive := f.peers.Alive(now)
 	for id := range alive {
@@ -105,7 +105,7 @@
 			return
 		}
 	}
-	for id := range addresses {
+	for id := range registered {
 		if alive[id] {
 			delete(f.silent, id)
 			continue
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -46,10 +46,17 @@
 	Totals map[string]int `cbor:"7,keyasint,omitempty"`
 }
 
+// Peer is a router as it is registered.
+type Peer struct {
+	Address string // UDP, IP:PORT
+	// LinkMbps is the capacity of its link; 0 if it is not known.
+	LinkMbps float64
+}
+
 // Config holds what an Exchange needs.
 type Config struct {
 	Router  string
-	Address string // UDP, IP:PORT
+	Peer    // this router
 	Logger  *zap.Logger
 	Metrics *telemetry.Metrics
 	// Loads returns this router's requests by endpoint.
@@ -81,6 +88,7 @@
 // peer is another router.
 type peer struct {
 	id      string
+	link    float64 // Mbit/s
 	address netip.AddrPort
 	heard   time.Time
 	headsAt time.Time
@@ -110,24 +118,26 @@
 	}, nil
 }
 
-// SetPeers replaces the routers that are sent to, by id (IP:PORT).
-func (e *Exchange) SetPeers(addresses map[string]string) {
+// SetPeers replaces the routers that are sent to, by id. This router may be among
+// them.
+func (e *Exchange) SetPeers(registered map[string]Peer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for id := range e.peers {
-		if _, ok := addresses[id]; !ok {
+		if _, ok := registered[id]; !ok {
 			delete(e.peers, id)
 		}
 	}
-	for id, text := range addresses {
-		address, err := netip.ParseAddrPort(text)
+	for id, entry := range registered {
+		address, err := netip.ParseAddrPort(entry.Address)
 		if err != nil || id == e.config.Router {
 			continue
 		}
 		if known, ok := e.peers[id]; ok && known.address == address {
+			known.link = entry.LinkMbps
 			continue
 		}
-		e.peers[id] = &peer{id: id, address: address, loads: map[string]int{}}
+		e.peers[id] = &peer{id: id, address: address, link: entry.LinkMbps, loads: map[string]int{}}
 	}
 	e.ids = []string{e.config.Router}
 	e.relays = e.relays[:0]
@@ -135,7 +145,7 @@
 		e.ids = append(e.ids, id)
 		e.relays = append(e.relays, p)
 	}
-	slices.SortFunc(e.relays, func(a, b *peer) int { return compareOrder(a.id, b.id) })
+	slices.SortFunc(e.relays, compareOrder)
 	e.fleet = quota.NewFleet(e.config.Router, e.ids)
 	e.rank = e.rankNow(time.Now())
 }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -28,11 +28,11 @@
 func newFleet(t *testing.T, n int) []*router {
 	t.Helper()
 	fleet := make([]*router, n)
-	addresses := map[string]string{}
+	addresses := map[string]Peer{}
 	for i := range fleet {
 		r := &router{own: map[string]int{}, loads: map[string]int{}}
 		e, err := Listen(Config{
-			Router: fmt.Sprintf("r%d", i), Address: "127.0.0.1:0", Logger: zap.NewNop(), Metrics: telemetry.NewMetrics(),
+			Router: fmt.Sprintf("r%d", i), Peer: Peer{Address: "127.0.0.1:0"}, Logger: zap.NewNop(), Metrics: telemetry.NewMetrics(),
 			Loads: func() map[string]int {
 				r.mu.Lock()
 				defer r.mu.Unlock()
@@ -55,7 +55,7 @@
 		})
 		assert.NilError(t, err)
 		r.Exchange = e
-		addresses[fmt.Sprintf("r%d", i)] = e.socket.LocalAddr().String()
+		addresses[fmt.Sprintf("r%d", i)] = Peer{Address: e.socket.LocalAddr().String()}
 		fleet[i] = r
 	}
 	for _, r := range fleet {
--- a/exchange/loads_test.go
+++ b/exchange/loads_test.go
@@ -13,12 +13,12 @@
 // offline returns an exchange of a fleet that sends nothing by itself.
 func offline(t *testing.T, self, routers int) *Exchange {
 	t.Helper()
-	e, err := Listen(Config{Router: fmt.Sprintf("r%d", self), Address: "127.0.0.1:0"})
+	e, err := Listen(Config{Router: fmt.Sprintf("r%d", self), Peer: Peer{Address: "127.0.0.1:0"}})
 	assert.NilError(t, err)
 	t.Cleanup(e.Close)
-	addresses := map[string]string{}
+	addresses := map[string]Peer{}
 	for i := range routers {
-		addresses[fmt.Sprintf("r%d", i)] = fmt.Sprintf("127.0.0.1:%d", 1000+i)
+		addresses[fmt.Sprintf("r%d", i)] = Peer{Address: fmt.Sprintf("127.0.0.1:%d", 1000+i)}
 	}
 	e.SetPeers(addresses)
 	return e
@@ -116,3 +116,23 @@
 	}
 	assert.Equal(t, relays(), 0, "nobody was heard")
 }
+
+// Guards against a relay on a small link while there are larger ones, where what it
+// sends to all of the fleet would not fit.
+func TestRelaysHaveLargeLinks(t *testing.T) {
+	registered := map[string]Peer{}
+	for i := range 40 {
+		link := 10.0
+		if i%10 == 3 {
+			link = 200
+		}
+		registered[fmt.Sprintf("r%d", i)] = Peer{Address: fmt.Sprintf("127.0.0.1:%d", 1000+i), LinkMbps: link}
+	}
+	e := offline(t, 0, 1)
+	e.config.LinkMbps = 10
+	e.SetPeers(registered)
+	for _, p := range e.relays[:4] {
+		assert.Equal(t, p.link, 200.0)
+	}
+	assert.Equal(t, e.rankNow(time.Now()), relayCount)
+}
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -31,12 +31,12 @@
 var _ mirror.Peers = (*Exchange)(nil)
 
 // rankNow returns the number of relays before this router. Routers become relays in
-// the order of their hashes. One that is heard as a relay counts, and so does one that
+// the order of compareOrder. One that is heard as a relay counts, and so does one that
 // has just become due; one that is due and silent is passed over. Callers hold e.mu.
 func (e *Exchange) rankNow(now time.Time) int {
-	rank := 0
+	rank, self := 0, e.self()
 	for _, p := range e.relays {
-		if compareOrder(p.id, e.config.Router) > 0 {
+		if compareOrder(p, self) > 0 {
 			break
 		}
 		if rank >= relayCount {
@@ -53,12 +53,19 @@
 	return rank
 }
 
-// compareOrder orders routers by hash: relays lie in several zones although the
-// routers of a zone have similar names.
-func compareOrder(a, b string) int {
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+// compareOrder puts routers with the larger link first, since a relay sends news to
+// all, and then orders by hash: relays lie in several zones although the routers of a
+// zone have similar names.
+func compareOrder(a, b *peer) int {
+	return cmp.Or(
+		cmp.Compare(b.link, a.link),
+		cmp.Compare(xxhash.Sum64String(a.id), xxhash.Sum64String(b.id)),
+		cmp.Compare(a.id, b.id),
+	)
 }
 
+func (e *Exchange) self() *peer { return &peer{id: e.config.Router, link: e.config.LinkMbps} }
+
 // Relay implements mirror.Peers. A router that has not found the others yet
 // watches the store itself.
 func (e *Exchange) Relay() (relay, first bool) {
@@ -131,8 +138,9 @@
 // announced reports whether a relay before this one has the news. Callers hold
 // e.mu.
 func (e *Exchange) announced(news mirror.News) bool {
+	self := e.self()
 	for _, p := range e.relays {
-		if compareOrder(p.id, e.config.Router) > 0 {
+		if compareOrder(p, self) > 0 {
 			break
 		}
 		if p.heads[news.Kind].Changed >= news.To {
