Probe a doubted zone with a few connections

Change: a zone is doubted as a whole. Two of its endpoints are tried at a time, and the first that is reached ends the doubt. Endpoints that failed a request themselves are still verified one by one.

Test: TestSilentZone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -56,6 +56,7 @@
 	Local int
 
 	hash         placement.Endpoint
+	zone         *zoneState
 	joined       time.Time             // when this router first saw the endpoint
 	remote       map[string]remoteLoad // by router
 	sends        quota.Window
@@ -76,8 +77,7 @@
 	zone    string
 	states  map[string]*State // by endpoint id
 	holders holders
-	// silent are the endpoints that fell silent lately, by zone.
-	silent map[string]map[*State]time.Time
+	zones   map[string]*zoneState
 	// scratch is reused by Pick.
 	scratch []candidate
 }
@@ -90,7 +90,7 @@
 
 // New returns a balancer of a router in the zone.
 func New(zone string) *Balancer {
-	return &Balancer{zone: zone, states: map[string]*State{}, holders: newHolders(), silent: map[string]map[*State]time.Time{}}
+	return &Balancer{zone: zone, states: map[string]*State{}, holders: newHolders(), zones: map[string]*zoneState{}}
 }
 
 // Join enters an endpoint. Those that are there at the start have joined long
@@ -110,6 +110,7 @@
 		state = &State{
 			Endpoint: endpoint,
 			hash:     placement.NewEndpoint(endpoint.ID, endpoint.Zone, 1),
+			zone:     b.zoneOf(endpoint.Zone),
 			remote:   map[string]remoteLoad{},
 		}
 		b.states[endpoint.ID] = state
@@ -197,7 +198,7 @@
 	if ask.MaxLocal > 0 && s.Local >= ask.MaxLocal {
 		return AllFull
 	}
-	if s.unverified || now.Before(s.ejectedUntil) {
+	if s.unverified || s.zone.doubted || now.Before(s.ejectedUntil) {
 		return AllEjected
 	}
 	return None
--- a/balance/reach.go
+++ b/balance/reach.go
@@ -9,6 +9,9 @@
 	silenceWindow = time.Second
 	// silentZone is the number of endpoints that must fall silent.
 	silentZone = 2
+	// zoneProbes is the number of endpoints of a doubted zone that are tried at a
+	// time: a zone may have hundreds.
+	zoneProbes = 2
 )
 
 // Unreachable says that the endpoint could not be reached or fell silent. It gets
@@ -18,54 +21,71 @@
 	return s.Failed(now)
 }
 
-// Doubt keeps work from the endpoint until a new connection has been opened.
-func (s *State) Doubt() { s.unverified = true }
+// zoneState is an availability zone as a router sees it.
+type zoneState struct {
+	// silent are the endpoints that fell silent lately.
+	silent map[*State]time.Time
+	// doubted zones get no work until a new connection to one of their endpoints
+	// has been opened.
+	doubted bool
+	// probes is the number of connections that are being tried while it is doubted.
+	probes int
+}
+
+func (b *Balancer) zoneOf(name string) *zoneState {
+	z := b.zones[name]
+	if z == nil {
+		z = &zoneState{silent: map[*State]time.Time{}}
+		b.zones[name] = z
+	}
+	return z
+}
 
 // Verified says how the attempt to open a connection ended.
 func (s *State) Verified(now time.Time, reached bool) {
 	s.verifying = false
+	if s.zone.doubted {
+		s.zone.probes = max(0, s.zone.probes-1)
+	}
 	if reached {
-		s.unverified = false
+		s.unverified, s.zone.doubted = false, false
 		return
 	}
 	s.Failed(now)
 }
 
-// Unverified returns the endpoints to which a connection is to be opened now. Each
-// is returned once until Verified is called.
+// Unverified returns the endpoints to which a connection is to be opened now: those
+// that could not be reached, and a few of each doubted zone. Each is returned once
+// until Verified is called.
 func (b *Balancer) Unverified(now time.Time) []*State {
 	var due []*State
 	for _, state := range b.states {
-		if state.unverified && !state.verifying && !now.Before(state.ejectedUntil) {
-			state.verifying = true
-			due = append(due, state)
+		probe := state.zone.doubted && state.zone.probes < zoneProbes
+		if !state.unverified && !probe || state.verifying || now.Before(state.ejectedUntil) {
+			continue
+		}
+		if state.zone.doubted {
+			state.zone.probes++
 		}
+		state.verifying = true
+		due = append(due, state)
 	}
 	return due
 }
 
-// Silent notes that an endpoint fell silent. It reports whether so many of its
-// zone have that the whole zone is to be doubted.
+// Silent notes that an endpoint fell silent. It reports whether its zone is doubted
+// from now on, because several of its endpoints did.
 func (b *Balancer) Silent(now time.Time, state *State) bool {
-	zone := b.silent[state.Endpoint.Zone]
-	if zone == nil {
-		zone = map[*State]time.Time{}
-		b.silent[state.Endpoint.Zone] = zone
-	}
-	zone[state] = now
-	for other, at := range zone {
+	z := state.zone
+	z.silent[state] = now
+	for other, at := range z.silent {
 		if now.Sub(at) > silenceWindow {
-			delete(zone, other)
+			delete(z.silent, other)
 		}
 	}
-	return len(zone) >= silentZone
-}
-
-// Zone calls yield with the endpoints of a zone that are known.
-func (b *Balancer) Zone(zone string, yield func(*State)) {
-	for _, state := range b.states {
-		if state.Endpoint.Zone == zone {
-			yield(state)
-		}
+	if z.doubted || len(z.silent) < silentZone {
+		return false
 	}
+	z.doubted, z.probes = true, 0
+	return true
 }
--- a/balance/reach_test.go
+++ b/balance/reach_test.go
@@ -41,19 +41,31 @@
 	assert.Assert(t, !b.Silent(start, state(0)), "zones count by themselves")
 	assert.Assert(t, !b.Silent(start.Add(2*silenceWindow), state(3)), "the first was too long ago")
 	assert.Assert(t, b.Silent(start.Add(2*silenceWindow), state(5)))
-	b.Zone("z1", func(s *State) { s.Doubt() })
+	later := start.Add(2 * silenceWindow)
+	assert.Assert(t, !b.Silent(later, state(1)), "it is doubted already")
+	pick := func() string {
+		picked, _ := b.Pick(later, Ask{Members: endpoints, Usable: anyUsable})
+		picked.Started(later)
+		return picked.Endpoint.Zone
+	}
 	for range 4 {
-		picked, _ := b.Pick(start, Ask{Members: endpoints, Usable: anyUsable})
-		assert.Equal(t, picked.Endpoint.Zone, "z0")
+		assert.Equal(t, pick(), "z0")
 	}
-	assert.Equal(t, len(b.Unverified(start)), 3, "all of the zone")
+	probed := b.Unverified(later)
+	assert.Equal(t, len(probed), zoneProbes, "a few of the zone")
+	assert.Equal(t, len(b.Unverified(later)), 0)
+	probed[0].Verified(later, false)
+	assert.Equal(t, pick(), "z0")
+	assert.Equal(t, len(b.Unverified(later)), 1, "another one is tried")
+	probed[1].Verified(later, true)
+	assert.Equal(t, pick(), "z1")
 }
 
 // Guards against a doubted zone that gets nothing when no other is left.
 func TestDoubtedOnly(t *testing.T) {
 	b := New("z0")
 	endpoints := members(1)
-	b.State(endpoints[0]).Doubt()
+	b.State(endpoints[0]).zone.doubted = true
 	state, refusal := b.Pick(start, Ask{Members: endpoints, Usable: anyUsable})
 	assert.Equal(t, refusal, None)
 	assert.Equal(t, state.Endpoint, endpoints[0])
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -25,24 +25,22 @@
 	if !upstream.Silent(cause) {
 		return ejected
 	}
-	g.distrust(now, state)
+	if pool, ok := g.pools[state.Endpoint]; ok {
+		pool.Distrust(now.Add(-quietFor))
+	}
 	if !g.balancer.Silent(now, state) {
 		return ejected
 	}
-	g.balancer.Zone(state.Endpoint.Zone, func(other *balance.State) {
-		other.Doubt()
-		g.distrust(now, other)
-	})
+	for endpoint, pool := range g.pools {
+		if endpoint.Zone == state.Endpoint.Zone {
+			pool.Distrust(now.Add(-quietFor))
+		}
+	}
 	g.metrics.Counter("zones.doubted").Inc(1)
+	g.logger.Warn("zone doubted", zap.String("zone", state.Endpoint.Zone), zap.String("endpoint", state.Endpoint.ID), zap.Error(cause))
 	return ejected
 }
 
-func (g *Gateway) distrust(now time.Time, state *balance.State) {
-	if pool, ok := g.pools[state.Endpoint]; ok {
-		pool.Distrust(now.Add(-quietFor))
-	}
-}
-
 // verify opens connections to the endpoints that could not be reached, so that no
 // request has to find out whether they are back.
 func (g *Gateway) verify(ctx context.Context, now time.Time) {
