Decide in one place what is sent again

Cause: found by reading: gateway/exchange.go decided by itself what may run again, beside retry.Policy, which decides for the product's own calls; objectstore kept a third retry budget. A change of the rule for requests that must not repeat had to be made twice.

An endpoint's own failure of a repeatable request is in the policy's table now.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/retry"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
 	"github.com/hornbeamproxy/hornbeamproxy/upstream"
@@ -69,7 +70,7 @@
 		return
 	}
 	x.g.mu.Lock()
-	x.g.budget.FirstTry(x.arrived, x.service)
+	x.g.retries.Budget.FirstTry(x.arrived, x.service)
 	x.g.mu.Unlock()
 	for {
 		result := x.attempt()
@@ -182,28 +183,26 @@
 
 // again decides whether the request is sent once more.
 func (x *exchange) again(r result) bool {
-	if r.retry == "" || !time.Now().Before(x.deadline) {
+	if r.retry == "" || x.stream.started && !x.stream.whole {
 		return false
 	}
-	if x.mayHaveRun && !x.route.Repeatable() {
-		return false
-	}
-	if x.stream.started && !x.stream.whole {
-		return false
+	try := retry.Try{
+		Workspace: x.service, Failure: r.retry, Repeat: retry.UnlessRun, BytesSent: x.mayHaveRun,
+		Attempts: x.sends, MaxAttempts: x.route.MaxEndpoints, Unsent: r.notSent, Deadline: x.deadline,
 	}
-	if x.sends >= x.route.MaxEndpoints {
-		return false
+	if x.route.Repeatable() {
+		try.Repeat = retry.Idempotent
 	}
-	if !r.notSent {
-		x.g.mu.Lock()
-		allowed := x.g.budget.Take(time.Now(), x.service)
-		x.g.mu.Unlock()
-		if !allowed {
-			x.g.metrics.Refused(api.RefusalRetryBudget)
-			return false
+	x.g.mu.Lock()
+	decision := x.g.retries.Decide(time.Now(), try, 0)
+	x.g.mu.Unlock()
+	if !decision.Retry {
+		if decision.Refusal == api.RefusalRetryBudget {
+			x.g.metrics.Refused(decision.Refusal)
 		}
+		return false
 	}
-	x.g.metrics.Retried(r.retry)
+	x.g.metrics.Retried(decision.Reason)
 	x.log("retry", string(r.retry))
 	return true
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,8 +80,10 @@
 	mu       sync.Mutex
 	roster   *roster.Roster
 	balancer *balance.Balancer
-	budget   *retry.Budget
-	pools    map[*roster.Endpoint]*upstream.Pool
+	// retries decides what is sent again. Budgets are by service, and there is no
+	// pause, since another endpoint is asked.
+	retries retry.Policy
+	pools   map[*roster.Endpoint]*upstream.Pool
 }
 
 // New returns a gateway that knows no configuration and no endpoint.
@@ -95,7 +97,7 @@
 		firstByte:   metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
 	}
 	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapseHold: lapseHold})
-	g.budget = retry.NewBudget(retry.BudgetConfig{
+	g.retries.Budget = retry.NewBudget(retry.BudgetConfig{
 		Fraction: config.Bounds.RetryRatio * limitMargin,
 		Capacity: g.retryCapacity(),
 	})
@@ -137,7 +139,7 @@
 
 func (g *Gateway) prune(now time.Time) {
 	g.mu.Lock()
-	g.budget.SetCapacity(g.retryCapacity())
+	g.retries.Budget.SetCapacity(g.retryCapacity())
 	for _, endpoint := range g.roster.Expire(now) {
 		g.logger.Info("endpoint given up after the store's outage", zap.String("endpoint", endpoint.ID))
 		g.drop(endpoint)
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -75,7 +75,7 @@
 // NewClient returns a client that makes its calls at the backend.
 func NewClient(cfg ClientConfig, backend Store, metrics *telemetry.Metrics) *Client {
 	c := &Client{cfg: cfg, backend: backend, metrics: metrics}
-	c.budget.init(cfg.RetryRatio, cfg.RetryFloor, time.Now())
+	c.budget.init(cfg.RetryRatio, cfg.RetryFloor)
 	c.outage.init(cfg.FailAfter, cfg.ProbeInterval, cfg.MaxProbeInterval, time.Now())
 	return c
 }
--- a/objectstore/outage.go
+++ b/objectstore/outage.go
@@ -3,53 +3,32 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/retry"
 )
 
-// budget bounds retries to a share of first attempts plus a floor per second.
+// budget bounds the retries of all calls together.
 type budget struct {
 	mu      sync.Mutex
-	ratio   float64
-	floor   float64
-	tokens  float64
-	updated time.Time
+	retries *retry.Budget
 }
 
-// maxBudgetSeconds and minBudget bound the retries saved up in quiet times.
-const (
-	maxBudgetSeconds = 10
-	minBudget        = 1
-)
-
-func (b *budget) init(ratio, floor float64, now time.Time) {
-	b.ratio = ratio
-	b.floor = floor
-	b.tokens = floor
-	b.updated = now
+func (b *budget) init(ratio, floor float64) {
+	b.retries = retry.NewBudget(retry.BudgetConfig{Fraction: ratio, Floor: floor, MaxWorkspaces: 1})
 }
 
 // first adds the share of a first attempt.
 func (b *budget) first(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.add(now, b.ratio)
+	b.retries.FirstTry(now, "")
 }
 
 // take uses the budget for one retry, if there is any.
 func (b *budget) take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.add(now, 0)
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
-
-func (b *budget) add(now time.Time, share float64) {
-	earned := share + b.floor*now.Sub(b.updated).Seconds()
-	b.updated = now
-	b.tokens = min(b.tokens+earned, max(minBudget, b.floor*maxBudgetSeconds))
+	return b.retries.Take(now, "")
 }
 
 // outage detects that the platform does not answer, and paces the probes that
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -13,9 +13,10 @@
 	// SendOnce must not be repeated and has no idempotency key. It is never sent
 	// again after a byte was sent.
 	SendOnce Repeat = iota
-	// Keyed must not be repeated and has a claim. It is sent again when the
-	// endpoint says that it did not run it.
-	Keyed
+	// UnlessRun must not be repeated, but is sent again when the endpoint says that
+	// it did not run it: its claim, or the platform's protocol, keeps it from
+	// running later.
+	UnlessRun
 	// Idempotent may be repeated.
 	Idempotent
 )
@@ -27,10 +28,16 @@
 	Failure api.RetryReason
 	Repeat  Repeat
 	// BytesSent says that a byte of the request was sent to an endpoint, in this
-	// attempt or an earlier one.
+	// attempt or an earlier one. The caller may leave out attempts of which the
+	// endpoint said that it did not run them.
 	BytesSent bool
 	// Attempts is the number of attempts made, with this one.
 	Attempts int
+	// MaxAttempts replaces the policy's if it is above 0.
+	MaxAttempts int
+	// Unsent attempts reached no endpoint; to repeat one takes nothing from the
+	// budget.
+	Unsent   bool
 	Deadline time.Time
 }
 
@@ -63,11 +70,15 @@
 		refusal = api.RefusalUpstreamFailed
 	}
 	after, inTime := p.Backoff.Delay(now, t.Deadline, t.Attempts, random)
+	most := p.MaxAttempts
+	if t.MaxAttempts > 0 {
+		most = t.MaxAttempts
+	}
 	switch {
-	case !MayRepeat(t), t.Attempts >= p.MaxAttempts:
+	case !MayRepeat(t), t.Attempts >= most:
 	case !inTime:
 		refusal = api.RefusalDeadlineExceeded
-	case !p.Budget.Take(now, t.Workspace):
+	case !t.Unsent && !p.Budget.Take(now, t.Workspace):
 		refusal = api.RefusalRetryBudget
 	default:
 		return Decision{Retry: true, After: after, Reason: t.Failure}
@@ -81,7 +92,7 @@
 	switch t.Repeat {
 	case Idempotent:
 		return repeatable(t.Failure)
-	case Keyed:
+	case UnlessRun:
 		return notStarted(t.Failure) && (!t.BytesSent || t.Failure == api.RetryReasonRefusedByEndpoint)
 	}
 	return notStarted(t.Failure) && !t.BytesSent
@@ -122,6 +133,7 @@
 	api.RetryReasonStreamGap:         api.RefusalUpstreamIncomplete,
 	api.RetryReasonStreamMismatch:    api.RefusalUpstreamMismatch,
 	api.RetryReasonEndpointDrained:   api.RefusalUpstreamIncomplete,
+	api.RetryReasonEndpointError:     api.RefusalUpstreamFailed,
 }
 
 // Backoff is an exponential delay with jitter.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -39,6 +39,7 @@
 		api.RetryReasonStreamGap:           none,
 		api.RetryReasonStreamMismatch:      none,
 		api.RetryReasonEndpointDrained:     none,
+		api.RetryReasonEndpointError:       none,
 		api.RetryReasonPlatformConflict:    {},
 		api.RetryReasonPlatformUnavailable: {},
 		api.RetryReasonPlatformAmbiguous:   {},
@@ -52,7 +53,7 @@
 			assert.Assert(t, !d.NotRun || !sent)
 			return d.Retry
 		}
-		got := row{try(SendOnce, false), try(Keyed, false), try(Keyed, true), try(Idempotent, true)}
+		got := row{try(SendOnce, false), try(UnlessRun, false), try(UnlessRun, true), try(Idempotent, true)}
 		assert.Equal(t, got, w, "%s", failure)
 		assert.Assert(t, !try(SendOnce, true), "%s", failure)
 	}
--- a/router/service.go
+++ b/router/service.go
@@ -251,7 +251,7 @@
 // retryService waits for the next attempt of a call. Whether there is one
 // depends on what the failure says about the call having run.
 func (r *Router) retryService(ctx context.Context, call *serviceCall, cause error) error {
-	repeat := retry.Keyed
+	repeat := retry.UnlessRun
 	switch {
 	case call.idempotent:
 		repeat = retry.Idempotent
