--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -20,6 +20,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/mirror"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 const (
@@ -159,16 +160,7 @@
 
 // Send sends datagrams until ctx ends.
 func (e *Exchange) Send(ctx context.Context) error {
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			e.beat(now)
-		}
-	}
+	return timing.Every(ctx, beatInterval, e.beat)
 }
 
 // beat sends what is due: the loads, the heads of a relay, a heartbeat, and the news
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
 
@@ -120,21 +121,14 @@
 
 // Run closes idle connections and gives up endpoints until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
-	ticker := time.NewTicker(verifyInterval)
-	defer ticker.Stop()
 	var pruned time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			g.verify(ctx, now)
-			if now.Sub(pruned) >= pruneInterval {
-				pruned = now
-				g.prune(now)
-			}
+	return timing.Every(ctx, verifyInterval, func(now time.Time) {
+		g.verify(ctx, now)
+		if now.Sub(pruned) >= pruneInterval {
+			pruned = now
+			g.prune(now)
 		}
-	}
+	})
 }
 
 func (g *Gateway) prune(now time.Time) {
--- a/records/keeper.go
+++ b/records/keeper.go
@@ -18,6 +18,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 const (
@@ -548,7 +549,7 @@
 		}
 		failures++
 		again := errors.Is(err, objectstore.ErrAmbiguous) || errors.Is(err, errKeyTaken)
-		if !again || failures == shutdownTries || !pause(ctx, shutdownPause) {
+		if !again || failures == shutdownTries || !timing.Pause(ctx, shutdownPause) {
 			return err
 		}
 	}
@@ -611,23 +612,12 @@
 		if k.send(peer, batch) {
 			return true
 		}
-		if try == shutdownTries || !pause(ctx, shutdownPause) {
+		if try == shutdownTries || !timing.Pause(ctx, shutdownPause) {
 			return false
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // sendAll sends all unwritten records to two peers at shutdown. cause is why
 // they could not be written.
 func (k *Keeper) sendAll(ctx context.Context, cause error) error {
--- a/router/claim.go
+++ b/router/claim.go
@@ -10,6 +10,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/claims"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 // claimAnswerer decides on claims of the shards that this router owns.
@@ -68,7 +69,7 @@
 			c.log("claim decided", cl, zap.String("result", string(reply.Result)), zap.Error(err))
 			return cl, reply, err
 		}
-		if !pause(ctx, claimRetryDelay) {
+		if !timing.Pause(ctx, claimRetryDelay) {
 			c.attempts.Abandon(c.now(), cl.request.Attempt)
 			c.log("claim abandoned", cl)
 			return nil, api.ClaimReply{}, claimRefusal(api.RefusalClaimUnavailable, "the key could not be claimed")
@@ -165,7 +166,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.timeout)
 	defer cancel()
 	for !c.attempts.Reported(cl.request.Attempt) {
-		if !pause(ctx, claimRetryDelay) {
+		if !timing.Pause(ctx, claimRetryDelay) {
 			return false
 		}
 	}
--- a/router/control.go
+++ b/router/control.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/endpointstate"
 	"github.com/hornbeamproxy/hornbeamproxy/orders"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 const (
@@ -47,7 +48,7 @@
 // runControl runs the controller of orders while this router is the one that
 // asks for the control lease.
 func (r *Router) runControl(ctx context.Context) error {
-	return every(ctx, controlCheck, func() {
+	return timing.Every(ctx, controlCheck, func(time.Time) {
 		if r.ownsControl() {
 			r.controlWhileOwner(ctx)
 		}
@@ -68,7 +69,7 @@
 		defer close(done)
 		_ = r.control.Run(ctx) // ends with the context only
 	}()
-	for r.ownsControl() && pause(ctx, controlCheck) {
+	for r.ownsControl() && timing.Pause(ctx, controlCheck) {
 	}
 	stop()
 	<-done
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 const (
@@ -280,7 +281,7 @@
 	if d.now().Add(placePause).After(until) {
 		return false
 	}
-	return pause(ctx, placePause)
+	return timing.Pause(ctx, placePause)
 }
 
 func (d *dispatcher) refused(reason api.Refusal) error {
--- a/router/failures.go
+++ b/router/failures.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/membership"
 	"github.com/hornbeamproxy/hornbeamproxy/records"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 // conditionInterval is how often lasting conditions of this router are checked.
@@ -131,7 +132,7 @@
 // router until the context ends.
 func (r *Router) watchConditions(ctx context.Context) error {
 	checks := 0
-	return every(ctx, conditionInterval, func() {
+	return timing.Every(ctx, conditionInterval, func(time.Time) {
 		r.failures.platform(r.storeHealthy())
 		r.failures.isolation(r.isolated())
 		checks++
--- a/router/instances.go
+++ b/router/instances.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 const (
@@ -46,7 +47,7 @@
 }
 
 func (r *instanceReader) run(ctx context.Context) error {
-	return every(ctx, instanceInterval, func() {
+	return timing.Every(ctx, instanceInterval, func(time.Time) {
 		if r.network.OwnerOf(instancesName) != r.network.Self() {
 			r.seen, r.told = nil, nil
 			return
--- a/router/owner.go
+++ b/router/owner.go
@@ -15,6 +15,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/fleet"
 	"github.com/hornbeamproxy/hornbeamproxy/lease"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 // ownerTick is the interval of expiry checks and of new pool figures.
@@ -293,7 +294,7 @@
 // run checks deadlines and expiry, and exchanges pool figures, until the
 // context ends.
 func (o *admissionOwner) run(ctx context.Context) error {
-	return every(ctx, ownerTick, o.tick)
+	return timing.Every(ctx, ownerTick, func(time.Time) { o.tick() })
 }
 
 func (o *admissionOwner) tick() {
--- a/router/permits.go
+++ b/router/permits.go
@@ -7,6 +7,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/admission"
 	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 // Network is what the router needs of its peers.
@@ -205,7 +206,7 @@
 
 // run renews the permits in use until the context ends.
 func (c *permitClient) run(ctx context.Context) error {
-	return every(ctx, firstRenewAfter, func() { c.renewAll(ctx) })
+	return timing.Every(ctx, firstRenewAfter, func(time.Time) { c.renewAll(ctx) })
 }
 
 func (c *permitClient) renewAll(ctx context.Context) {
--- a/router/retries.go
+++ b/router/retries.go
@@ -11,6 +11,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/retry"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 // retryShards spreads the workspaces' retry budgets, so that requests of
@@ -77,7 +78,7 @@
 		return refused
 	}
 	r.metrics.Retried(decision.Reason)
-	if pause(ctx, decision.After) {
+	if timing.Pause(ctx, decision.After) {
 		return nil
 	}
 	return &refusal{reason: api.RefusalDeadlineExceeded, notRun: !try.BytesSent, detail: "the deadline has passed", cause: cause}
--- a/router/router.go
+++ b/router/router.go
@@ -33,6 +33,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
 	"github.com/hornbeamproxy/hornbeamproxy/records"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 const (
@@ -357,7 +358,7 @@
 	defer cancel()
 	for {
 		held, _ := r.claims.attempts.Unreported()
-		if held == 0 || !pause(ctx, claimRetryDelay) {
+		if held == 0 || !timing.Pause(ctx, claimRetryDelay) {
 			break
 		}
 	}
