Measure the time that a router adds to a request

Change: requests.own_seconds counts the router's own part until the first event or whole answer, without connecting, links and the endpoint; its percentiles are in the line "stopped".

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -256,5 +256,7 @@
 		p.logger.Warn("requests cut at the end of the grace period", zap.Error(err))
 		callers.Close()
 	}
-	p.logger.Info("stopped", zap.Duration("after", time.Since(started)))
+	median, high := p.gateway.OwnTime()
+	p.logger.Info("stopped", zap.Duration("after", time.Since(started)),
+		zap.Duration("own_time_p50", median), zap.Duration("own_time_p99", high))
 }
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -87,6 +87,7 @@
 // passWhole reads an answer to its end before it passes it on.
 func (x *exchange) passWhole(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response) result {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered+1))
+	x.ownSince = time.Now()
 	if err == nil && len(body) > maxBuffered {
 		return x.passLong(conn, pool, state, response, body)
 	}
@@ -107,6 +108,8 @@
 		return result{refusal: api.RefusalUpstreamFailed, retry: api.RetryReasonEndpointError}
 	}
 	answer.write(x.w)
+	x.hand()
+	x.g.own.Update(x.own)
 	x.g.metrics.Counter("answers.whole").Inc(1)
 	return result{done: true}
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -35,7 +35,9 @@
 	}
 	x.tried = append(x.tried, state.Endpoint)
 	pool := x.g.pool(state)
+	x.hand()
 	conn, err := x.connect(pool)
+	x.ownSince = time.Now()
 	if err != nil {
 		x.release(state, x.blame(err))
 		return result{refusal: api.RefusalEndpointDown, retry: api.RetryReasonConnectFailed, notSent: true, retryAfter: 300 * time.Millisecond}
@@ -107,8 +109,10 @@
 		return x.broken(conn, state, err)
 	}
 	x.sends++
+	x.hand()
 	// The connection owns the body: it is kept or closed with the answer.
 	response, answer, err := x.receive(conn) //nolint:bodyclose // see above
+	x.ownSince = time.Now()
 	if err != nil {
 		return x.broken(conn, state, err)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -47,6 +47,11 @@
 	service   string
 	deadline  time.Time
 
+	// own is the time that this router has spent on the request itself, and ownSince
+	// when it began to work on it again.
+	own      time.Duration
+	ownSince time.Time
+
 	// tried are the endpoints that the request was sent to or could not reach.
 	tried []*roster.Endpoint
 	// sends is the number of endpoints that the request was sent to.
@@ -63,6 +68,9 @@
 	failure *bufferedAnswer
 }
 
+// hand counts the router's own time until it waits for another party.
+func (x *exchange) hand() { x.own += time.Since(x.ownSince) }
+
 // serve answers the request. Each path ends with exactly one final answer, or
 // with a connection that is cut in the middle of an answer.
 func (x *exchange) serve() {
@@ -109,9 +117,11 @@
 		x.refuse(http.StatusUnauthorized, api.RefusalUnauthorized, 0)
 		return false
 	}
+	x.hand()
 	if !x.readBody() {
 		return false
 	}
+	x.ownSince = time.Now()
 	x.service = x.route.Service(xxhash.Sum64String(request.ID))
 	if x.route.CachesPrompts {
 		x.key = request.SharedKey()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,9 +74,10 @@
 	draining atomic.Bool
 	// bodyTimeout bounds the time that a caller takes for a body.
 	bodyTimeout time.Duration
-	// latency is from the head of a request to its last byte, and firstByte to the
-	// head of the endpoint's answer.
-	latency, firstByte metrics.Timer
+	// latency is from the head of a request to its last byte, firstByte to the head
+	// of the endpoint's answer, and own the router's part of that: without
+	// connecting, the links and the endpoint.
+	latency, firstByte, own metrics.Timer
 
 	mu       sync.Mutex
 	roster   *roster.Roster
@@ -96,6 +97,7 @@
 		pools:       map[*roster.Endpoint]*upstream.Pool{},
 		latency:     metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
 		firstByte:   metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
+		own:         metrics.GetOrRegisterTimer("requests.own_seconds", config.Metrics.Registry),
 	}
 	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapseHold: lapseHold})
 	g.retries.Budget = retry.NewBudget(retry.BudgetConfig{
@@ -208,5 +210,5 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	(&exchange{g: g, w: w, r: r, arrived: arrived}).serve()
+	(&exchange{g: g, w: w, r: r, arrived: arrived, ownSince: arrived}).serve()
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -96,6 +96,12 @@
 	g.balancer.SetRemote(time.Now(), router, endpointID, requests)
 }
 
+// OwnTime returns the median and the 99th percentile of the time that this router
+// spends on a request itself until its first event or whole answer.
+func (g *Gateway) OwnTime() (median, high time.Duration) {
+	return time.Duration(g.own.Percentile(0.5)), time.Duration(g.own.Percentile(0.99))
+}
+
 // Loads returns the requests that this router has at each endpoint.
 func (g *Gateway) Loads() map[string]int {
 	g.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,6 +68,7 @@
 // ended properly is passed on as well.
 func (x *exchange) copyEvents(body io.Reader, resumed bool) error {
 	flusher, _ := x.w.(http.Flusher)
+	passed := resumed // an event was passed on
 	b := getBuffer()
 	defer putBuffer(b)
 	pending := b.b[:0]
@@ -91,6 +92,11 @@
 					return errCallerGone
 				}
 				flusher.Flush()
+				if !passed {
+					x.hand()
+					x.g.own.Update(x.own)
+				}
+				passed = true
 			}
 			pending = pending[:copy(pending, pending[end:])]
 		}
