--- a/cmd/hornbeamproxy/report_test.go
+++ b/cmd/hornbeamproxy/report_test.go
@@ -26,6 +26,23 @@
 	return records.Build(b.book.Records(), since, now, now), nil
 }
 
+// checkReport runs the report command and checks its exit code and a part of what it
+// prints.
+func checkReport(t *testing.T, args []string, code int, text string) {
+	t.Helper()
+	out := &bytes.Buffer{}
+	app := kingpin.New("hornbeamproxy", "").Terminate(nil)
+	addReportCommandTo(app, out, time.Now)
+	_, err := app.Parse(append([]string{"report"}, args...))
+	got := 0
+	if err != nil {
+		out.WriteString(err.Error())
+		got = exitCode(err)
+	}
+	assert.Equal(t, got, code, "%v: %s", args, out)
+	assert.Assert(t, bytes.Contains(out.Bytes(), []byte(text)), "%v: %s", args, out)
+}
+
 // Guards against an exit code by which a script misses what is left for a
 // person, or takes a missing answer for a quiet night.
 func TestReportCommand(t *testing.T) {
@@ -53,21 +70,11 @@
 		{[]string{"--since", "2h", "--admin", "http://127.0.0.1:1"}, 2, "refused"},
 		{[]string{"--since", "2h", "--token-env", "HORNBEAMPROXY_TEST_UNSET"}, 2, "is empty"},
 	} {
-		out := &bytes.Buffer{}
-		app := kingpin.New("hornbeamproxy", "").Terminate(nil)
-		addReportCommandTo(app, out, time.Now)
-		args := append([]string{"report"}, c.args...)
-		if len(c.args) < 3 || c.args[2] != "--admin" {
+		args := c.args
+		if len(args) < 3 || args[2] != "--admin" {
 			args = append(args, "--admin", server.URL)
 		}
-		_, err := app.Parse(args)
-		code := 0
-		if err != nil {
-			out.WriteString(err.Error())
-			code = exitCode(err)
-		}
-		assert.Equal(t, code, c.code, "%v: %s", c.args, out)
-		assert.Assert(t, bytes.Contains(out.Bytes(), []byte(c.text)), "%v: %s", c.args, out)
+		checkReport(t, args, c.code, c.text)
 	}
 }
 
@@ -96,17 +103,7 @@
 		{[]string{"--store", address, "--admin", "http://127.0.0.1:1"}, 2, "one of --admin and --store"},
 		{nil, 2, "one of --admin and --store"},
 	} {
-		out := &bytes.Buffer{}
-		app := kingpin.New("hornbeamproxy", "").Terminate(nil)
-		addReportCommandTo(app, out, time.Now)
-		_, err := app.Parse(append([]string{"report", "--since", "12h"}, c.args...))
-		code := 0
-		if err != nil {
-			out.WriteString(err.Error())
-			code = exitCode(err)
-		}
-		assert.Equal(t, code, c.code, "%v: %s", c.args, out)
-		assert.Assert(t, bytes.Contains(out.Bytes(), []byte(c.text)), "%v: %s", c.args, out)
+		checkReport(t, append([]string{"--since", "12h"}, c.args...), c.code, c.text)
 	}
 }
 
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 // instancesPrefix is where the platform lists its instances.
@@ -241,14 +242,7 @@
 // together.
 func (c *Client) pause(ctx context.Context, attempt int) bool {
 	longest := min(c.cfg.BaseDelay<<min(attempt, 16), c.cfg.MaxDelay)
-	timer := time.NewTimer(longest/2 + rand.N(longest/2+1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timing.Pause(ctx, longest/2+rand.N(longest/2+1))
 }
 
 // try makes a call once.
