Give endpoints that fail much more often than others single requests

Only failures in a row counted, and any answer, a failure of its own among them, started the count anew; a request whose time ran out without an answer counted as answered.

Change: each outcome enters a score. Above 0.3 and 1.5 x the service's mean an endpoint gets one request a second, one in 4 s if it must not run again.

Tests: TestGreyGetsProbes, TestGreyReturns, TestGreyAndOnce.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,7 +60,9 @@
 	joined       time.Time             // when this router first saw the endpoint
 	remote       map[string]remoteLoad // by router
 	sends        quota.Window
-	failures     int
+	sentAt       time.Time // of the newest request
+	score        float64   // share of failed requests, the newest weigh most
+	failures     int       // in a row, without connection or answer
 	ejectedUntil time.Time
 	// unverified endpoints could not be reached. They get no work until a new
 	// connection to them has been opened; verifying says that one is being tried.
@@ -136,6 +138,8 @@
 	Key uint64
 	// Tried are endpoints that the request does not go to again.
 	Tried []*roster.Endpoint
+	// Repeatable says that the request may run again elsewhere if it fails.
+	Repeatable bool
 	// ColdShare returns the number of requests a second that this router may send
 	// to a cold endpoint. Nil means that it is not limited.
 	ColdShare func(*roster.Endpoint) int
@@ -153,6 +157,7 @@
 	refusal := NoEndpoint
 	b.scratch = b.scratch[:0]
 	total := 0.0
+	mean := b.meanScore(ask)
 	var ejected *State // the one that may be back first
 	for _, endpoint := range ask.Members {
 		if !ask.Usable(endpoint) {
@@ -161,7 +166,7 @@
 		state := b.State(endpoint)
 		load := state.load(now)
 		total += load
-		if reason := state.blocked(now, ask); reason != None {
+		if reason := state.blocked(now, ask, mean); reason != None {
 			refusal = max(refusal, reason)
 			if reason == AllEjected && (ejected == nil || state.ejectedUntil.Before(ejected.ejectedUntil)) {
 				ejected = state
@@ -186,7 +191,19 @@
 	return b.least(), None
 }
 
-func (s *State) blocked(now time.Time, ask Ask) Refusal {
+// meanScore returns the mean score of the usable endpoints.
+func (b *Balancer) meanScore(ask Ask) float64 {
+	sum, count := 0.0, 0
+	for _, endpoint := range ask.Members {
+		if ask.Usable(endpoint) {
+			sum += b.State(endpoint).score
+			count++
+		}
+	}
+	return sum / float64(max(1, count))
+}
+
+func (s *State) blocked(now time.Time, ask Ask, mean float64) Refusal {
 	for _, tried := range ask.Tried {
 		if tried == s.Endpoint {
 			return AllTried
@@ -198,7 +215,7 @@
 	if ask.MaxLocal > 0 && s.Local >= ask.MaxLocal {
 		return AllFull
 	}
-	if s.unverified || s.zone.doubted || now.Before(s.ejectedUntil) {
+	if s.unverified || s.zone.doubted || now.Before(s.ejectedUntil) || s.grey(now, ask, mean) {
 		return AllEjected
 	}
 	return None
@@ -253,6 +270,7 @@
 // Started counts a request that is sent to the endpoint.
 func (s *State) Started(now time.Time) {
 	s.Local++
+	s.sentAt = now
 	s.sends.Add(now)
 }
 
@@ -260,11 +278,15 @@
 func (s *State) Ended() { s.Local-- }
 
 // Succeeded says that the endpoint answered.
-func (s *State) Succeeded() { s.failures = 0 }
+func (s *State) Succeeded() {
+	s.failures = 0
+	s.outcome(false)
+}
 
 // Failed says that the endpoint could not be reached or broke off. It reports
 // whether the endpoint was ejected.
 func (s *State) Failed(now time.Time) bool {
+	s.outcome(true)
 	if now.Before(s.ejectedUntil) {
 		return false
 	}
--- /dev/null
+++ b/balance/grey_test.go
@@ -0,0 +1,98 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// share plays requests and returns the part of them that the first endpoint got. fail
+// tells whether the endpoint with the index fails a request.
+func share(b *Balancer, ask Ask, requests int, fail func(i, request int) bool) float64 {
+	first := 0
+	for request := range requests {
+		now := start.Add(time.Duration(request) * 20 * time.Millisecond)
+		state, _ := b.Pick(now, ask)
+		state.Started(now)
+		state.Ended()
+		for i, endpoint := range ask.Members {
+			if endpoint != state.Endpoint {
+				continue
+			}
+			if i == 0 {
+				first++
+			}
+			if fail(i, request) {
+				state.Erred()
+			} else {
+				state.Succeeded()
+			}
+		}
+	}
+	return float64(first) / float64(requests)
+}
+
+// Guards against an endpoint that fails most of its requests and keeps its part of
+// them because its connections work.
+func TestGreyGetsProbes(t *testing.T) {
+	ask := Ask{Members: members(1), Usable: anyUsable, Key: 42, Repeatable: true}
+	home, _ := New("z0").Pick(start, Ask{Members: members(4), Usable: anyUsable, Key: 42})
+	all := members(4)
+	for i := range all {
+		if all[i].ID == home.Endpoint.ID {
+			all[0], all[i] = all[i], all[0]
+		}
+	}
+	ask.Members = all
+	grey := share(New("z0"), ask, 1000, func(i, request int) bool { return i == 0 && request%3 > 0 })
+	assert.Assert(t, grey < 0.1, "the failing home got %.2f", grey)
+	sound := share(New("z0"), ask, 1000, func(_, request int) bool { return request%20 == 0 })
+	assert.Equal(t, sound, 1.0, "few failures keep a prompt at its home")
+	alike := share(New("z0"), ask, 1000, func(_, request int) bool { return request%3 > 0 })
+	assert.Assert(t, alike > 0.9, "no endpoint is better than the others, and the home got %.2f", alike)
+}
+
+// Guards against an endpoint that never earns its return.
+func TestGreyReturns(t *testing.T) {
+	b := New("z0")
+	endpoints := members(3)
+	ask := Ask{Members: endpoints, Usable: anyUsable, Repeatable: true}
+	state := b.State(endpoints[0])
+	for range 20 {
+		state.Erred()
+	}
+	now, sent := start, 0
+	for range 400 {
+		now = now.Add(50 * time.Millisecond)
+		picked, _ := b.Pick(now, ask)
+		picked.Started(now)
+		picked.Ended()
+		picked.Succeeded()
+		if picked == state {
+			sent++
+		}
+	}
+	assert.Assert(t, sent > 50, "got %d of 400", sent)
+	assert.Assert(t, state.score < greyScore)
+}
+
+// Guards against requests that may not run again being risked at a failing endpoint as
+// often as others.
+func TestGreyAndOnce(t *testing.T) {
+	b := New("z0")
+	endpoints := members(2)
+	state := b.State(endpoints[0])
+	for range 20 {
+		state.Erred()
+	}
+	state.Started(start)
+	state.Ended()
+	at := func(after time.Duration, repeatable bool) bool {
+		return state.grey(start.Add(after), Ask{Repeatable: repeatable}, 0.1)
+	}
+	assert.Assert(t, at(probeInterval-time.Millisecond, true))
+	assert.Assert(t, !at(probeInterval, true))
+	assert.Assert(t, at(probeInterval, false))
+	assert.Assert(t, !at(onceProbeInterval, false))
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -101,7 +101,11 @@
 		return result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonResponseCut}
 	}
 	pool.Keep(conn, response, time.Now())
-	x.release(state, nil)
+	if response.StatusCode >= http.StatusInternalServerError {
+		x.release(state, errErred)
+	} else {
+		x.release(state, nil)
+	}
 	answer := &bufferedAnswer{response: response, body: body, closing: x.g.draining.Load()}
 	if response.StatusCode >= http.StatusInternalServerError && x.route.Repeatable() {
 		x.failure = answer
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -19,6 +19,10 @@
 // errCallerGone says that a try ended because the caller left.
 var errCallerGone = errors.New("gateway: caller has left")
 
+// errErred says that the endpoint answered with a failure of its own, or let the time
+// of a request pass without an answer.
+var errErred = errors.New("gateway: endpoint failed the request")
+
 // maxSkipped bounds the answers to other requests that are read past on a
 // connection.
 const maxSkipped = 2
@@ -142,7 +146,7 @@
 	conn.Close()
 	x.mayHaveRun = true
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		x.release(state, nil)
+		x.release(state, errErred)
 		return result{refusal: api.RefusalDeadlineExceeded}
 	}
 	x.release(state, x.blame(err))
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -253,7 +253,7 @@
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	ask := x.g.ask(x.table.Services[x.service])
-	ask.Key, ask.Tried = x.key, x.tried
+	ask.Key, ask.Tried, ask.Repeatable = x.key, x.tried, x.route.Repeatable()
 	state, refusal := x.g.balancer.Pick(now, ask)
 	if state != nil {
 		state.Started(now)
@@ -279,11 +279,14 @@
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	state.Ended()
-	if broken == nil {
+	switch {
+	case broken == nil:
 		state.Succeeded()
 		return
-	}
-	if errors.Is(broken, errCallerGone) {
+	case errors.Is(broken, errCallerGone):
+		return
+	case errors.Is(broken, errErred):
+		state.Erred()
 		return
 	}
 	now := time.Now()
