--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -163,6 +163,7 @@
 func (r *recorder) OutcomeUnknown(f gateway.FailedRequest) {
 	r.add("unknown %s %s %s", f.ID, f.Workspace, f.Reason)
 }
+
 func (r *recorder) AnswerBroken(f gateway.FailedRequest) { r.add("broken %s %s", f.Route, f.Reason) }
 func (r *recorder) EndpointLost(entry roster.Entry)      { r.add("lost %s", entry.ID) }
 func (r *recorder) EndpointBack(id string)               { r.add("back %s", id) }
