--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -290,11 +290,13 @@
 		return
 	}
 	now := time.Now()
-	failed := state.Failed
+	ejected := false
 	if errors.Is(broken, upstream.ErrNotSent) || upstream.Silent(broken) {
-		failed = func(now time.Time) bool { return x.g.unreachable(now, state, broken) }
+		ejected = x.g.unreachable(now, state, broken)
+	} else {
+		ejected = state.Failed(now)
 	}
-	if failed(now) {
+	if ejected {
 		x.g.roster.MarkCold(now, state.Endpoint)
 		x.g.logger.Warn("endpoint ejected", zap.String("endpoint", state.Endpoint.ID), zap.String("request", x.request.ID), zap.Error(broken))
 	}
