Send loads to all up to 128 routers

Since loads go through owners above 32 routers, a router knows nothing of an endpoint at which it has no request of its own, so that many routers choose the same one, and its mean is too low.

Change: loads go to all up to 128 routers, at the interval of before (250 ms x routers/32), and through owners only above.

Test: TestLoadInterval.

--- a/exchange/alive.go
+++ b/exchange/alive.go
@@ -6,10 +6,11 @@
 	// heartbeatPeriod is the time in which a router of a large fleet, which sends
 	// loads to few others, is heard by each of them.
 	heartbeatPeriod = 10 * time.Second
-	// aliveFor and directAliveFor are the silences up to which a router counts as
-	// alive in a large and in a small fleet; some datagrams may be lost.
-	aliveFor       = 25 * time.Second
-	directAliveFor = 4 * beatInterval
+	// aliveFor is the silence up to which a router counts as alive in a large fleet,
+	// and aliveLoads the datagrams in whose time it must be heard in a smaller one;
+	// some may be lost.
+	aliveFor   = 25 * time.Second
+	aliveLoads = 4
 )
 
 // heartbeats returns the datagrams that tell a few peers, all of them by turns, that
@@ -34,7 +35,7 @@
 	defer e.mu.Unlock()
 	limit := aliveFor
 	if e.direct() {
-		limit = directAliveFor
+		limit = aliveLoads * e.loadInterval()
 	}
 	alive := map[string]bool{e.config.Router: true}
 	for id, p := range e.peers {
--- a/exchange/loads.go
+++ b/exchange/loads.go
@@ -8,9 +8,13 @@
 
 const (
 	// directRouters is the size up to which each router sends its loads to all
-	// others. In a larger fleet it sends the load of an endpoint to the router that
+	// others, so that all know of each endpoint. In a larger fleet that costs more
+	// than control may; there it sends the load of an endpoint to the router that
 	// owns it by rendezvous hashing, which tells the total to all that report.
-	directRouters = 32
+	directRouters = 128
+	// beatRouters is the size up to which loads are sent to all at each beat. Above
+	// it the interval grows with the fleet, so that what a router receives does not.
+	beatRouters = 32
 	// ownedInterval is the time between two reports to owners: a total is up to
 	// two of them old, well below the age at which loads no longer count.
 	ownedInterval = 500 * time.Millisecond
@@ -22,13 +26,17 @@
 
 func (e *Exchange) direct() bool { return len(e.peers) < directRouters }
 
+// loadInterval returns the time between two datagrams with loads.
+func (e *Exchange) loadInterval() time.Duration {
+	if !e.direct() {
+		return ownedInterval
+	}
+	return beatInterval * time.Duration((len(e.peers)+beatRouters)/beatRouters)
+}
+
 // loadMessages returns the datagrams with loads that are due. Callers hold e.mu.
 func (e *Exchange) loadMessages(now time.Time, own map[string]int) []addressed {
-	interval := ownedInterval
-	if e.direct() {
-		interval = beatInterval
-	}
-	if now.Sub(e.loadsAt) < interval-beatInterval/2 {
+	if now.Sub(e.loadsAt) < e.loadInterval()-beatInterval/2 {
 		return nil
 	}
 	e.loadsAt = now
--- a/exchange/loads_test.go
+++ b/exchange/loads_test.go
@@ -62,7 +62,7 @@
 func TestDatagramsOfLargeFleet(t *testing.T) {
 	now := time.Unix(1000, 0)
 	own := map[string]int{"a": 1, "b": 2, "c": 1, "d": 4, "e": 1}
-	for _, routers := range []int{60, 350} {
+	for _, routers := range []int{directRouters + 1, 350} {
 		e := offline(t, 0, routers)
 		for i, p := range e.relays[:5] {
 			p.heard, p.loads = now, map[string]int{fmt.Sprintf("x%d", i): 1}
@@ -73,16 +73,23 @@
 	}
 }
 
+// Guards against loads that arrive more often the larger the fleet is.
+func TestLoadInterval(t *testing.T) {
+	for routers, want := range map[int]time.Duration{1: 250, 32: 250, 33: 500, 91: 750, directRouters: 1000, directRouters + 1: 500, 350: 500} {
+		assert.Equal(t, offline(t, 0, routers).loadInterval(), want*time.Millisecond, "%d routers", routers)
+	}
+}
+
 // Guards against routers that are not heard by each of the others in a period.
 func TestHeartbeatsReachAll(t *testing.T) {
-	e := offline(t, 0, 91)
+	e := offline(t, 0, 200)
 	reached := map[string]bool{}
 	for range heartbeatPeriod / beatInterval {
 		for _, next := range e.heartbeats() {
 			reached[next.to.String()] = true
 		}
 	}
-	assert.Equal(t, len(reached), 90)
+	assert.Equal(t, len(reached), 199)
 }
 
 // Guards against a fleet in which all become relays when one falls silent, and one in
