--- a/standin/site.go
+++ b/standin/site.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
@@ -197,16 +199,45 @@
 	return count
 }
 
-// FreeAddresses returns loopback addresses with ports that were free just now.
+// Ports of FreeAddresses lie below the range from which the system takes ports for
+// outgoing connections and unnamed listeners, so that none of these takes a port before
+// its process does.
+const (
+	firstPort = 10_000
+	portCount = 10_000
+	// portStep spreads the processes of tests that run at a time.
+	portStep = 97
+)
+
+var nextPort atomic.Int64
+
+// FreeAddresses returns loopback addresses that nobody listens on, over TCP and UDP. An
+// error says that there are not enough.
 func FreeAddresses(count int) ([]string, error) {
-	addresses := make([]string, count)
-	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("find a free port: %w", err)
+	var addresses []string
+	for range portCount {
+		if len(addresses) == count {
+			return addresses, nil
+		}
+		port := firstPort + (int64(os.Getpid())*portStep+nextPort.Add(1))%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if free(address) {
+			addresses = append(addresses, address)
 		}
-		defer listener.Close()
-		addresses[i] = listener.Addr().String()
 	}
-	return addresses, nil
+	return nil, fmt.Errorf("find %d free ports: found %d", count, len(addresses))
+}
+
+// free reports whether the address can be listened on.
+func free(address string) bool {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer listener.Close()
+	packets, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return packets.Close() == nil
 }
