Write once what gateway, balance, exchange and the records wrote twice

Found by reading the whole change; behaviour stays as it is. - gateway: three copies of "the connection failed, perhaps because the time was over" are broken, two of "no byte left" are unsent, two of "cut the answer" are cut, and the times after which a refused request may come back have names and sources. - balance: Pick looked up each endpoint twice (for the mean score, then for the choice); it does once. The default for HomeLoad could not be reached: the gateway always sets it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -12,11 +12,10 @@
 )
 
 const (
-	// defaultHomeLoad and homeSlack bound the load at which a prompt stays with the
-	// endpoint that holds its parts: HomeLoad x the mean + homeSlack. Both lie
-	// below what no endpoint may exceed, the load factor x the mean + 3.
-	defaultHomeLoad = 1.25
-	homeSlack       = 2
+	// homeSlack bounds the load at which a prompt stays with the endpoint that holds
+	// its parts: HomeLoad x the mean + homeSlack. That lies below what no endpoint
+	// may exceed, the load factor x the mean + 3.
+	homeSlack = 2
 	// zoneBonus is the load that an endpoint of the router's own zone may have
 	// above one of another zone, in requests.
 	zoneBonus = 0.5
@@ -147,18 +146,15 @@
 	// this router may have at an endpoint; 0 means that it is not limited.
 	MaxLocal int
 	// HomeLoad bounds the load at which a prompt stays at its home, as a multiple
-	// of the mean. 0 means defaultHomeLoad.
+	// of the mean.
 	HomeLoad float64
 }
 
 // Pick chooses an endpoint. One that has failed just now is chosen only if there
 // is no other.
 func (b *Balancer) Pick(now time.Time, ask Ask) (*State, Refusal) {
-	refusal := NoEndpoint
 	b.scratch = b.scratch[:0]
-	total := 0.0
-	mean := b.meanScore(ask)
-	var ejected *State // the one that may be back first
+	total, scores := 0.0, 0.0
 	for _, endpoint := range ask.Members {
 		if !ask.Usable(endpoint) {
 			continue
@@ -166,41 +162,40 @@
 		state := b.State(endpoint)
 		load := state.load(now)
 		total += load
-		if reason := state.blocked(now, ask, mean); reason != None {
-			refusal = max(refusal, reason)
-			if reason == AllEjected && (ejected == nil || state.ejectedUntil.Before(ejected.ejectedUntil)) {
-				ejected = state
-			}
-			continue
-		}
+		scores += state.score
 		b.scratch = append(b.scratch, candidate{state: state, load: load})
 	}
-	if len(b.scratch) == 0 {
-		if ejected != nil {
-			return ejected, None
-		}
+	fallback, refusal := b.dropBlocked(now, ask, scores/float64(max(1, len(b.scratch))))
+	switch {
+	case len(b.scratch) == 0 && fallback != nil:
+		return fallback, None
+	case len(b.scratch) == 0:
 		return nil, refusal
-	}
-	if ask.Key != 0 {
-		factor := ask.HomeLoad
-		if factor <= 0 {
-			factor = defaultHomeLoad
-		}
-		return b.home(ask.Key, factor*total/float64(len(b.scratch))+homeSlack), None
+	case ask.Key != 0:
+		return b.home(ask.Key, ask.HomeLoad*total/float64(len(b.scratch))+homeSlack), None
 	}
 	return b.least(), None
 }
 
-// meanScore returns the mean score of the usable endpoints.
-func (b *Balancer) meanScore(ask Ask) float64 {
-	sum, count := 0.0, 0
-	for _, endpoint := range ask.Members {
-		if ask.Usable(endpoint) {
-			sum += b.State(endpoint).score
-			count++
+// dropBlocked leaves those candidates that may get the request. mean is the mean score
+// of all. The results count when none is left: the ejected one that may be back first,
+// or nil, and the reason.
+func (b *Balancer) dropBlocked(now time.Time, ask Ask, mean float64) (fallback *State, refusal Refusal) {
+	refusal = NoEndpoint
+	kept := b.scratch[:0]
+	for _, c := range b.scratch {
+		reason := c.state.blocked(now, ask, mean)
+		if reason == None {
+			kept = append(kept, c)
+			continue
+		}
+		refusal = max(refusal, reason)
+		if reason == AllEjected && (fallback == nil || c.state.ejectedUntil.Before(fallback.ejectedUntil)) {
+			fallback = c.state
 		}
 	}
-	return sum / float64(max(1, count))
+	b.scratch = kept
+	return fallback, refusal
 }
 
 func (s *State) blocked(now time.Time, ask Ask, mean float64) Refusal {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -65,7 +65,7 @@
 // that is filled far above the mean.
 func TestHome(t *testing.T) {
 	b := New("z0")
-	ask := Ask{Members: members(6), Usable: anyUsable, Key: 42}
+	ask := Ask{Members: members(6), Usable: anyUsable, Key: 42, HomeLoad: 1.25}
 	home, _ := b.Pick(start, ask)
 	for range 20 {
 		again, _ := b.Pick(start, ask)
@@ -103,7 +103,7 @@
 	for _, endpoint := range endpoints {
 		b.Join(start, endpoint, true)
 	}
-	home, _ := b.Pick(start, Ask{Members: endpoints, Usable: anyUsable, Key: 42})
+	home, _ := b.Pick(start, Ask{Members: endpoints, Usable: anyUsable, Key: 42, HomeLoad: 1.25})
 	assert.Assert(t, b.CopyFrom(start, 42, home, endpoints) == nil, "a settled home holds its prompts")
 	other := b.State(endpoints[0])
 	if other == home {
@@ -146,7 +146,7 @@
 func TestAllEjected(t *testing.T) {
 	b := New("z0")
 	endpoints := members(3)
-	ask := Ask{Members: endpoints, Usable: anyUsable, Key: 42}
+	ask := Ask{Members: endpoints, Usable: anyUsable, Key: 42, HomeLoad: 1.25}
 	for _, endpoint := range endpoints {
 		b.State(endpoint).Failed(start)
 	}
--- a/balance/grey_test.go
+++ b/balance/grey_test.go
@@ -36,8 +36,8 @@
 // Guards against an endpoint that fails most of its requests and keeps its part of
 // them because its connections work.
 func TestGreyGetsProbes(t *testing.T) {
-	ask := Ask{Members: members(1), Usable: anyUsable, Key: 42, Repeatable: true}
-	home, _ := New("z0").Pick(start, Ask{Members: members(4), Usable: anyUsable, Key: 42})
+	ask := Ask{Members: members(1), Usable: anyUsable, Key: 42, HomeLoad: 1.25, Repeatable: true}
+	home, _ := New("z0").Pick(start, Ask{Members: members(4), Usable: anyUsable, Key: 42, HomeLoad: 1.25})
 	all := members(4)
 	for i := range all {
 		if all[i].ID == home.Endpoint.ID {
--- a/edge/failures.go
+++ b/edge/failures.go
@@ -118,10 +118,10 @@
 
 // EndpointLost implements gateway.Reporter.
 func (f *failures) EndpointLost(entry roster.Entry) {
-	if f.rank(entry.ID) > 0 || f.keeper.Lookup(api.RecordKindEndpointDown, entry.ID) != "" {
+	if f.rank(entry.ID) > 0 {
 		return
 	}
-	f.keeper.Open(api.RecordKindEndpointDown, entry.ID, entry.Zone,
+	f.keeper.OpenOnce(api.RecordKindEndpointDown, entry.ID, entry.Zone,
 		fmt.Sprintf("Endpoint %s of service %s at %s cannot be reached.", entry.ID, entry.Service, entry.Address),
 		"Its prompts are read again at other endpoints.",
 		"No work is sent to it until a connection shows that it is back.",
@@ -130,7 +130,7 @@
 
 // EndpointBack implements gateway.Reporter. It covers endpoints that are gone for
 // good, of which nothing is left to do.
-func (f *failures) EndpointBack(id string) { f.end(api.RecordKindEndpointDown, id) }
+func (f *failures) EndpointBack(id string) { f.keeper.End(api.RecordKindEndpointDown, id) }
 
 // routerLost records a router that was silent for so long that its registration
 // was removed.
@@ -145,22 +145,16 @@
 const storeSubject = "store"
 
 func (f *failures) storeLost() {
-	if f.rank(storeSubject) >= storeWitnesses || f.keeper.Lookup(api.RecordKindPlatformUnavailable, storeSubject) != "" {
+	if f.rank(storeSubject) >= storeWitnesses {
 		return
 	}
-	f.keeper.Open(api.RecordKindPlatformUnavailable, storeSubject, "",
+	f.keeper.OpenOnce(api.RecordKindPlatformUnavailable, storeSubject, "",
 		fmt.Sprintf("The platform's store does not answer router %s.", f.router),
 		"Requests are served with what is known; changes arrive only through other routers.",
 		"Endpoints whose entries lapse meanwhile are kept until shortly after the outage.", "")
 }
 
-func (f *failures) storeFound() { f.end(api.RecordKindPlatformUnavailable, storeSubject) }
-
-func (f *failures) end(kind api.RecordKind, subject string) {
-	if id := f.keeper.Lookup(kind, subject); id != "" {
-		f.keeper.Close(id, "")
-	}
-}
+func (f *failures) storeFound() { f.keeper.End(api.RecordKindPlatformUnavailable, storeSubject) }
 
 // storeWatch tells failures when the store is lost and found.
 type storeWatch struct {
--- a/exchange/alive.go
+++ b/exchange/alive.go
@@ -22,9 +22,9 @@
 	const beats = int(heartbeatPeriod / beatInterval)
 	m := &message{Router: e.config.Router}
 	var outgoing []addressed
-	for range (len(e.relays) + beats - 1) / beats {
-		e.turn = (e.turn + 1) % len(e.relays)
-		outgoing = append(outgoing, addressed{e.relays[e.turn].address, m})
+	for range (len(e.order) + beats - 1) / beats {
+		e.turn = (e.turn + 1) % len(e.order)
+		outgoing = append(outgoing, addressed{e.order[e.turn].address, m})
 	}
 	return outgoing
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -76,7 +76,8 @@
 
 	mu      sync.Mutex
 	peers   map[string]*peer // by router id
-	relays  []*peer          // the peers in the order in which they become relays
+	order   []*peer          // the peers in the order in which they become relays
+	before  []*peer          // those of them that come before this router
 	fleet   *quota.Fleet
 	ids     []string               // of all routers, with this one
 	heads   map[string]mirror.Head // what this router announces
@@ -141,12 +142,15 @@
 		e.peers[id] = &peer{id: id, address: address, link: entry.LinkMbps, loads: map[string]int{}}
 	}
 	e.ids = []string{e.config.Router}
-	e.relays = e.relays[:0]
+	e.order = e.order[:0]
 	for id, p := range e.peers {
 		e.ids = append(e.ids, id)
-		e.relays = append(e.relays, p)
+		e.order = append(e.order, p)
 	}
-	slices.SortFunc(e.relays, compareOrder)
+	slices.SortFunc(e.order, compareOrder)
+	self := &peer{id: e.config.Router, link: e.config.LinkMbps}
+	place, _ := slices.BinarySearchFunc(e.order, self, compareOrder)
+	e.before = e.order[:place]
 	e.fleet = quota.NewFleet(e.config.Router, e.ids)
 	e.rank = e.rankNow(time.Now())
 }
--- a/exchange/loads_test.go
+++ b/exchange/loads_test.go
@@ -64,7 +64,7 @@
 	own := map[string]int{"a": 1, "b": 2, "c": 1, "d": 4, "e": 1}
 	for _, routers := range []int{directRouters + 1, 350} {
 		e := offline(t, 0, routers)
-		for i, p := range e.relays[:5] {
+		for i, p := range e.order[:5] {
 			p.heard, p.loads = now, map[string]int{fmt.Sprintf("x%d", i): 1}
 		}
 		assert.Assert(t, len(e.loadMessages(now, own)) <= 10, "5 reports and 5 totals")
@@ -98,7 +98,7 @@
 	now := time.Now()
 	probe := offline(t, 0, 10)
 	var order []string
-	for _, p := range probe.relays {
+	for _, p := range probe.order {
 		order = append(order, p.id)
 	}
 	last := order[len(order)-1]
@@ -109,13 +109,13 @@
 	relays := func() int { return e.rankNow(now) }
 	assert.Equal(t, relays(), relayCount, "those that come first are presumed to be relays")
 	now = now.Add(headAge / 2)
-	for _, p := range e.relays[:relayCount] {
+	for _, p := range e.order[:relayCount] {
 		p.relayAt = now
 	}
 	now = now.Add(headAge)
 	assert.Equal(t, relays(), relayCount, "the next three are due, and presumed")
 	now = now.Add(headAge)
-	e.relays[3].relayAt = now
+	e.order[3].relayAt = now
 	assert.Equal(t, relays(), relayCount, "one of them is heard, and two more are due")
 	for range 10 {
 		now = now.Add(headAge)
@@ -138,7 +138,7 @@
 	e := offline(t, 0, 1)
 	e.config.LinkMbps = 10
 	e.SetPeers(registered)
-	for _, p := range e.relays[:4] {
+	for _, p := range e.order[:4] {
 		assert.Equal(t, p.link, 200.0)
 	}
 	assert.Equal(t, e.rankNow(time.Now()), relayCount)
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -34,11 +34,8 @@
 // the order of compareOrder. One that is heard as a relay counts, and so does one that
 // has just become due; one that is due and silent is passed over. Callers hold e.mu.
 func (e *Exchange) rankNow(now time.Time) int {
-	rank, self := 0, e.self()
-	for _, p := range e.relays {
-		if compareOrder(p, self) > 0 {
-			break
-		}
+	rank := 0
+	for _, p := range e.before {
 		if rank >= relayCount {
 			p.expectedAt = time.Time{}
 			continue
@@ -64,8 +61,6 @@
 	)
 }
 
-func (e *Exchange) self() *peer { return &peer{id: e.config.Router, link: e.config.LinkMbps} }
-
 // Relay implements mirror.Peers. A router that has not found the others yet
 // watches the store itself.
 func (e *Exchange) Relay() (relay, first bool) {
@@ -138,11 +133,7 @@
 // announced reports whether a relay before this one has the news. Callers hold
 // e.mu.
 func (e *Exchange) announced(news mirror.News) bool {
-	self := e.self()
-	for _, p := range e.relays {
-		if compareOrder(p, self) > 0 {
-			break
-		}
+	for _, p := range e.before {
 		if p.heads[news.Kind].Changed >= news.To {
 			return true
 		}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"errors"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -92,28 +90,21 @@
 		return x.passLong(conn, pool, state, response, body)
 	}
 	if err != nil {
-		conn.Close()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			x.release(state, nil)
-			return result{refusal: api.RefusalDeadlineExceeded}
-		}
-		x.release(state, x.blame(err))
-		return result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonResponseCut}
+		return x.broken(conn, state, err, nil, result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonResponseCut})
 	}
 	pool.Keep(conn, response, time.Now())
+	var outcome error
 	if response.StatusCode >= http.StatusInternalServerError {
-		x.release(state, errErred)
-	} else {
-		x.release(state, nil)
+		outcome = errErred
 	}
+	x.release(state, outcome)
 	answer := &bufferedAnswer{response: response, body: body, closing: x.g.draining.Load()}
-	if response.StatusCode >= http.StatusInternalServerError && x.route.Repeatable() {
+	if outcome != nil && x.route.Repeatable() {
 		x.failure = answer
 		return result{refusal: api.RefusalUpstreamFailed, retry: api.RetryReasonEndpointError}
 	}
 	answer.write(x.w)
-	x.hand()
-	x.g.own.Update(x.own)
+	x.begun()
 	x.g.metrics.Counter("answers.whole").Inc(1)
 	return result{done: true}
 }
@@ -132,10 +123,7 @@
 	if err != nil {
 		conn.Close()
 		x.release(state, x.blame(err))
-		x.g.metrics.Refused(api.RefusalUpstreamIncomplete)
-		x.log("cut", string(api.RefusalUpstreamIncomplete), zap.Error(err))
-		x.report(api.RefusalUpstreamIncomplete)
-		panic(http.ErrAbortHandler)
+		x.cut(zap.Error(err))
 	}
 	pool.Keep(conn, response, time.Now())
 	x.release(state, nil)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,12 +43,17 @@
 	conn, err := x.connect(pool)
 	x.ownSince = time.Now()
 	if err != nil {
-		x.release(state, x.blame(err))
-		return result{refusal: api.RefusalEndpointDown, retry: api.RetryReasonConnectFailed, notSent: true, retryAfter: 300 * time.Millisecond}
+		return x.unsent(state, err)
 	}
 	return x.exchangeOn(conn, pool, state)
 }
 
+// unsent handles a failure before any byte of the request left.
+func (x *exchange) unsent(state *balance.State, err error) result {
+	x.release(state, x.blame(err))
+	return result{refusal: api.RefusalEndpointDown, retry: api.RetryReasonConnectFailed, notSent: true, retryAfter: soon}
+}
+
 // pool returns the connections of an endpoint.
 func (g *Gateway) pool(state *balance.State) *upstream.Pool {
 	g.mu.Lock()
@@ -106,11 +111,10 @@
 	if err := conn.Send(buffer.b); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
 			conn.Close()
-			x.release(state, x.blame(err))
-			return result{refusal: api.RefusalEndpointDown, retry: api.RetryReasonConnectFailed, notSent: true, retryAfter: 300 * time.Millisecond}
+			return x.unsent(state, err)
 		}
 		x.sends++
-		return x.broken(conn, state, err)
+		return x.unanswered(conn, state, err)
 	}
 	x.sends++
 	x.hand()
@@ -118,7 +122,7 @@
 	response, answer, err := x.receive(conn) //nolint:bodyclose // see above
 	x.ownSince = time.Now()
 	if err != nil {
-		return x.broken(conn, state, err)
+		return x.unanswered(conn, state, err)
 	}
 	return x.handle(conn, pool, state, response, answer)
 }
@@ -141,16 +145,24 @@
 	}
 }
 
-// broken handles a connection that failed after the request may have left.
-func (x *exchange) broken(conn *upstream.Conn, state *balance.State, err error) result {
-	conn.Close()
+// unanswered handles a connection that failed after the request may have left and
+// before the head of its answer.
+func (x *exchange) unanswered(conn *upstream.Conn, state *balance.State, err error) result {
 	x.mayHaveRun = true
+	return x.broken(conn, state, err, errErred, result{refusal: api.RefusalUpstreamFailed, retry: api.RetryReasonResponseCut})
+}
+
+// broken handles a connection that failed while the endpoint worked on the request.
+// late is what the endpoint is told to have done when the time was over; otherwise the
+// outcome is cut.
+func (x *exchange) broken(conn *upstream.Conn, state *balance.State, err, late error, cut result) result {
+	conn.Close()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		x.release(state, errErred)
+		x.release(state, late)
 		return result{refusal: api.RefusalDeadlineExceeded}
 	}
 	x.release(state, x.blame(err))
-	return result{refusal: api.RefusalUpstreamFailed, retry: api.RetryReasonResponseCut}
+	return cut
 }
 
 // handle passes an answer on, or says why it is none.
@@ -199,7 +211,7 @@
 	x.release(state, nil)
 	if answer.Misdirected {
 		x.g.misdirected(state, x.request.ID)
-		return result{refusal: api.RefusalEndpointWithdrawn, retry: api.RetryReasonRefusedByEndpoint, retryAfter: 100 * time.Millisecond}
+		return result{refusal: api.RefusalEndpointWithdrawn, retry: api.RetryReasonRefusedByEndpoint, retryAfter: afterMove}
 	}
-	return result{refusal: api.RefusalEndpointFull, retry: api.RetryReasonRefusedByEndpoint, retryAfter: 200 * time.Millisecond}
+	return result{refusal: api.RefusalEndpointFull, retry: api.RetryReasonRefusedByEndpoint, retryAfter: afterFull}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -33,6 +33,19 @@
 	defaultTimeout = 30 * time.Second
 )
 
+// When a request that has not run may come back. Callers wait for a third of the time
+// that they have left at most.
+const (
+	// afterMove is for a new address of an endpoint, which its next entry brings.
+	afterMove = 100 * time.Millisecond
+	// afterFull is for a slot of an endpoint: some answers of a plain service.
+	afterFull = 200 * time.Millisecond
+	// soon is for another endpoint, or for the same one after a short pause.
+	soon = 300 * time.Millisecond
+	// afterChange is for a configuration or an endpoint that is not there yet.
+	afterChange = time.Second
+)
+
 // exchange is one caller's request on its way.
 type exchange struct {
 	g       *Gateway
@@ -71,6 +84,12 @@
 // hand counts the router's own time until it waits for another party.
 func (x *exchange) hand() { x.own += time.Since(x.ownSince) }
 
+// begun is called when the caller has the first event or the whole answer.
+func (x *exchange) begun() {
+	x.hand()
+	x.g.own.Update(x.own)
+}
+
 // serve answers the request. Each path ends with exactly one final answer, or
 // with a connection that is cut in the middle of an answer.
 func (x *exchange) serve() {
@@ -100,7 +119,7 @@
 func (x *exchange) admit() bool {
 	x.table = x.g.table.Load()
 	if x.table == nil {
-		x.refuse(http.StatusServiceUnavailable, api.RefusalNotReady, time.Second)
+		x.refuse(http.StatusServiceUnavailable, api.RefusalNotReady, afterChange)
 		return false
 	}
 	request, err := x.g.config.Codec.Parse(x.r)
@@ -220,10 +239,7 @@
 // end gives the final answer of a request that has no complete one.
 func (x *exchange) end(r result) {
 	if x.stream.started {
-		x.g.metrics.Refused(api.RefusalUpstreamIncomplete)
-		x.log("cut", string(api.RefusalUpstreamIncomplete))
-		x.report(api.RefusalUpstreamIncomplete)
-		panic(http.ErrAbortHandler)
+		x.cut()
 	}
 	if x.failure != nil {
 		x.failure.write(x.w)
@@ -241,6 +257,14 @@
 	x.refuse(http.StatusBadGateway, r.refusal, 0)
 }
 
+// cut ends an answer of which the caller has a part, so that it does not look complete.
+func (x *exchange) cut(fields ...zap.Field) {
+	x.g.metrics.Refused(api.RefusalUpstreamIncomplete)
+	x.log("cut", string(api.RefusalUpstreamIncomplete), fields...)
+	x.report(api.RefusalUpstreamIncomplete)
+	panic(http.ErrAbortHandler)
+}
+
 // abandon ends a request whose caller has left.
 func (x *exchange) abandon() {
 	x.g.metrics.Counter("requests.abandoned").Inc(1)
@@ -265,13 +289,13 @@
 	}
 	switch refusal {
 	case balance.AllCold:
-		return nil, result{refusal: api.RefusalEndpointCold, retryAfter: 300 * time.Millisecond, notSent: true}
+		return nil, result{refusal: api.RefusalEndpointCold, retryAfter: soon, notSent: true}
 	case balance.AllTried:
-		return nil, result{refusal: api.RefusalUpstreamFailed, retryAfter: 300 * time.Millisecond, notSent: true}
+		return nil, result{refusal: api.RefusalUpstreamFailed, retryAfter: soon, notSent: true}
 	case balance.AllFull:
-		return nil, result{refusal: api.RefusalEndpointFull, retryAfter: 300 * time.Millisecond, notSent: true}
+		return nil, result{refusal: api.RefusalEndpointFull, retryAfter: soon, notSent: true}
 	}
-	return nil, result{refusal: api.RefusalNoEndpoint, retryAfter: time.Second, notSent: true}
+	return nil, result{refusal: api.RefusalNoEndpoint, retryAfter: afterChange, notSent: true}
 }
 
 // release takes the request off the endpoint's count.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
@@ -54,14 +53,8 @@
 		conn.Close()
 		x.release(state, errCallerGone)
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		conn.Close()
-		x.release(state, nil)
-		return result{refusal: api.RefusalDeadlineExceeded}
 	}
-	conn.Close()
-	x.release(state, x.blame(err))
-	return result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonStreamCut}
+	return x.broken(conn, state, err, nil, result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonStreamCut})
 }
 
 // copyEvents passes whole events on. What is left at the end of a stream that
@@ -93,8 +86,7 @@
 				}
 				flusher.Flush()
 				if !passed {
-					x.hand()
-					x.g.own.Update(x.own)
+					x.begun()
 				}
 				passed = true
 			}
--- a/records/keeper.go
+++ b/records/keeper.go
@@ -209,6 +209,21 @@
 	return k.book.Lookup(kind, subject)
 }
 
+// OpenOnce records that a failure began unless its record is open already.
+func (k *Keeper) OpenOnce(kind api.RecordKind, subject, zone, text, effect, action, remaining string) {
+	if k.Lookup(kind, subject) == "" {
+		k.Open(kind, subject, zone, text, effect, action, remaining)
+	}
+}
+
+// End closes the open record of a failure, if there is one, with nothing left for a
+// person.
+func (k *Keeper) End(kind api.RecordKind, subject string) {
+	if id := k.Lookup(kind, subject); id != "" {
+		k.Close(id, "")
+	}
+}
+
 // countLost logs a record that the book did not keep, because the log is then
 // the only place that has it.
 func (k *Keeper) countLost(id string, kind api.RecordKind, subject, text string) {
--- a/router/control.go
+++ b/router/control.go
@@ -105,13 +105,13 @@
 	for _, step := range r.control.Status(view) {
 		switch step.State {
 		case orders.StepFailed:
-			r.failures.openOnce(api.RecordKindOrderFailed, step.Name,
+			r.failures.keeper.OpenOnce(api.RecordKindOrderFailed, step.Name, "",
 				"An order did not succeed: "+step.Name+".",
 				"The endpoint does not serve what the release note says.",
 				"The order is repeated slowly. Reason: "+step.Reason+".",
 				"Check the endpoint and the weight store.")
 		case orders.StepDone:
-			r.failures.end(api.RecordKindOrderFailed, step.Name)
+			r.failures.keeper.End(api.RecordKindOrderFailed, step.Name)
 		}
 	}
 }
--- a/router/failures.go
+++ b/router/failures.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if from == endpointstate.Down {
-		f.end(api.RecordKindEndpointDown, e.ID)
+		f.keeper.End(api.RecordKindEndpointDown, e.ID)
 	}
 	switch {
 	case to == endpointstate.Cold && from != endpointstate.Joining:
@@ -76,21 +76,15 @@
 			"Some of its chats are served elsewhere until it is warm.",
 			"It receives no more work than it states that it can bear.", "")
 	case to != endpointstate.Cold && to != endpointstate.Warming:
-		f.end(api.RecordKindEndpointCold, e.ID)
+		f.keeper.End(api.RecordKindEndpointCold, e.ID)
 	}
 }
 
 // endpointDropped ends the records of an endpoint that another router watches
 // from now on.
 func (f *failures) endpointDropped(endpoint string) {
-	f.end(api.RecordKindEndpointDown, endpoint)
-	f.end(api.RecordKindEndpointCold, endpoint)
-}
-
-func (f *failures) end(kind api.RecordKind, subject string) {
-	if id := f.keeper.Lookup(kind, subject); id != "" {
-		f.keeper.Close(id, "")
-	}
+	f.keeper.End(api.RecordKindEndpointDown, endpoint)
+	f.keeper.End(api.RecordKindEndpointCold, endpoint)
 }
 
 // routerLost records a router that went without leaving.
@@ -150,10 +144,10 @@
 func (f *failures) platform(healthy bool) {
 	const subject = "object API"
 	if healthy {
-		f.end(api.RecordKindPlatformUnavailable, subject)
+		f.keeper.End(api.RecordKindPlatformUnavailable, subject)
 		return
 	}
-	f.openOnce(api.RecordKindPlatformUnavailable, subject,
+	f.keeper.OpenOnce(api.RecordKindPlatformUnavailable, subject, "",
 		"The platform's object API does not answer.",
 		"Chats and idempotent calls go on. Keyed calls that must not be repeated are refused as not run, and cold endpoints receive no work.",
 		"Release notes spread between routers; records are kept at two peers.",
@@ -163,18 +157,12 @@
 func (f *failures) isolation(isolated bool) {
 	const subject = "router"
 	if !isolated {
-		f.end(api.RecordKindIsolated, subject)
+		f.keeper.End(api.RecordKindIsolated, subject)
 		return
 	}
-	f.openOnce(api.RecordKindIsolated, subject,
+	f.keeper.OpenOnce(api.RecordKindIsolated, subject, "",
 		"A router hears neither the object API nor any peer.",
 		"Its callers are refused as not run until the balancer sends them elsewhere.",
 		"It starts no work, because a release note may be in force that it has not heard of.",
 		"Check the network of its instance.")
 }
-
-func (f *failures) openOnce(kind api.RecordKind, subject, text, effect, action, remaining string) {
-	if f.keeper.Lookup(kind, subject) == "" {
-		f.keeper.Open(kind, subject, "", text, effect, action, remaining)
-	}
-}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -12,15 +12,12 @@
 	"golang.org/x/sys/unix"
 )
 
-const (
-	// userTimeout ends a connection whose bytes are not acknowledged. Links have
-	// round trips of a few milliseconds; a lost packet is sent again after 200 ms.
-	userTimeout = 500 * time.Millisecond
-	// keepAliveInterval and keepAliveCount find a connection that went silent
-	// while it waits for an answer.
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
-)
+// userTimeout ends a connection whose bytes are not acknowledged. Links have round
+// trips of a few milliseconds; a lost packet is sent again after 200 ms.
+const userTimeout = 500 * time.Millisecond
+
+// KeepAlive finds a connection that went silent while it waits for an answer.
+var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 // Pool holds the idle connections of one endpoint. Safe for concurrent use.
 type Pool struct {
@@ -37,10 +34,8 @@
 // takes dialTimeout at most.
 func NewPool(address string, dialTimeout time.Duration) *Pool {
 	return &Pool{address: address, busy: map[*Conn]struct{}{}, dialer: net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
+		Timeout:         dialTimeout,
+		KeepAliveConfig: KeepAlive,
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failure error
 			err := raw.Control(func(fd uintptr) {
