--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/exchange"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 const (
@@ -38,14 +39,7 @@
 func (f *fleet) run(ctx context.Context) error {
 	f.silent = map[string]time.Time{}
 	pause := time.Duration(0)
-	for {
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil
-		case <-timer.C:
-		}
+	for timing.Pause(ctx, pause) {
 		if !f.registered {
 			f.registered = f.register(ctx)
 		}
@@ -54,6 +48,7 @@
 			pause = listInterval
 		}
 	}
+	return nil
 }
 
 // register enters this router, in place of an earlier process of the same name.
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -15,7 +15,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -185,7 +184,8 @@
 		seeds = append(seeds, r.peers)
 	}
 	f.mu.Unlock()
-	addresses := []string{freeAddress(), freeAddress(), freeAddress()}
+	addresses, err := standin.FreeAddresses(3)
+	assert.NilError(f.t, err)
 	proxy, err := standin.NewFaultProxy(f.site.PlatformServer.Listener.Addr().String())
 	assert.NilError(f.t, err)
 	r := &Router{
@@ -201,28 +201,6 @@
 	return r
 }
 
-// Ports of routers lie below the range from which the system takes ports for
-// outgoing connections, so that none of these holds a port before its router does.
-const (
-	firstPort = 20_000
-	portCount = 10_000
-)
-
-var nextPort atomic.Int64
-
-// freeAddress returns a loopback address that nobody listens on.
-func freeAddress() string {
-	for {
-		port := firstPort + (int64(os.Getpid())*97+nextPort.Add(1))%portCount
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		_ = listener.Close()
-		return listener.Addr().String()
-	}
-}
-
 func (f *Fleet) writeSettings(r *Router, addresses, seeds []string) string {
 	zones := f.site.Config.Zones
 	values := map[string]map[string]any{
