Send a whole view of loads above 32 routers and divide hot prompts

Cause: above 128 routers a router knew the load only of endpoints at which it had requests itself, took the mean over the rest as 0, and all routers sent a hot prompt to the same next endpoint until a total came, up to 1 s later. Between 33 and 128 routers the loads were 0.5 to 1 s old, with the same choice by all.

Ruled out: only a fresher view.

Change: above 32 routers each router reports its loads to the relays, and the first relay sends the sums of all endpoints and of prompts with 3 or more requests in flight to all (4 bytes an endpoint, 4 times a second up to about 190 endpoints, less often above). The reports to owners and the direct loads up to 128 routers go. The number of endpoints that share a prompt follows from its requests in flight in the whole fleet; each request draws two of them and takes the less loaded. Requests without a prompt draw in the router's own zone within the bound instead of all taking the least loaded endpoint. Messages of the build before are still read; it ignores the new fields.

TestSilentZone's last line loads the own zone first: a request without a prompt now stays there while the loads are near the mean. TestLoadInterval goes with the interval that it tested; TestDatagramsOfLargeFleet and TestViewSize bound the traffic in its place.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,7 +11,7 @@
 package balance
 
 import (
-	"math"
+	"maps"
 	"time"
 
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
@@ -24,13 +24,16 @@
 	// HomeLoadFactor x the mean load + homeSlack. The platform's limit for the load of
 	// every endpoint is higher: LoadFactor x the mean load + 3.
 	homeSlack = 2
-	// otherZonePenalty is added to the load of endpoints outside the router's own
-	// availability zone, in requests.
-	otherZonePenalty = 0.5
+	// zoneSlack is the number of requests over the mean up to which a request without a
+	// prompt stays in the router's own availability zone. It is above the variation of
+	// loads that are old, so that routers do not all leave for the same endpoint.
+	zoneSlack = 2
 	// baseEjectionTime is how long an endpoint is ejected after its first failure. The
 	// time doubles with each consecutive failure, up to maxEjectionTime.
 	baseEjectionTime = 500 * time.Millisecond
 	maxEjectionTime  = 4 * time.Second
+	// allOthers is the router id that stands for all other routers in a report.
+	allOthers = "*"
 	// remoteLoadTTL is the age at which a load reported by another router expires.
 	// It spans several report intervals of a large fleet, so that a few lost
 	// datagrams don't hide the load.
@@ -95,6 +98,10 @@
 	states  map[string]*State // by endpoint id
 	holders holderIndex
 	zones   map[string]*zoneState
+	// localPrompts are the numbers of requests that this router has in flight, by
+	// PromptID. remotePrompts are those of others, by router.
+	localPrompts  map[uint32]int
+	remotePrompts map[string]promptLoads
 	// scratch holds the candidates of one Pick, to reuse the memory.
 	scratch []candidate
 }
@@ -107,7 +114,10 @@
 
 // New returns a balancer for a router in the given availability zone.
 func New(zone string) *Balancer {
-	return &Balancer{zone: zone, states: map[string]*State{}, holders: newHolderIndex(), zones: map[string]*zoneState{}}
+	return &Balancer{
+		zone: zone, states: map[string]*State{}, holders: newHolderIndex(), zones: map[string]*zoneState{},
+		localPrompts: map[uint32]int{}, remotePrompts: map[string]promptLoads{},
+	}
 }
 
 // Join adds an endpoint. settled is true for endpoints that were registered before
@@ -148,9 +158,12 @@
 	// get new work.
 	Members []*roster.Endpoint
 	Usable  func(*roster.Endpoint) bool
-	// Key identifies the prompt's shared parts. With 0 the request has no home and
-	// goes to the least loaded endpoint.
+	// Key identifies the prompt's shared parts. With 0 the request has no home; it
+	// stays in the router's availability zone if an endpoint there is not overloaded.
 	Key uint64
+	// Draw is a hash of the request, which decides between endpoints that are equally
+	// suitable, so that requests are divided between them.
+	Draw uint64
 	// Tried are the endpoints to which the request has been sent already; they are
 	// excluded.
 	Tried []*roster.Endpoint
@@ -191,9 +204,9 @@
 	case len(b.scratch) == 0:
 		return nil, refusal
 	case criteria.Key != 0:
-		return b.pickHome(criteria.Key, criteria.HomeLoadFactor*total/float64(len(b.scratch))+homeSlack), None
+		return b.pickHome(now, criteria, total), None
 	}
-	return b.pickLeastLoaded(), None
+	return b.pickInZone(criteria.Draw), None
 }
 
 // filterCandidates removes the candidates that may not get the request. mean is the mean
@@ -237,45 +250,40 @@
 	return None
 }
 
-// pickHome returns the candidate with the highest rendezvous score among those whose
-// load stays within the bound. If all loads exceed the bound, pickHome returns one of the
-// least loaded candidates.
-func (b *Balancer) pickHome(key uint64, bound float64) *State {
-	best := -1
+// pickInZone chooses among the candidates for a request without a prompt. It leaves out those
+// that have more than the mean load for their slots + zoneSlack, and draws among the others in
+// the router's own availability zone, or among all others if there are none.
+func (b *Balancer) pickInZone(draw uint64) *State {
+	total, slots := 0.0, 0.0
 	for i := range b.scratch {
-		c := &b.scratch[i]
-		c.score = placement.Score(key, &c.state.hash)
-		if c.load+1 > bound {
-			c.score -= 1 + c.load
-		}
-		if best < 0 || c.score > b.scratch[best].score {
-			best = i
-		}
+		total += b.scratch[i].load
+		slots += b.scratch[i].slots()
 	}
-	return b.scratch[best].state
-}
-
-// pickLeastLoaded returns the candidate with the lowest load per slot, and prefers the
-// router's own availability zone.
-func (b *Balancer) pickLeastLoaded() *State {
-	best, lowest := -1, math.Inf(1)
-	for i := range b.scratch {
-		c := &b.scratch[i]
-		load := c.load
-		if c.state.Endpoint.Zone != b.zone {
-			load += otherZonePenalty
+	inBound := b.scratch[:0]
+	own := 0 // number of candidates of the own zone, which are moved to the front
+	for _, c := range b.scratch {
+		if c.load > total/slots*c.slots()+zoneSlack {
+			continue
 		}
-		load /= float64(max(1, c.state.Endpoint.Slots))
-		if load < lowest {
-			best, lowest = i, load
+		inBound = append(inBound, c)
+		if c.state.Endpoint.Zone == b.zone {
+			last := len(inBound) - 1
+			inBound[own], inBound[last] = inBound[last], inBound[own]
+			own++
 		}
 	}
-	return b.scratch[best].state
+	if own > 0 {
+		inBound = inBound[:own]
+	}
+	return drawLessLoaded(inBound, draw)
 }
 
 // load returns the number of requests that all routers have in flight at the endpoint,
 // as far as they have reported them.
 func (s *State) load(now time.Time) float64 {
+	if all, ok := s.remoteLoads[allOthers]; ok && now.Sub(all.at) < remoteLoadTTL {
+		return float64(s.LocalRequests + all.requests)
+	}
 	load := s.LocalRequests
 	for _, remote := range s.remoteLoads {
 		if now.Sub(remote.at) < remoteLoadTTL {
@@ -329,6 +337,19 @@
 	}
 }
 
+// SetFleetLoads records the numbers of requests that all other routers together have in
+// flight, at each endpoint and with each prompt (by PromptID). They replace the reports of
+// single routers until they expire.
+func (b *Balancer) SetFleetLoads(now time.Time, atEndpoint func(endpointID string) int, prompts map[uint32]int) {
+	for id, state := range b.states {
+		state.remoteLoads[allOthers] = remoteLoad{requests: atEndpoint(id), at: now}
+	}
+	b.SetRemotePrompts(now, allOthers, prompts)
+}
+
+// LocalPrompts returns the numbers of requests that this router has in flight, by PromptID.
+func (b *Balancer) LocalPrompts() map[uint32]int { return maps.Clone(b.localPrompts) }
+
 // Loads calls yield for each endpoint at which this router has requests in flight, with
 // their number.
 func (b *Balancer) Loads(yield func(endpointID string, requests int)) {
--- a/balance/reachability_test.go
+++ b/balance/reachability_test.go
@@ -58,7 +58,10 @@
 	assert.Equal(t, pick(), "z0")
 	assert.Equal(t, len(b.StartProbes(later)), 1, "the next endpoint is probed")
 	probed[1].RecordProbe(later, true)
-	assert.Equal(t, pick(), "z1")
+	for _, i := range []int{0, 2, 4} {
+		b.SetRemoteLoad(later, "other", endpoints[i].ID, 9)
+	}
+	assert.Equal(t, pick(), "z1", "the own zone is loaded far above the mean")
 }
 
 // Guards against refusing requests when only a doubted zone is left.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -93,8 +93,14 @@
 	self := exchange.Peer{Address: s.Listen.Peers, LinkMbps: s.Router.LinkMbps}
 	peers, err := exchange.Listen(exchange.Config{
 		Router: s.Router.ID, Peer: self, Logger: p.logger, Metrics: p.metrics,
-		Loads:        func() map[string]int { return p.gateway.Loads() },
-		ReceiveLoad:  func(router, endpoint string, requests int) { p.gateway.SetRemoteLoad(router, endpoint, requests) },
+		Loads: func() exchange.Loads {
+			return exchange.Loads{Endpoints: p.gateway.Loads(), Prompts: p.gateway.PromptLoads()}
+		},
+		ReceiveLoad:    func(router, endpoint string, requests int) { p.gateway.SetRemoteLoad(router, endpoint, requests) },
+		ReceivePrompts: func(router string, requests map[uint32]int) { p.gateway.SetRemotePrompts(router, requests) },
+		ReceiveFleetLoads: func(atEndpoint func(string) int, prompts map[uint32]int) {
+			p.gateway.SetFleetLoads(atEndpoint, prompts)
+		},
 		ReceiveBatch: p.receiveBatch,
 	})
 	if err != nil {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,8 +1,9 @@
 // Package exchange sends datagrams between the routers of a fleet. The routers report
-// how many requests they have in flight at each endpoint. A few of them, the relays,
-// forward changes of the store to the others. Relays also announce, for each kind of
-// object, their head: the newest revision that they know. The traffic of a router does not
-// grow with the fleet, except for what relays send and for a heartbeat at long intervals.
+// how many requests they have in flight at each endpoint and for each prompt. A few of
+// them, the relays, forward changes of the store to the others, and in a large fleet the
+// sums of the reports. Relays also announce, for each kind of object, their head: the
+// newest revision that they know. The traffic of a router does not grow with the fleet,
+// except for that of relays and for a heartbeat at long intervals.
 package exchange
 
 import (
@@ -37,17 +38,21 @@
 type message struct {
 	Router string `cbor:"1,keyasint"`
 	// Loads are the numbers of requests that the sender has in flight, by endpoint id.
-	// In a large fleet they have only the endpoints that the receiver owns (see
-	// maxDirectRouters). HasLoads is set if the message reports loads; endpoints that
-	// are missing from Loads then have a load of 0.
+	// HasLoads is set if the message reports loads; endpoints that are missing from Loads
+	// then have a load of 0.
 	Loads    map[string]int         `cbor:"2,keyasint,omitempty"`
 	HasLoads bool                   `cbor:"3,keyasint,omitempty"`
 	Heads    map[string]mirror.Head `cbor:"4,keyasint,omitempty"` // by kind, from relays
 	Batch    *mirror.Batch          `cbor:"5,keyasint,omitempty"`
 	Relay    bool                   `cbor:"6,keyasint,omitempty"` // the sender is a relay
-	// RemoteLoads are the numbers of requests that all routers except the receiver have in
-	// flight, by endpoint id, at the endpoints whose load the receiver has reported.
+	// RemoteLoads are sent by earlier versions: the numbers of requests that all routers
+	// except the receiver have in flight, by endpoint id.
 	RemoteLoads map[string]int `cbor:"7,keyasint,omitempty"`
+	// Prompts are the numbers of requests that the sender has in flight, by
+	// balance.PromptID. They belong to Loads. Earlier versions do not send them.
+	Prompts map[uint32]int `cbor:"8,keyasint,omitempty"`
+	// View is sent by a relay of a large fleet. Earlier versions ignore it.
+	View *fleetView `cbor:"9,keyasint,omitempty"`
 }
 
 // Peer is the registration of a router.
@@ -63,12 +68,17 @@
 	Peer           // this router
 	Logger  *zap.Logger
 	Metrics *telemetry.Metrics
-	// Loads returns the numbers of requests that this router has in flight, by
-	// endpoint id.
-	Loads func() map[string]int
+	// Loads returns the numbers of requests that this router has in flight.
+	Loads func() Loads
 	// ReceiveLoad is called with the number of requests that another router has in
 	// flight at an endpoint, or with the total of all others, for which router is "*".
 	ReceiveLoad func(router, endpointID string, requests int)
+	// ReceivePrompts is called with the numbers of requests that another router has in
+	// flight, by balance.PromptID.
+	ReceivePrompts func(router string, requests map[uint32]int)
+	// ReceiveFleetLoads is called in a large fleet with the numbers of requests that all
+	// other routers together have in flight: at an endpoint, and by balance.PromptID.
+	ReceiveFleetLoads func(atEndpoint func(endpointID string) int, prompts map[uint32]int)
 	// ReceiveBatch is called with the changes that a relay forwards.
 	ReceiveBatch func(batch mirror.Batch)
 }
@@ -87,7 +97,9 @@
 	heads          map[string]mirror.Head // what this router announces as a relay, by kind
 	pending        []pendingBatch         // oldest first
 	rank           int                    // number of relays among predecessors; below relayCount, this router is a relay
-	loadsSentAt    time.Time              // when loads were last sent
+	reported       Loads                  // what this router last sent to the relays of a large fleet
+	relaySince     time.Time              // when this router became a relay; zero if it is none
+	viewSentAt     time.Time              // when this router last sent a view
 	heartbeatIndex int                    // index in relayOrder of the peer that got the last heartbeat
 }
 
@@ -102,11 +114,12 @@
 	// relayAt is when the peer's last message as a relay arrived. expectedAt is the
 	// time since which the peer is expected to be a relay; zero if it is not expected.
 	relayAt, expectedAt time.Time
-	// loads are the newest loads received from the peer. Endpoints that are missing
-	// from the peer's next loads are set to 0.
-	loads map[string]int
-	// sentLoads is set when the last loads sent to the peer were not empty.
-	sentLoads bool
+	// loads and prompts are the newest loads received from the peer, at loadsAt.
+	// Endpoints that are missing from the peer's next loads are set to 0.
+	loads   map[string]int
+	prompts map[uint32]int
+	loadsAt time.Time
+	viewAt  time.Time // when the peer's last view arrived
 }
 
 // Listen opens the UDP socket and returns an Exchange without peers.
@@ -178,8 +191,9 @@
 	e.mu.Lock()
 	e.rank = e.computeRank(now)
 	outgoing := e.loadMessages(now, own)
+	view := e.dueView(now, own)
 	if e.rank < relayCount {
-		m := &message{Router: e.config.Router, Relay: true, Heads: maps.Clone(e.heads)}
+		m := &message{Router: e.config.Router, Relay: true, Heads: maps.Clone(e.heads), View: view}
 		for _, p := range e.peers {
 			outgoing = append(outgoing, outgoingMessage{p.address, m})
 		}
@@ -188,6 +202,9 @@
 	overdue := e.overdueBatches(now)
 	e.mu.Unlock()
 	e.send(outgoing)
+	if view != nil {
+		e.applyView(view, own)
+	}
 	for i := range overdue {
 		e.config.Metrics.Counter("exchange.news.backup").Inc(1)
 		e.broadcast(&message{Router: e.config.Router, Batch: &overdue[i]})
@@ -266,13 +283,14 @@
 	}
 }
 
-// handleMessage records what a message says of its sender, and passes the batch and the
-// loads to the functions of Config. If the sender is not a known peer, only the batch is
+// handleMessage records what a message says of its sender, and passes the batch, the
+// loads and the view to the functions of Config. If the sender is not a known peer, only the batch is
 // used.
 func (e *Exchange) handleMessage(now time.Time, m message) {
 	e.mu.Lock()
 	p, ok := e.peers[m.Router]
 	var previous map[string]int
+	direct, acceptsView, reported := e.sendsDirect(), false, e.reported
 	if ok {
 		p.lastHeard = now
 		if m.Relay {
@@ -281,6 +299,11 @@
 		}
 		if m.HasLoads {
 			previous, p.loads = p.loads, m.Loads
+			p.prompts, p.loadsAt = m.Prompts, now
+		}
+		if m.View != nil {
+			p.viewAt = now
+			acceptsView = !direct && e.acceptsView(now, p)
 		}
 	}
 	e.mu.Unlock()
@@ -288,7 +311,10 @@
 		e.config.ReceiveBatch(*m.Batch)
 	}
 	if ok {
-		e.applyLoads(m, previous)
+		e.applyLoads(m, previous, direct)
+	}
+	if acceptsView {
+		e.applyView(m.View, reported)
 	}
 }
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,9 @@
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
+// promptOfTest is the prompt of all requests in flight at endpoint "e".
+const promptOfTest = 77
+
 // router is a router of a fleet on the loopback interface. own are the loads that it
 // sends; loads and batches are what it has received.
 type router struct {
@@ -22,6 +26,7 @@
 	mu      sync.Mutex
 	own     map[string]int
 	loads   map[string]int // "router/endpoint"
+	prompts map[uint32]int // of all others, from the newest view
 	batches []mirror.Batch
 	stop    context.CancelFunc
 }
@@ -34,20 +39,26 @@
 		r := &router{own: map[string]int{}, loads: map[string]int{}}
 		e, err := Listen(Config{
 			Router: fmt.Sprintf("r%d", i), Peer: Peer{Address: "127.0.0.1:0"}, Logger: zap.NewNop(), Metrics: telemetry.NewMetrics(),
-			Loads: func() map[string]int {
+			Loads: func() Loads {
 				r.mu.Lock()
 				defer r.mu.Unlock()
-				loads := map[string]int{}
-				for id, n := range r.own {
-					loads[id] = n
-				}
-				return loads
+				return Loads{Endpoints: maps.Clone(r.own), Prompts: map[uint32]int{promptOfTest: r.own["e"]}}
 			},
 			ReceiveLoad: func(from, endpoint string, requests int) {
 				r.mu.Lock()
 				defer r.mu.Unlock()
 				r.loads[from+"/"+endpoint] = requests
 			},
+			ReceivePrompts: func(from string, requests map[uint32]int) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.loads[from+"/prompt"] = requests[promptOfTest]
+			},
+			ReceiveFleetLoads: func(atEndpoint func(string) int, prompts map[uint32]int) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.loads[allOthers+"/e"], r.prompts = atEndpoint("e"), prompts
+			},
 			ReceiveBatch: func(batch mirror.Batch) {
 				r.mu.Lock()
 				defer r.mu.Unlock()
@@ -92,7 +103,7 @@
 	fleet[0].mu.Lock()
 	fleet[0].own["e"] = 3
 	fleet[0].mu.Unlock()
-	eventually(t, "load arrives", func() bool { return fleet[1].load("r0/e") == 3 })
+	eventually(t, "load arrives", func() bool { return fleet[1].load("r0/e") == 3 && fleet[1].load("r0/prompt") == 3 })
 	fleet[0].mu.Lock()
 	delete(fleet[0].own, "e")
 	fleet[0].mu.Unlock()
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -38,7 +38,7 @@
 	defer e.mu.Unlock()
 	limit := aliveTimeout
 	if e.sendsDirect() {
-		limit = aliveLoadIntervals * e.loadInterval()
+		limit = aliveLoadIntervals * sendInterval
 	}
 	alive := map[string]bool{e.config.Router: true}
 	for id, p := range e.peers {
--- a/exchange/loads_test.go
+++ b/exchange/loads_test.go
@@ -6,8 +6,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/hornbeamproxy/hornbeamproxy/placement"
 )
 
 // offline returns the exchange of one router in a fleet of the given size. Send is not
@@ -25,63 +23,117 @@
 	return e
 }
 
-// Guards against two faults in a large fleet: routers with requests at the same endpoint
-// do not receive its total; the total is not reset after the requests have ended.
-func TestLoadsThroughOwner(t *testing.T) {
-	fleet := newFleet(t, maxDirectRouters+3)
-	owner := placement.Owner("e", fleet[0].ids)
-	var users []*router
-	for _, r := range fleet {
-		if r.config.Router != owner && len(users) < 2 {
-			users = append(users, r)
-		}
+// set sets the number of requests that a router has in flight at endpoint "e".
+func (r *router) set(requests int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.own["e"] = requests
+	if requests == 0 {
+		delete(r.own, "e")
 	}
-	set := func(r *router, requests int) {
+}
+
+// Guards against three faults in a large fleet: a router does not know the load of an
+// endpoint at which it has no requests itself; the total is not reset after the requests have
+// ended; the totals stay away for good when the first relay stops.
+func TestFleetLoadsThroughRelays(t *testing.T) {
+	fleet := newFleet(t, maxDirectRouters+3)
+	fleet[1].set(3)
+	fleet[2].set(2)
+	knows := func(r *router, others int) bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.own["e"] = requests
-		if requests == 0 {
-			delete(r.own, "e")
+		return r.loads[allOthers+"/e"] == others && r.prompts[promptOfTest] == others
+	}
+	all := func(total int) func() bool {
+		return func() bool {
+			for _, r := range fleet {
+				if !knows(r, total-r.ownLoad()) {
+					return false
+				}
+			}
+			return true
 		}
 	}
-	set(users[0], 3)
-	set(users[1], 2)
-	eventually(t, "totals", func() bool {
-		return users[0].load(allOthers+"/e") == 2 && users[1].load(allOthers+"/e") == 3
-	})
-	set(users[1], 0)
-	eventually(t, "the total falls", func() bool { return users[0].load(allOthers+"/e") == 0 })
-	for _, r := range fleet {
-		if r.config.Router == owner {
-			assert.Equal(t, r.load(users[0].config.Router+"/e"), 3)
-			assert.Equal(t, r.load(users[1].config.Router+"/e"), 0)
+	eventually(t, "all routers know the total", all(5))
+	for i, r := range fleet {
+		if _, first := r.RelayRole(); first {
+			r.stop()
+			fleet = append(fleet[:i:i], fleet[i+1:]...)
+			break
 		}
 	}
+	for _, r := range fleet {
+		r.set(0)
+	}
+	fleet[3].set(4)
+	eventually(t, "another relay sends the total", all(4))
 }
 
-// Guards against control traffic per router that grows with the fleet.
+func (r *router) ownLoad() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.own["e"]
+}
+
+// Guards against control traffic of an ordinary router that grows with the fleet.
 func TestDatagramsOfLargeFleet(t *testing.T) {
 	now := time.Unix(1000, 0)
-	own := map[string]int{"a": 1, "b": 2, "c": 1, "d": 4, "e": 1}
 	for _, routers := range []int{maxDirectRouters + 1, 350} {
 		e := offline(t, 0, routers)
-		for i, p := range e.relayOrder[:5] {
-			p.lastHeard, p.loads = now, map[string]int{fmt.Sprintf("x%d", i): 1}
-		}
-		assert.Assert(t, len(e.loadMessages(now, own)) <= 10, "5 reports and 5 totals")
-		assert.Equal(t, len(e.loadMessages(now.Add(sendInterval), own)), 0, "not due yet")
+		assert.Equal(t, len(e.loadMessages(now, Loads{})), relayCount, "%d routers", routers)
 		assert.Assert(t, len(e.heartbeats()) <= 9)
 	}
+	assert.Equal(t, len(offline(t, 0, maxDirectRouters).loadMessages(now, Loads{})), maxDirectRouters-1)
 }
 
-// Guards against a load interval that does not grow with the fleet: each router would
-// receive more datagrams the larger the fleet is.
-func TestLoadInterval(t *testing.T) {
-	for routers, want := range map[int]time.Duration{1: 250, 32: 250, 33: 500, 91: 750, maxDirectRouters: 1000, maxDirectRouters + 1: 500, 350: 500} {
-		assert.Equal(t, offline(t, 0, routers).loadInterval(), want*time.Millisecond, "%d routers", routers)
+// Guards against views that take more than the bytes a second that control traffic may
+// use, also with all endpoints of the target size in use and many hot prompts, and against
+// loads that a view changes.
+func TestViewSize(t *testing.T) {
+	for _, endpoints := range []int{6, 99, 600, 2000} {
+		sum := Loads{Endpoints: map[string]int{}, Prompts: map[uint32]int{}}
+		for i := range endpoints {
+			sum.Endpoints[fmt.Sprintf("i-%08x", i*2654435761)] = 1 + i%300
+			sum.Prompts[uint32(i)] = i
+		}
+		view := newFleetView(sum)
+		perSecond := float64(len(view.Endpoints)) / view.interval().Seconds()
+		assert.Assert(t, perSecond <= viewBytesPerSecond, "%d endpoints: %.0f bytes a second", endpoints, perSecond)
+		assert.Assert(t, len(view.Prompts) <= maxViewPrompts)
+		loads, wrong := view.loads(), 0
+		for id, requests := range sum.Endpoints {
+			if loads[endpointHash(id)] != min(requests, maxViewLoad) {
+				wrong++
+			}
+		}
+		assert.Assert(t, wrong <= 2, "%d of %d loads differ, more than by a shared hash", wrong, endpoints)
 	}
 }
 
+// Guards against a relay that has just started and sends sums of the few reports that it
+// has received so far: all endpoints would seem idle.
+func TestNewRelaySendsNoView(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := offline(t, 0, maxDirectRouters+1)
+	e.rank = 0
+	assert.Assert(t, e.dueView(now, Loads{}) == nil)
+	assert.Assert(t, e.dueView(now.Add(2*collectTime), Loads{}) == nil, "no reports")
+	for i, p := range e.relayOrder {
+		if i%3 > 0 {
+			p.loadsAt = now.Add(2 * collectTime)
+		}
+	}
+	assert.Assert(t, e.dueView(now.Add(2*collectTime), Loads{}) != nil)
+	assert.Assert(t, e.dueView(now.Add(2*collectTime), Loads{}) == nil, "not due again")
+}
+
+// Guards against a malformed view that ends the process or is used in part.
+func TestMalformedView(t *testing.T) {
+	view := fleetView{Endpoints: []byte{1, 2, 3, 4, 5, 6}}
+	assert.DeepEqual(t, view.loads(), map[uint32]int{0x01020300: 4})
+}
+
 // Guards against peers that get no heartbeat within heartbeatInterval.
 func TestHeartbeatsReachAll(t *testing.T) {
 	e := offline(t, 0, 200)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -301,9 +301,11 @@
 	defer x.g.mu.Unlock()
 	criteria := x.g.pickCriteria(x.table.Services[x.service])
 	criteria.Key, criteria.Tried, criteria.Repeatable = x.promptKey, x.tried, x.route.Repeatable()
+	criteria.Draw = x.draw()
 	state, refusal := x.g.balancer.Pick(now, criteria)
 	if state != nil {
 		state.RecordStart(now)
+		x.g.balancer.RecordPromptStart(x.promptKey)
 		x.copyFrom = ""
 		if source := x.g.balancer.CopySource(now, x.promptKey, state, criteria.Members); source != nil {
 			x.copyFrom = source.Address
@@ -321,6 +323,14 @@
 	return nil, result{refusal: api.RefusalNoEndpoint, retryAfter: retryAfterChange, notSent: true}
 }
 
+// draw returns a hash that differs between requests and between the attempts of a request.
+func (x *exchange) draw() uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(uint64(len(x.tried)) + 1)
+	_, _ = digest.WriteString(x.request.ID)
+	return digest.Sum64()
+}
+
 // release ends the request's use of the endpoint and records the outcome. A nil failure
 // counts as a success, and errCallerGone as neither a success nor a failure. An endpoint
 // that is ejected because of the failure is marked cold.
@@ -328,6 +338,7 @@
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	state.RecordEnd()
+	x.g.balancer.RecordPromptEnd(x.promptKey)
 	switch {
 	case failure == nil:
 		state.RecordSuccess()
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -105,6 +105,22 @@
 	g.balancer.SetRemoteLoad(time.Now(), router, endpointID, requests)
 }
 
+// SetRemotePrompts sets the numbers of requests that another router has in flight, by
+// balance.PromptID.
+func (g *Gateway) SetRemotePrompts(router string, requests map[uint32]int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.SetRemotePrompts(time.Now(), router, requests)
+}
+
+// SetFleetLoads sets the numbers of requests that all other routers together have in
+// flight, at each endpoint and by balance.PromptID.
+func (g *Gateway) SetFleetLoads(atEndpoint func(endpointID string) int, prompts map[uint32]int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.SetFleetLoads(time.Now(), atEndpoint, prompts)
+}
+
 // OwnTime returns the median and the 99th percentile of the time that this router
 // itself spends on a request until the first event or the complete response.
 func (g *Gateway) OwnTime() (median, high time.Duration) {
@@ -120,3 +136,11 @@
 	g.balancer.Loads(func(id string, requests int) { loads[id] = requests })
 	return loads
 }
+
+// PromptLoads returns the number of requests that this router has in flight for each
+// prompt, by balance.PromptID.
+func (g *Gateway) PromptLoads() map[uint32]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.LocalPrompts()
+}
