Send the requests of a prompt that is not hot to one endpoint when its home is full

One cause: each prompt whose home was over its bound went to four others. Hot prompts are divided by their own number of requests, and different prompts have different successors, so that one is enough.

--- a/balance/hotprompt.go
+++ b/balance/hotprompt.go
@@ -18,9 +18,6 @@
 const (
 	// maxSpread is the largest number of endpoints that share a prompt.
 	maxSpread = 64
-	// spillWidth is the number of endpoints among which the requests of a prompt are
-	// divided when its home is over its bound although the prompt itself is not hot.
-	spillWidth = 4
 	// A prompt whose requests grew by at least minGrowth between two reports is expected
 	// to have grown by growthReports times as much again before the next report takes
 	// effect: the newest report is up to two intervals old.
@@ -115,10 +112,10 @@
 }
 
 // pickHome chooses among the candidates for a prompt. total is the load of all usable
-// endpoints. The prompt's home gets the request if its load stays within the bound and the
-// prompt is not hot. Otherwise pickHome draws two of the candidates that share the prompt,
-// those with the highest rendezvous scores within the bound, and returns the one with the
-// lower load. If all loads exceed the bound, it draws among all candidates.
+// endpoints. The prompt is shared by the candidates with the highest rendezvous scores among
+// those whose load stays within the bound: one, which is the prompt's home unless that is over
+// the bound, or several if the prompt is hot. Of these, pickHome draws two and returns the one
+// with the lower load. If all loads exceed the bound, it draws among all candidates.
 func (b *Balancer) pickHome(now time.Time, criteria Criteria, total float64) *State {
 	count := float64(len(b.scratch))
 	bound := criteria.HomeLoadFactor*total/count + homeSlack
@@ -126,20 +123,8 @@
 	othersMean := max(0, total-float64(requests-1)) / count
 	width := spread(requests, othersMean, bound)
 
-	home := 0
 	for i := range b.scratch {
-		c := &b.scratch[i]
-		c.score = placement.Score(criteria.Key, &c.state.hash)
-		if c.score > b.scratch[home].score {
-			home = i
-		}
-	}
-	homeInBound := b.scratch[home].load+1 <= bound
-	if width == 1 && homeInBound {
-		return b.scratch[home].state
-	}
-	if !homeInBound {
-		width = max(width, spillWidth)
+		b.scratch[i].score = placement.Score(criteria.Key, &b.scratch[i].state.hash)
 	}
 	inBound := b.scratch[:0]
 	for _, c := range b.scratch {
