Bound what is read of a response that is no answer, and close its connection

Cause: the head of a response had no bound (memory grew until the deadline), an event of a stream had none, and the rest of a body that was longer than what is discarded stayed on a connection that was used again: its bytes could be taken for the response to the next request. A stream without a length that its endpoint ended in the middle of an event looked complete.

Bytes that are no response end the attempt with upstream_mismatch and the counter upstream.no_response. A body that ends with its connection is complete only after a whole event.

Held before already: trailers, chunk size lines and extensions (net/http), responses to other requests, bodies without a signature.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -144,7 +143,7 @@
 			return response, head, nil
 		}
 		x.g.metrics.Counter("upstream.skipped_answers").Inc(1)
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes)); err != nil {
+		if err := discardBody(response); err != nil {
 			return nil, ResponseHead{}, err
 		}
 	}
@@ -154,7 +153,12 @@
 // sent and before the head of its response arrived.
 func (x *exchange) handleNoResponse(conn *upstream.Conn, state *balance.State, err error) result {
 	x.mayHaveRun = true
-	return x.handleBroken(conn, state, err, errEndpointFailed, result{refusal: api.RefusalUpstreamFailed, retry: api.RetryReasonResponseCut})
+	failure := result{refusal: api.RefusalUpstreamFailed, retry: api.RetryReasonResponseCut}
+	if errors.Is(err, upstream.ErrNoResponse) || errors.Is(err, errBodyTooLarge) {
+		x.g.metrics.Counter("upstream.no_response").Inc(1)
+		failure = result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
+	}
+	return x.handleBroken(conn, state, err, errEndpointFailed, failure)
 }
 
 // handleBroken handles a connection that failed while the endpoint worked on the request.
@@ -214,10 +218,10 @@
 // handleNotRun handles a response that shows that the request did not run: the endpoint
 // refused it, or another endpoint answered at the address.
 func (x *exchange) handleNotRun(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response, head ResponseHead) result {
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
-	if err == nil {
+	if err := discardBody(response); err == nil {
 		pool.Release(conn, response, time.Now())
 	} else {
+		x.log("connection closed", string(api.RefusalUpstreamMismatch), zap.Error(err))
 		conn.Close()
 	}
 	x.release(state, nil)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -185,6 +186,24 @@
 	assert.Equal(t, len(one.received())+len(two.received()), 1, "a stream that may not be resumed ran again")
 }
 
+// Guards against a stream without a length that ends in the middle of an event, as its
+// endpoint closes the connection, and looks complete to the caller.
+func TestUnframedStreamCutInEvent(t *testing.T) {
+	for body, complete := range map[string]bool{
+		"id: 1\ndata: 1\n\n":         true,
+		"id: 1\ndata: 1\n\nid: 2\nd": false,
+	} {
+		unframed := func(r *http.Request, w io.Writer) bool {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n\r\n%s", r.Header.Get("Request-Id"), body)
+			return false
+		}
+		f := newTestGateway(t, newEndpoint(t, "e1", unframed)).configure()
+		_, received, err := f.do(t, "/report/1")
+		assert.Equal(t, err == nil, complete, "%q", body)
+		assert.Assert(t, strings.HasPrefix(body, received))
+	}
+}
+
 // Guards against an endpoint that goes on working for a caller that has disconnected.
 func TestCallerLeaves(t *testing.T) {
 	release := make(chan struct{})
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -33,6 +33,8 @@
 	scripts  []script
 	requests []*http.Request
 	closed   int // number of connections that the gateway closed
+	accepted int // number of connections in all
+	open     int // number of connections that are not closed
 }
 
 // script writes the response to a request. The connection is closed when it returns
@@ -58,6 +60,8 @@
 }
 
 func (e *endpoint) serve(conn net.Conn) {
+	e.countOpen(1)
+	defer e.countOpen(-1)
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -86,6 +90,21 @@
 	}
 }
 
+// countOpen changes the number of open connections.
+func (e *endpoint) countOpen(change int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.open += change
+	e.accepted += max(0, change)
+}
+
+// connections returns the numbers of connections that were accepted and that are open.
+func (e *endpoint) connections() (accepted, open int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.accepted, e.open
+}
+
 func (e *endpoint) received() []*http.Request {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -18,7 +19,15 @@
 	// maxBufferedBytes is the size up to which a response is read completely before
 	// any of it is forwarded. If it is cut off, the request can be retried or the
 	// caller gets a refusal with the reason.
-	maxBufferedBytes = 1 << 20
+	maxBufferedBytes = 256 << 10
+	// maxDiscardedBytes is the size up to which the body of a response that is not
+	// forwarded is read, so that its connection can be used again. Above it, the
+	// connection is closed.
+	maxDiscardedBytes = 64 << 10
+	// maxEventBytes bounds one event of a stream. A caller can't use a part of an event,
+	// and a stream can't be resumed after a part, so that a larger one ends the stream as
+	// incomplete.
+	maxEventBytes = 256 << 10
 	// initialBufferBytes is the initial capacity of a pooled buffer: most requests fit.
 	initialBufferBytes = 16 << 10
 	// maxPooledBytes is the capacity above which a buffer is not returned to the pool.
@@ -37,6 +46,25 @@
 	}
 }
 
+var (
+	errBodyTooLarge  = fmt.Errorf("gateway: body that is not forwarded is larger than %d bytes", maxDiscardedBytes)
+	errEventTooLarge = fmt.Errorf("gateway: event larger than %d bytes", maxEventBytes)
+)
+
+// discardBody reads the body of a response that is not forwarded to its end. After an error
+// the connection can't be used again, since the rest of the body would be taken for the next
+// response.
+func discardBody(response *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBytes+1))
+	switch {
+	case err != nil:
+		return fmt.Errorf("discarding a body: %w", err)
+	case n > maxDiscardedBytes:
+		return errBodyTooLarge
+	}
+	return nil
+}
+
 // hopHeaders are the hop-by-hop headers, which are not forwarded.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -45,7 +45,8 @@
 		x.stream.started, x.stream.resumable = true, true
 		x.stream.lastID = x.request.ResumeAfter
 	}
-	err := x.copyEvents(response.Body, resumed)
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	err := x.copyEvents(response.Body, framed, resumed)
 	switch {
 	case err == nil:
 		pool.Release(conn, response, time.Now())
@@ -61,8 +62,10 @@
 }
 
 // copyEvents forwards complete events. Bytes after the last event are forwarded only
-// if the stream ended properly. Errors: errCallerGone, or the error of reading body.
-func (x *exchange) copyEvents(body io.Reader, resumed bool) error {
+// if the stream ended properly. The end of a body that is not framed, which ends with its
+// connection, is proper only after a complete event. Errors: errCallerGone, errEventTooLarge,
+// or the error of reading body.
+func (x *exchange) copyEvents(body io.Reader, framed, resumed bool) error {
 	flusher, _ := x.w.(http.Flusher)
 	forwarded := resumed // whether an event has been forwarded
 	b := getBuffer()
@@ -70,6 +73,9 @@
 	pending := b.b[:0]
 	defer func() { b.b = pending }()
 	for {
+		if len(pending) >= maxEventBytes {
+			return errEventTooLarge
+		}
 		if len(pending) == cap(pending) {
 			pending = append(pending, 0)[:len(pending)]
 		}
@@ -96,6 +102,9 @@
 			pending = pending[:copy(pending, pending[end:])]
 		}
 		if err == io.EOF {
+			if len(pending) > 0 && !framed {
+				return io.ErrUnexpectedEOF
+			}
 			if len(pending) > 0 {
 				if _, werr := x.w.Write(pending); werr != nil {
 					return errCallerGone
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -22,6 +23,11 @@
 	// ErrBroken means that the connection failed after a byte of the request may have
 	// been sent.
 	ErrBroken = errors.New("upstream: connection broken")
+	// ErrNoResponse means that the endpoint sent bytes that are not the head of a
+	// response, or a head that is too large. It comes together with ErrBroken.
+	ErrNoResponse = errors.New("upstream: bytes are not a response")
+
+	errHeadTooLarge = fmt.Errorf("%w: head larger than %d bytes", ErrNoResponse, maxHeadBytes)
 )
 
 // IsNetworkTimeout reports whether an error of this package means that the endpoint's
@@ -34,6 +40,12 @@
 
 const (
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response together with the informational responses
+	// before it. The bound is exceeded by up to readBufferBytes.
+	maxHeadBytes = 64 << 10
+	// maxInformational is the number of informational responses (status 1xx) that may
+	// come before the final one.
+	maxInformational = 5
 	// idleMargin is subtracted from the idle timeout that an endpoint announces, so
 	// that no request is sent while the endpoint is closing the connection.
 	idleMargin = 400 * time.Millisecond
@@ -51,6 +63,9 @@
 	idleSince   time.Time
 	// Reused is set when the connection has been taken from the idle ones.
 	Reused bool
+	// headBytesLeft is the number of bytes that may still be read of the head. It is below
+	// 0 while no head is read.
+	headBytesLeft int
 	// requestRetryable is set when the request in flight may be retried or resumed at
 	// another endpoint.
 	requestRetryable atomic.Bool
@@ -60,7 +75,7 @@
 }
 
 func newConn(conn net.Conn, pool *Pool) *Conn {
-	c := &Conn{net: conn, pool: pool, idleTimeout: defaultIdleTimeout}
+	c := &Conn{net: conn, pool: pool, idleTimeout: defaultIdleTimeout, headBytesLeft: -1}
 	c.reader = bufio.NewReaderSize(activityReader{c}, readBufferBytes)
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		if raw, err := tcp.SyscallConn(); err == nil {
@@ -70,11 +85,18 @@
 	return c
 }
 
-// activityReader reads from a connection and sets its lastRead when bytes arrive.
+// activityReader reads from a connection. It sets lastRead when bytes arrive, and fails when
+// the head that is being read is larger than maxHeadBytes.
 type activityReader struct{ conn *Conn }
 
 func (r activityReader) Read(b []byte) (int, error) {
+	if r.conn.headBytesLeft == 0 {
+		return 0, errHeadTooLarge
+	}
 	n, err := r.conn.net.Read(b)
+	if r.conn.headBytesLeft > 0 {
+		r.conn.headBytesLeft = max(0, r.conn.headBytesLeft-n)
+	}
 	if n > 0 {
 		r.conn.lastRead.Store(time.Now().UnixNano())
 	}
@@ -107,13 +129,34 @@
 	}
 }
 
-// Receive reads the head of the next response. Errors: ErrBroken.
+// Receive reads the head of the next final response. Errors: ErrBroken, and also
+// ErrNoResponse if the bytes that arrived are not a response.
 func (c *Conn) Receive(request *http.Request) (*http.Response, error) {
-	response, err := http.ReadResponse(c.reader, request)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+	c.headBytesLeft = maxHeadBytes
+	defer func() { c.headBytesLeft = -1 }()
+	for range maxInformational + 1 {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrBroken, classifyHeadError(err))
+		}
+		if response.StatusCode >= 200 {
+			return response, nil
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, fmt.Errorf("%w: %w: status 101", ErrBroken, ErrNoResponse)
+		}
+	}
+	return nil, fmt.Errorf("%w: %w: over %d informational responses", ErrBroken, ErrNoResponse, maxInformational)
+}
+
+// classifyHeadError adds ErrNoResponse to an error of http.ReadResponse unless it comes from
+// the connection.
+func classifyHeadError(err error) error {
+	var netErr net.Error
+	if errors.Is(err, ErrNoResponse) || errors.As(err, &netErr) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+		return err
 	}
-	return response, nil
+	return fmt.Errorf("%w: %w", ErrNoResponse, err)
 }
 
 // Buffered reports whether bytes have been read that no response has consumed. After a
