Save calls to the store: changes in fragments, and fewer calls at starts and in outages

A panic in the handling of a message or an object is logged with its stack and counted, and ends neither the process nor the objects after it (it ended the process before: TestUnexpectedObject).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -91,8 +91,9 @@
 	s := p.options.Settings
 	p.store = platform.NewStore("http://"+s.Store.Address, "", p.metrics)
 	self := exchange.Peer{Address: s.Listen.Peers, LinkMbps: s.Router.LinkMbps}
+	guard := telemetry.Guard{Logger: p.logger, Metrics: p.metrics}
 	peers, err := exchange.Listen(exchange.Config{
-		Router: s.Router.ID, Peer: self, Logger: p.logger, Metrics: p.metrics,
+		Router: s.Router.ID, Peer: self, Logger: p.logger, Metrics: p.metrics, Guard: guard,
 		Loads: func() exchange.Loads {
 			return exchange.Loads{Endpoints: p.gateway.Loads(), Prompts: p.gateway.PromptLoads()}
 		},
@@ -120,7 +121,7 @@
 	} {
 		p.mirrors[kind] = mirror.New(mirror.Config{
 			Source: p.store, Kind: kind, WatchWait: watchWait, ListToCatchUp: kind == platform.KindConfig,
-			Receiver: receiver, Peers: peers, Logger: p.logger,
+			Receiver: receiver, Peers: peers, Logger: p.logger, Guard: guard,
 		})
 	}
 	p.fleet = &fleet{
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -30,8 +30,10 @@
 	// announce their heads, and routers of a small fleet send their loads, each time.
 	sendInterval = 250 * time.Millisecond
 	// maxDatagram is the largest size of a datagram in bytes. A batch that does not fit
-	// is sent without its objects.
+	// is sent in fragments.
 	maxDatagram = 8 << 10
+	// maxAssemblies bounds the number of kinds whose fragments are kept for a peer.
+	maxAssemblies = 8
 )
 
 // message is the content of one datagram, encoded as CBOR.
@@ -53,6 +55,9 @@
 	Prompts map[uint32]int `cbor:"8,keyasint,omitempty"`
 	// View is sent by a relay of a large fleet. Earlier versions ignore it.
 	View *fleetView `cbor:"9,keyasint,omitempty"`
+	// Fragment is a part of a batch that does not fit into one datagram. Earlier versions
+	// ignore it and read the changes from the store.
+	Fragment *fragment `cbor:"10,keyasint,omitempty"`
 }
 
 // Peer is the registration of a router.
@@ -68,6 +73,8 @@
 	Peer           // this router
 	Logger  *zap.Logger
 	Metrics *telemetry.Metrics
+	// Guard runs the handling of each message.
+	Guard telemetry.Guard
 	// Loads returns the numbers of requests that this router has in flight.
 	Loads func() Loads
 	// ReceiveLoad is called with the number of requests that another router has in
@@ -120,6 +127,8 @@
 	prompts map[uint32]int
 	loadsAt time.Time
 	viewAt  time.Time // when the peer's last view arrived
+	// assemblies are the batches of which fragments have arrived, by kind.
+	assemblies map[string]*assembly
 }
 
 // Listen opens the UDP socket and returns an Exchange without peers.
@@ -156,7 +165,7 @@
 			known.linkMbps = entry.LinkMbps
 			continue
 		}
-		e.peers[id] = &peer{id: id, address: address, linkMbps: entry.LinkMbps, loads: map[string]int{}}
+		e.peers[id] = &peer{id: id, address: address, linkMbps: entry.LinkMbps, loads: map[string]int{}, assemblies: map[string]*assembly{}}
 	}
 	e.ids = []string{e.config.Router}
 	e.relayOrder = e.relayOrder[:0]
@@ -207,7 +216,7 @@
 	}
 	for i := range overdue {
 		e.config.Metrics.Counter("exchange.news.backup").Inc(1)
-		e.broadcast(&message{Router: e.config.Router, Batch: &overdue[i]})
+		e.broadcastBatch(&overdue[i])
 	}
 }
 
@@ -228,6 +237,26 @@
 	e.send(outgoing)
 }
 
+// broadcastBatch sends a batch to all peers: in one datagram if it fits, otherwise in
+// fragments, and without its objects if it is too large for that.
+func (e *Exchange) broadcastBatch(batch *mirror.Batch) {
+	whole := &message{Router: e.config.Router, Batch: batch}
+	if encoded, err := cbor.Marshal(whole); err == nil && len(encoded) <= maxDatagram {
+		e.broadcast(whole)
+		return
+	}
+	parts, err := e.fragments(batch)
+	if err != nil {
+		e.config.Logger.Error("batch not sent in fragments", zap.String("kind", batch.Kind), zap.Uint64("revision", batch.To), zap.Error(err))
+	}
+	for _, part := range parts {
+		e.broadcast(part)
+	}
+	if len(parts) == 0 {
+		e.broadcast(&message{Router: e.config.Router, Batch: &mirror.Batch{Kind: batch.Kind, From: batch.From, To: batch.To, Partial: true}})
+	}
+}
+
 // send encodes and sends the messages. A message that goes to several receivers in a row is
 // encoded only once.
 func (e *Exchange) send(outgoing []outgoingMessage) {
@@ -249,15 +278,9 @@
 }
 
 // encode returns the datagram of a message, or nil if it can't be encoded or exceeds
-// maxDatagram. A batch that makes it too large is replaced with a Partial one without
-// objects.
+// maxDatagram.
 func (e *Exchange) encode(m *message) []byte {
 	datagram, err := cbor.Marshal(m)
-	if err == nil && len(datagram) > maxDatagram && m.Batch != nil {
-		short := *m
-		short.Batch = &mirror.Batch{Kind: m.Batch.Kind, From: m.Batch.From, To: m.Batch.To, Partial: true}
-		datagram, err = cbor.Marshal(short)
-	}
 	if err != nil || len(datagram) > maxDatagram {
 		e.config.Metrics.Counter("exchange.unsent").Inc(1)
 		return nil
@@ -279,7 +302,7 @@
 			e.config.Metrics.Counter("exchange.malformed").Inc(1)
 			continue
 		}
-		e.handleMessage(time.Now(), m)
+		e.config.Guard.Run("message of a router", func() { e.handleMessage(time.Now(), m) })
 	}
 }
 
@@ -291,6 +314,7 @@
 	p, ok := e.peers[m.Router]
 	var previous map[string]int
 	direct, acceptsView, reported := e.sendsDirect(), false, e.reported
+	batch := m.Batch
 	if ok {
 		p.lastHeard = now
 		if m.Relay {
@@ -301,14 +325,20 @@
 			previous, p.loads = p.loads, m.Loads
 			p.prompts, p.loadsAt = m.Prompts, now
 		}
+		if m.Fragment != nil {
+			var err error
+			if batch, err = p.addFragment(m.Fragment); err != nil {
+				e.config.Metrics.Counter("exchange.malformed").Inc(1)
+			}
+		}
 		if m.View != nil {
 			p.viewAt = now
 			acceptsView = !direct && e.acceptsView(now, p)
 		}
 	}
 	e.mu.Unlock()
-	if m.Batch != nil {
-		e.config.ReceiveBatch(*m.Batch)
+	if batch != nil {
+		e.config.ReceiveBatch(*batch)
 	}
 	if ok {
 		e.applyLoads(m, previous, direct)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
+	"reflect"
 	"sync"
 	"testing"
 	"time"
@@ -180,3 +182,54 @@
 	backup.Announce("k", mirror.Head{Changed: 6})
 	eventually(t, "no fresh head", func() bool { _, ok := follower.HighestRevision("k"); return !ok })
 }
+
+// largeBatch returns a batch whose objects are of the given size together. Their values do
+// not compress well.
+func largeBatch(size int) mirror.Batch {
+	random := rand.NewChaCha8([32]byte{1})
+	batch := mirror.Batch{Kind: "config", From: 3, To: 9}
+	for i := range 4 {
+		value := make([]byte, size/4)
+		_, _ = random.Read(value)
+		batch.Objects = append(batch.Objects, objectstore.Object{Key: fmt.Sprint(i), Version: 9, Value: value})
+	}
+	return batch
+}
+
+// Guards against a large change that each router has to read from the store itself, and
+// against one that is too large for fragments and is not announced at all.
+func TestLargeBatch(t *testing.T) {
+	fleet := newFleet(t, 2)
+	for size, partial := range map[int]bool{40 << 10: false, maxFragments * maxDatagram: true} {
+		want := largeBatch(size)
+		fleet[0].broadcastBatch(&want)
+		if partial {
+			want = mirror.Batch{Kind: want.Kind, From: want.From, To: want.To, Partial: true}
+		}
+		eventually(t, "batch arrives", func() bool {
+			fleet[1].mu.Lock()
+			defer fleet[1].mu.Unlock()
+			n := len(fleet[1].batches)
+			return n > 0 && reflect.DeepEqual(fleet[1].batches[n-1], want)
+		})
+	}
+}
+
+// Guards against a malformed or incomplete fragment that ends the process, and against
+// memory that grows with fragments whose batches never become complete.
+func TestMalformedFragments(t *testing.T) {
+	p := &peer{assemblies: map[string]*assembly{}}
+	for _, f := range []fragment{
+		{Kind: "k", To: 1, Index: 0, Count: 0}, {Kind: "k", To: 1, Index: 2, Count: 2}, {Kind: "k", To: 1, Index: -1, Count: 2},
+		{Kind: "k", To: 1, Index: 0, Count: maxFragments + 1}, {Kind: "k", To: 1, Count: 1, Data: make([]byte, fragmentBytes+1)},
+		{Kind: "k", To: 1, Count: 1, Data: []byte("not compressed")},
+	} {
+		batch, err := p.addFragment(&f)
+		assert.Assert(t, batch == nil && err != nil, "%+v", f)
+	}
+	for i := range 1000 {
+		_, err := p.addFragment(&fragment{Kind: fmt.Sprint("k", i), To: 1, Index: 0, Count: 2, Data: []byte{1}})
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, len(p.assemblies) <= maxAssemblies)
+}
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -67,12 +67,25 @@
 	)
 }
 
-// RelayRole implements mirror.Peers. A router that does not know the others yet has rank
-// 0 and therefore watches the store itself.
+// RelayRole implements mirror.Peers. A router that does not know any other is no relay.
 func (e *Exchange) RelayRole() (relay, first bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.rank < relayCount, e.rank == 0
+	known := len(e.peers) > 0
+	return known && e.rank < relayCount, known && e.rank == 0
+}
+
+// RelaysHeard implements mirror.Peers.
+func (e *Exchange) RelaysHeard() bool {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.peers {
+		if now.Sub(p.relayAt) < relayTimeout {
+			return true
+		}
+	}
+	return false
 }
 
 // HighestRevision implements mirror.Peers.
@@ -115,7 +128,7 @@
 	}
 	e.mu.Unlock()
 	if first {
-		e.broadcast(&message{Router: e.config.Router, Batch: &batch})
+		e.broadcastBatch(&batch)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,7 @@
 	config  Config
 	logger  *zap.Logger
 	metrics *telemetry.Metrics
+	guard   telemetry.Guard
 	table   atomic.Pointer[routing.Table]
 	// draining is set when callers' connections are to be closed after the response.
 	draining atomic.Bool
@@ -97,6 +98,7 @@
 func New(config Config) *Gateway {
 	g := &Gateway{
 		config: config, logger: config.Logger, metrics: config.Metrics,
+		guard:       telemetry.Guard{Logger: config.Logger, Metrics: config.Metrics},
 		balancer:    balance.New(config.Zone),
 		bodyTimeout: bodyTimeout,
 		pools:       map[*roster.Endpoint]*upstream.Pool{},
@@ -194,7 +196,7 @@
 // homeLoadFraction sets the load above which a request no longer goes to its prompt's home:
 // 0 stands for the mean load, 1 for LoadFactor times the mean load. It is well below 1
 // because the reported loads of other routers are a few datagrams old.
-const homeLoadFraction = 0.25
+const homeLoadFraction = 0.5
 
 // pickCriteria returns the criteria for choosing an endpoint of the service. A nil service
 // has no endpoints. Callers hold g.mu.
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -51,7 +51,7 @@
 	toProbe := g.balancer.StartProbes(now)
 	g.mu.Unlock()
 	for _, state := range toProbe {
-		go g.verifyEndpoint(ctx, state)
+		go g.guard.Run("probe of endpoint "+state.Endpoint.ID, func() { g.verifyEndpoint(ctx, state) })
 	}
 }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
 const (
@@ -37,11 +38,21 @@
 	// relay use firstRelayWatchDelay.
 	firstRelayWatchDelay  = 50 * time.Millisecond
 	backupRelayWatchDelay = 400 * time.Millisecond
+	// largeObjectWatchDelay replaces firstRelayWatchDelay for kinds with ListToCatchUp, whose
+	// objects take several datagrams to each router.
+	largeObjectWatchDelay = 250 * time.Millisecond
 	// partialDelay is the minimum delay before a router asks the store for the changes
 	// of a batch that it can't apply, such as one without objects. The delay is chosen at
 	// random up to twice the minimum, so that the routers do not all ask at the same
 	// time. It also lets changes in quick succession cost one call.
 	partialDelay = 100 * time.Millisecond
+	// startGrace is how long a router that has just listed a kind for the first time waits
+	// for a relay before it watches the store itself: it needs about a second to find the
+	// others.
+	startGrace = 1500 * time.Millisecond
+	// outageCheckInterval is the time between the calls of a router that is no relay while
+	// the store does not answer the relays. In between it waits for a relay to be answered.
+	outageCheckInterval = 5 * time.Second
 	// batchQueueLength bounds the number of batches that wait to be applied. Further
 	// batches are dropped, and their changes are read from the store later.
 	batchQueueLength = 64
@@ -56,6 +67,11 @@
 	// Partial is set if the objects are left out: receivers then read the changes from
 	// the store.
 	Partial bool
+	// Listed is set if the objects are the difference between the state at From and a list
+	// at To. Only a receiver in the state at From can apply them: an object that was created
+	// and deleted in between is not among them. Partial is set as well, for receivers that
+	// do not know Listed.
+	Listed bool
 }
 
 // Head is what a relay announces for a kind.
@@ -75,6 +91,8 @@
 	// HighestRevision returns the highest revision that a fresh relay has announced; ok is
 	// false if there is no such relay.
 	HighestRevision(kind string) (changed uint64, ok bool)
+	// RelaysHeard reports whether there is a relay that announces heads, fresh or not.
+	RelaysHeard() bool
 	// Announce sets what this router announces to the others for the kind.
 	Announce(kind string, head Head)
 	// Publish sends a batch to the other routers.
@@ -108,6 +126,8 @@
 	Receiver      Receiver
 	Peers         Peers
 	Logger        *zap.Logger
+	// Guard runs the receiver.
+	Guard telemetry.Guard
 }
 
 // Mirror is the local copy of one kind. Offer is safe for concurrent use, also
@@ -117,6 +137,8 @@
 	batches chan Batch
 
 	haveList bool
+	// listedAt is when the first list arrived.
+	listedAt time.Time
 	// relist is set after a failed call, so that the next call is a list. A watch
 	// would return all changes since the last revision, which may take longer than its
 	// time-out.
@@ -158,6 +180,9 @@
 		case m.followsRelays():
 			m.awaitBatch(ctx)
 			continue
+		case m.awaitsRelays():
+			m.waitApplyingBatches(ctx, followInterval)
+			continue
 		case m.relist || m.ListToCatchUp && !m.behindSince.IsZero():
 			err = m.list(ctx)
 		default:
@@ -172,26 +197,60 @@
 	return nil
 }
 
-// list reads all objects from the store. A relay then publishes a partial batch, since
-// it does not know which objects have changed.
+// list reads all objects from the store. A relay then publishes what has changed since
+// the state that it had.
 func (m *Mirror) list(ctx context.Context) error {
 	objects, revision, err := m.Source.List(ctx, m.Kind, false)
 	if err != nil {
 		return err
 	}
+	if m.listedAt.IsZero() {
+		m.listedAt = time.Now()
+	}
+	changes := m.changesOfList(objects, revision)
 	m.haveList, m.relist, m.revision, m.changedRevision = true, false, revision, revision
 	m.behindSince = time.Time{}
 	clear(m.versions)
 	for _, object := range objects {
 		m.versions[object.Key] = object.Version
 	}
-	m.Receiver.ObjectsListed(objects)
+	m.Guard.Run("list of "+m.Kind, func() { m.Receiver.ObjectsListed(objects) })
 	if relay, _ := m.Peers.RelayRole(); relay {
-		m.Peers.Publish(Batch{Kind: m.Kind, To: revision, Partial: true})
+		m.Peers.Publish(changes)
 	}
 	return nil
 }
 
+// changesOfList returns the batch that leads from the known state to that of a list. It is
+// partial if no state is known.
+func (m *Mirror) changesOfList(objects []objectstore.Object, revision uint64) Batch {
+	if m.changedRevision == 0 {
+		return Batch{Kind: m.Kind, To: revision, Partial: true}
+	}
+	batch := Batch{Kind: m.Kind, From: m.changedRevision, To: revision, Partial: true, Listed: true}
+	listed := make(map[string]bool, len(objects))
+	for _, object := range objects {
+		listed[object.Key] = true
+		if known, ok := m.versions[object.Key]; !ok || known != object.Version {
+			batch.Objects = append(batch.Objects, object)
+		}
+	}
+	for key := range m.versions {
+		if !listed[key] {
+			batch.Objects = append(batch.Objects, objectstore.Object{Key: key, Version: revision, Deleted: true})
+		}
+	}
+	return batch
+}
+
+// awaitsRelays reports whether the router waits for a relay instead of calling the store
+// itself: shortly after its start.
+func (m *Mirror) awaitsRelays() bool {
+	relay, _ := m.Peers.RelayRole()
+	_, fresh := m.Peers.HighestRevision(m.Kind)
+	return !relay && !fresh && time.Since(m.listedAt) < startGrace
+}
+
 // followsRelays reports whether the router gets the changes from relays. That is so if it
 // is not a relay itself, a fresh relay exists, and the mirror has not been behind that
 // relay for relayTimeout or longer.
@@ -228,14 +287,15 @@
 	}
 }
 
-// applyBatch applies a batch that continues the known revision. If the batch is partial or
+// applyBatch applies a batch that continues the known state. If the batch is partial or
 // starts after the known revision, applyBatch sets behindSince instead, so that the router
 // asks the store after a random delay of one to two times partialDelay.
 func (m *Mirror) applyBatch(batch Batch) {
 	if !m.haveList || batch.To <= m.revision {
 		return
 	}
-	if batch.Partial || batch.From > m.revision {
+	usable := !batch.Partial || batch.Listed && m.changedRevision <= batch.From
+	if !usable || batch.From > m.revision {
 		delay := partialDelay + rand.N(partialDelay)
 		if m.behindSince.IsZero() {
 			m.behindSince = time.Now().Add(delay - relayTimeout)
@@ -287,9 +347,30 @@
 	if relay, first := m.Peers.RelayRole(); relay && !first {
 		return backupRelayWatchDelay
 	}
+	if m.ListToCatchUp {
+		return largeObjectWatchDelay
+	}
 	return firstRelayWatchDelay
 }
 
+// newestOfEach returns the last of the objects with each key, in the order of the last ones.
+func newestOfEach(objects []objectstore.Object) []objectstore.Object {
+	last := make(map[string]int, len(objects))
+	for i, object := range objects {
+		last[object.Key] = i
+	}
+	if len(last) == len(objects) {
+		return objects
+	}
+	newest := make([]objectstore.Object, 0, len(last))
+	for i, object := range objects {
+		if last[object.Key] == i {
+			newest = append(newest, object)
+		}
+	}
+	return newest
+}
+
 // waitApplyingBatches waits for d and applies batches of relays meanwhile.
 func (m *Mirror) waitApplyingBatches(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -319,6 +400,7 @@
 		return r.err
 	}
 	m.behindSince = time.Time{}
+	r.objects = newestOfEach(r.objects)
 	m.applyObjects(r.objects)
 	if len(r.objects) > 0 {
 		if relay, _ := m.Peers.RelayRole(); relay {
@@ -339,7 +421,7 @@
 			continue
 		}
 		m.versions[object.Key] = object.Version
-		m.Receiver.ObjectChanged(object)
+		m.Guard.Run("object "+m.Kind+"/"+object.Key, func() { m.Receiver.ObjectChanged(object) })
 	}
 }
 
@@ -359,6 +441,23 @@
 	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision})
 	backoff := min(minBackoff<<min(m.failures-1, 8), maxBackoff)
 	m.waitApplyingBatches(ctx, backoff/2+rand.N(backoff/2+1))
+	m.awaitFreshRelay(ctx, err)
+}
+
+// awaitFreshRelay waits while the store does not answer the relays either, for
+// outageCheckInterval at most: the relays tell when it answers again. It does not wait if this
+// router is a relay or hears none. The receiver is told that the outage lasts.
+func (m *Mirror) awaitFreshRelay(ctx context.Context, err error) {
+	until := time.Now().Add(outageCheckInterval/2 + rand.N(outageCheckInterval/2))
+	for ctx.Err() == nil && time.Now().Before(until) {
+		relay, _ := m.Peers.RelayRole()
+		_, fresh := m.Peers.HighestRevision(m.Kind)
+		if relay || fresh || !m.Peers.RelaysHeard() {
+			return
+		}
+		m.Receiver.StoreUnavailable(err)
+		m.waitApplyingBatches(ctx, followInterval)
+	}
 }
 
 // callSucceeded announces a Fresh head, and reports the end of an outage.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
 // scriptedSource is a source that answers each call with the next step, and blocks
@@ -72,6 +73,7 @@
 	relay     bool
 	changed   uint64
 	fresh     bool
+	heard     bool
 	published []Batch
 }
 
@@ -89,6 +91,12 @@
 	p.changed, p.fresh = changed, fresh
 }
 
+func (p *peerStub) RelaysHeard() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard
+}
+
 func (p *peerStub) Announce(string, Head) {}
 
 func (p *peerStub) Publish(batch Batch) {
@@ -298,3 +306,127 @@
 	assert.DeepEqual(t, source.calls, []string{"list", "list"})
 	assert.DeepEqual(t, received.events, []string{"list a", "list newest"})
 }
+
+// Guards against a relay that makes all other routers list the kind after each list of its
+// own: it must publish what has changed, including what is gone.
+func TestRelayPublishesChangesOfList(t *testing.T) {
+	source := &scriptedSource{steps: []func(uint64) ([]objectstore.Object, uint64, error){
+		replyWith(5, nil, "kept", "gone"),
+		replyWith(0, objectstore.ErrCompacted),
+		func(uint64) ([]objectstore.Object, uint64, error) {
+			return []objectstore.Object{{Key: "kept", Version: 5}, {Key: "new", Version: 8}}, 9, nil
+		},
+	}}
+	peers := &peerStub{relay: true}
+	_, events := startMirror(t, source, peers)
+	events("list kept", "list gone", "list kept", "list new")
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	assert.DeepEqual(t, peers.published, []Batch{
+		{Kind: "k", To: 5, Partial: true},
+		{Kind: "k", From: 5, To: 9, Partial: true, Listed: true, Objects: []objectstore.Object{
+			{Key: "new", Version: 8}, {Key: "gone", Version: 9, Deleted: true},
+		}},
+	})
+}
+
+// Guards against keeping an endpoint that was created and deleted between two lists of a
+// relay: the difference of the lists does not show it, so that a router which knows of it must
+// list the kind itself.
+func TestListedBatchNeedsSameState(t *testing.T) {
+	listed := newBatch(5, 9, "new")
+	listed.Partial, listed.Listed = true, true
+	for name, c := range map[string]struct {
+		first []Batch
+		lists int
+	}{
+		"same state":    {nil, 1},
+		"later changes": {[]Batch{newBatch(5, 7, "brief")}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			source := &scriptedSource{steps: []func(uint64) ([]objectstore.Object, uint64, error){replyWith(5, nil, "a"), replyWith(9, nil, "new")}}
+			peers := &peerStub{changed: 5, fresh: true}
+			m, events := startMirror(t, source, peers)
+			events("list a")
+			for _, batch := range c.first {
+				m.Offer(batch)
+			}
+			time.Sleep(50 * time.Millisecond)
+			peers.set(9, true)
+			m.Offer(listed)
+			deadline := time.Now().Add(time.Second)
+			for source.count() < c.lists && time.Now().Before(deadline) {
+				time.Sleep(5 * time.Millisecond)
+			}
+			time.Sleep(2 * relayTimeout)
+			assert.Equal(t, source.count(), c.lists)
+		})
+	}
+}
+
+// Guards against a fleet whose routers all watch the store at their start, although a relay
+// is found a moment later.
+func TestAwaitsRelaysAtStart(t *testing.T) {
+	source := &scriptedSource{steps: []func(uint64) ([]objectstore.Object, uint64, error){replyWith(5, nil, "a")}}
+	peers := &peerStub{}
+	_, events := startMirror(t, source, peers)
+	events("list a")
+	time.Sleep(startGrace / 2)
+	peers.set(5, true)
+	time.Sleep(startGrace)
+	assert.DeepEqual(t, source.calls, []string{"list"})
+}
+
+// Guards against all routers calling a store that does not answer the relays either, and
+// against a router that does not learn from the relays that the store is back.
+func TestFollowersLeaveOutageToRelays(t *testing.T) {
+	failed := replyWith(0, objectstore.ErrUnavailable)
+	source := &scriptedSource{steps: []func(uint64) ([]objectstore.Object, uint64, error){replyWith(5, nil, "a"), failed, failed, failed, failed, failed, failed}}
+	peers := &peerStub{changed: 5, fresh: true, heard: true}
+	m, _ := startMirror(t, source, peers)
+	for source.count() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(startGrace)
+	peers.set(5, false)
+	time.Sleep(2 * time.Second)
+	assert.Assert(t, source.count() <= 2, "%d calls", source.count())
+	peers.set(8, true)
+	m.Offer(newBatch(5, 8, "b"))
+	deadline := time.Now().Add(time.Second)
+	for len(m.batches) > 0 && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(2 * relayTimeout)
+	assert.Assert(t, source.count() <= 2, "the changes came from the relay")
+}
+
+// panicking is a receiver with a fault that one object shows.
+type panicking struct{ *recorder }
+
+func (p panicking) ObjectChanged(object objectstore.Object) {
+	if object.Key == "bad" {
+		panic("unexpected object")
+	}
+	p.recorder.ObjectChanged(object)
+}
+
+// Guards against one unexpected object that ends the process or hides the objects after it.
+func TestUnexpectedObject(t *testing.T) {
+	received := &recorder{}
+	m := New(Config{
+		Kind: "k", Receiver: panicking{received}, Logger: zap.NewNop(),
+		Guard: telemetry.Guard{Logger: zap.NewNop(), Metrics: telemetry.NewMetrics()},
+	})
+	m.applyObjects(newBatch(1, 2, "a", "bad", "b").Objects)
+	assert.DeepEqual(t, received.events, []string{"change a", "change b"})
+}
+
+// Guards against sending every version of an object that changed several times in a row.
+func TestNewestOfEach(t *testing.T) {
+	object := func(key string, version uint64) objectstore.Object {
+		return objectstore.Object{Key: key, Version: version}
+	}
+	got := newestOfEach([]objectstore.Object{object("a", 1), object("b", 2), object("a", 3), object("a", 4)})
+	assert.DeepEqual(t, got, []objectstore.Object{object("b", 2), object("a", 4)})
+}
