--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -220,8 +220,11 @@
 func TestMalformedFragments(t *testing.T) {
 	p := &peer{assemblies: map[string]*assembly{}}
 	for _, f := range []fragment{
-		{Kind: "k", To: 1, Index: 0, Count: 0}, {Kind: "k", To: 1, Index: 2, Count: 2}, {Kind: "k", To: 1, Index: -1, Count: 2},
-		{Kind: "k", To: 1, Index: 0, Count: maxFragments + 1}, {Kind: "k", To: 1, Count: 1, Data: make([]byte, fragmentBytes+1)},
+		{Kind: "k", To: 1, Index: 0, Count: 0},
+		{Kind: "k", To: 1, Index: 2, Count: 2},
+		{Kind: "k", To: 1, Index: -1, Count: 2},
+		{Kind: "k", To: 1, Index: 0, Count: maxFragments + 1},
+		{Kind: "k", To: 1, Count: 1, Data: make([]byte, fragmentBytes+1)},
 		{Kind: "k", To: 1, Count: 1, Data: []byte("not compressed")},
 	} {
 		batch, err := p.addFragment(&f)
