Bound the load of a prompt's home by the mean of all endpoints of the service

Cause: the bound followed from the mean of the endpoints in use. While a zone is evacuated, or endpoints are cold, the platform's limit follows from the mean of all, which is lower, and a home within its bound was over the limit.

Change: a prompt also leaves its home at 0.85 of LoadFactor x the mean of all endpoints + 3.

TestHomeBoundCountsUnusable fails without it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,9 +21,13 @@
 
 const (
 	// homeSlack is a number of requests. A prompt stays at its home up to a load of
-	// HomeLoadFactor x the mean load + homeSlack. The platform's limit for the load of
-	// every endpoint is higher: LoadFactor x the mean load + 3.
+	// HomeLoadFactor x the mean load + homeSlack.
 	homeSlack = 2
+	// The platform's limit for the load of every endpoint is LoadFactor x the mean load of
+	// all endpoints of the service, usable or not, + loadLimitSlack. A prompt also leaves
+	// its home at loadLimitFraction of this limit; the rest covers loads that are old.
+	loadLimitSlack    = 3
+	loadLimitFraction = 0.85
 	// zoneSlack is the number of requests over the mean up to which a request without a
 	// prompt stays in the router's own availability zone. It is above the variation of
 	// loads that are old, so that routers do not all leave for the same endpoint.
@@ -180,19 +184,23 @@
 	// x the mean load + homeSlack. The mean load is the total load of the usable
 	// endpoints divided by the number of endpoints that may get this request.
 	HomeLoadFactor float64
+	// LoadFactor sets the limit for the load of every endpoint (see loadLimitSlack); 0 means
+	// no limit.
+	LoadFactor float64
 }
 
 // Pick chooses an endpoint. An ejected endpoint is chosen only if no other is left.
 // The state is nil if and only if the refusal is not None.
 func (b *Balancer) Pick(now time.Time, criteria Criteria) (*State, Refusal) {
 	b.scratch = b.scratch[:0]
-	total, failureRates := 0.0, 0.0
+	total, unusable, failureRates := 0.0, 0.0, 0.0
 	for _, endpoint := range criteria.Members {
+		state := b.State(endpoint)
+		load := state.load(now)
 		if !criteria.Usable(endpoint) {
+			unusable += load
 			continue
 		}
-		state := b.State(endpoint)
-		load := state.load(now)
 		total += load
 		failureRates += state.failureRate
 		b.scratch = append(b.scratch, candidate{state: state, load: load})
@@ -204,7 +212,12 @@
 	case len(b.scratch) == 0:
 		return nil, refusal
 	case criteria.Key != 0:
-		return b.pickHome(now, criteria, total), None
+		bound := criteria.HomeLoadFactor*total/float64(len(b.scratch)) + homeSlack
+		if criteria.LoadFactor > 0 {
+			mean := (total + unusable) / float64(len(criteria.Members))
+			bound = min(bound, loadLimitFraction*(criteria.LoadFactor*mean+loadLimitSlack))
+		}
+		return b.pickHome(now, criteria, total, bound), None
 	}
 	return b.pickInZone(criteria.Draw), None
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -80,6 +80,27 @@
 	assert.Assert(t, most <= 2*10+3, "the busiest endpoint has %d requests, the mean is 10", most)
 }
 
+// Guards against a bound that follows only from the endpoints in use: while a zone is
+// evacuated its idle endpoints lower the mean of the service, and with it the limit that
+// the platform sets for the load of each endpoint.
+func TestHomeBoundCountsUnusable(t *testing.T) {
+	b := New("z0")
+	endpoints := members(8)
+	criteria := Criteria{
+		Members: endpoints, Key: 42, HomeLoadFactor: 1.5, LoadFactor: 2,
+		Usable: func(e *roster.Endpoint) bool { return e.Zone == "z0" },
+	}
+	for _, endpoint := range endpoints {
+		if endpoint.Zone == "z0" {
+			b.SetRemoteLoad(start, "other", b.State(endpoint).Endpoint.ID, 12)
+		}
+	}
+	home, _ := b.Pick(start, criteria)
+	b.SetRemoteLoad(start, "other", home.Endpoint.ID, 15) // limit: 2 x 51/8 + 3 = 15.75
+	again, _ := b.Pick(start, criteria)
+	assert.Assert(t, again != home)
+}
+
 // Guards against sending a request to another zone while the router's own has an idle
 // endpoint, and against loads of other routers that are ignored or never expire.
 func TestLeast(t *testing.T) {
--- a/balance/hotprompt.go
+++ b/balance/hotprompt.go
@@ -112,15 +112,13 @@
 }
 
 // pickHome chooses among the candidates for a prompt. total is the load of all usable
-// endpoints. The prompt is shared by the candidates with the highest rendezvous scores among
+// endpoints, bound the load that none of them should exceed. The prompt is shared by the candidates with the highest rendezvous scores among
 // those whose load stays within the bound: one, which is the prompt's home unless that is over
 // the bound, or several if the prompt is hot. Of these, pickHome draws two and returns the one
 // with the lower load. If all loads exceed the bound, it draws among all candidates.
-func (b *Balancer) pickHome(now time.Time, criteria Criteria, total float64) *State {
-	count := float64(len(b.scratch))
-	bound := criteria.HomeLoadFactor*total/count + homeSlack
+func (b *Balancer) pickHome(now time.Time, criteria Criteria, total, bound float64) *State {
 	requests := b.promptRequests(now, criteria.Key) + 1
-	othersMean := max(0, total-float64(requests-1)) / count
+	othersMean := max(0, total-float64(requests-1)) / float64(len(b.scratch))
 	width := spread(requests, othersMean, bound)
 
 	for i := range b.scratch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -202,7 +202,10 @@
 // has no endpoints. Callers hold g.mu.
 func (g *Gateway) pickCriteria(service *routing.Service) balance.Criteria {
 	bounds := g.config.Bounds
-	criteria := balance.Criteria{Usable: g.roster.Usable, HomeLoadFactor: 1 + homeLoadFraction*(bounds.LoadFactor-1)}
+	criteria := balance.Criteria{
+		Usable: g.roster.Usable, LoadFactor: bounds.LoadFactor,
+		HomeLoadFactor: 1 + homeLoadFraction*(bounds.LoadFactor-1),
+	}
 	if service == nil {
 		return criteria
 	}
