Identify responses on used connections, and keep streams of an endpoint that sends

One connection that timed out while opening, as after a lost packet, closed all streams of that endpoint that had been silent for 300 ms, although others were receiving bytes. An error of the routers' socket ended the process.

Change: on a used connection a response needs the id of the request; an endpoint that was heard within the last 200 ms is not taken for silent; errors of the socket are counted and logged. TestSlowAndStalledStreams and TestFaultyDatagrams guard what held before: slow streams live, a stream that sends a byte now and then ends at its deadline, malformed datagrams are dropped.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -32,6 +33,9 @@
 	// maxDatagram is the largest size of a datagram in bytes. A batch that does not fit
 	// is sent in fragments.
 	maxDatagram = 8 << 10
+	// receiveErrorPause is the time after an error of the socket before the next datagram is
+	// received.
+	receiveErrorPause = 50 * time.Millisecond
 	// maxAssemblies bounds the number of kinds whose fragments are kept for a peer.
 	maxAssemblies = 8
 )
@@ -288,15 +292,21 @@
 	return datagram
 }
 
-// Receive handles incoming datagrams until the socket is closed, and returns the error of
-// the socket.
+// Receive handles incoming datagrams until the socket is closed. Other errors of the socket
+// are counted, and it goes on after receiveErrorPause.
 func (e *Exchange) Receive() error {
 	buffer := make([]byte, maxDatagram+1)
 	for {
 		n, _, err := e.socket.ReadFromUDPAddrPort(buffer)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("receiving from peers: %w", err)
 		}
+		if err != nil {
+			e.config.Metrics.Counter("exchange.receive_errors").Inc(1)
+			e.config.Logger.Warn("datagram not received", zap.Error(err))
+			time.Sleep(receiveErrorPause)
+			continue
+		}
 		var m message
 		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
 			e.config.Metrics.Counter("exchange.malformed").Inc(1)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"reflect"
 	"sync"
 	"testing"
@@ -236,3 +237,31 @@
 	}
 	assert.Assert(t, len(p.assemblies) <= maxAssemblies)
 }
+
+// Guards against a malformed datagram, or an error in the handling of one, that ends the
+// process or keeps the next datagrams from being handled.
+func TestFaultyDatagrams(t *testing.T) {
+	fleet := newFleet(t, 2)
+	var once sync.Once
+	receive := fleet[1].config.ReceiveBatch
+	fleet[1].config.Guard = telemetry.Guard{Logger: zap.NewNop(), Metrics: fleet[1].config.Metrics}
+	fleet[1].config.ReceiveBatch = func(batch mirror.Batch) {
+		once.Do(func() { panic("unexpected batch") })
+		receive(batch)
+	}
+	to := fleet[1].socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	for _, datagram := range [][]byte{nil, {0}, {0xff}, []byte("\xbf\x01"), []byte("text"), make([]byte, maxDatagram)} {
+		_, err := fleet[0].socket.WriteToUDPAddrPort(datagram, to)
+		assert.NilError(t, err)
+	}
+	for to := range uint64(2) {
+		fleet[0].broadcastBatch(&mirror.Batch{Kind: "k", To: to + 1})
+	}
+	eventually(t, "the batch after the faulty ones arrives", func() bool {
+		fleet[1].mu.Lock()
+		defer fleet[1].mu.Unlock()
+		return len(fleet[1].batches) == 1
+	})
+	assert.Equal(t, fleet[1].config.Metrics.Counter("panics.recovered").Count(), int64(1))
+	assert.Assert(t, fleet[1].config.Metrics.Counter("exchange.malformed").Count() >= 4)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -139,6 +139,9 @@
 			return nil, ResponseHead{}, err
 		}
 		head := x.g.config.Codec.ParseResponse(response)
+		// Without an id the response may be a copy of that to an earlier request on the
+		// connection.
+		head.Unidentified = head.ID == "" && conn.Reused
 		if head.ID == x.request.ID || head.ID == "" || skipped == maxSkippedResponses {
 			return response, head, nil
 		}
@@ -177,11 +180,11 @@
 }
 
 // handleResponse forwards a response, or returns why it cannot be used. There are four
-// reasons: the response belongs to another request; the endpoint did not run the request;
+// reasons: the response belongs, or may belong, to another request; the endpoint did not run the request;
 // the response does not come from the endpoint's application; it is a success with an
 // encoded body.
 func (x *exchange) handleResponse(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response, head ResponseHead) result {
-	if head.ID != "" && head.ID != x.request.ID {
+	if head.Unidentified || head.ID != "" && head.ID != x.request.ID {
 		conn.Close()
 		x.mayHaveRun = true
 		x.release(state, nil)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -161,6 +161,69 @@
 	}
 }
 
+// Guards against a late second copy of a response that carries no request id: on a
+// connection that was used before it may be that of an earlier request, and a copy that says
+// "not run" is no promise for the current one.
+func TestCopyWithoutRequestID(t *testing.T) {
+	for _, head := range []string{"200 X\r\nServer-Stamp: s", "503 X\r\nNot-Run: 1"} {
+		copied := func(_ *http.Request, w io.Writer) bool {
+			_, _ = io.WriteString(w, "HTTP/1.1 "+head+"\r\nContent-Length: 3\r\n\r\nold")
+			return true
+		}
+		e := newEndpoint(t, "e1", answer(200, "", "first"), copied)
+		f := newTestGateway(t, e).configure()
+		_, body, err := f.do(t, "/unsafe/1")
+		assert.NilError(t, err)
+		assert.Equal(t, body, "first")
+		response, _, _ := f.do(t, "/unsafe/1")
+		assert.Equal(t, response.StatusCode, http.StatusBadGateway, head)
+		assert.Equal(t, len(e.received()), 2, "an unsafe request was sent again")
+	}
+}
+
+// slowly writes a stream with an event after each pause, up to the last id.
+func slowly(last int, pause time.Duration) script {
+	return func(r *http.Request, w io.Writer) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Request-Id"))
+		for id := 1; id <= last; id++ {
+			time.Sleep(pause)
+			event := fmt.Sprintf("id: %d\ndata: %d\n\n", id, id)
+			if _, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return false
+			}
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+		return true
+	}
+}
+
+// Guards against cutting a slow but sound stream, and against one that sends a byte now and
+// then, but no event, beyond its deadline.
+func TestSlowAndStalledStreams(t *testing.T) {
+	f := newTestGateway(t, newEndpoint(t, "e1", slowly(3, 400*time.Millisecond))).configure()
+	for _, path := range []string{"/chat/1", "/report/1"} {
+		_, body, err := f.do(t, path)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasSuffix(body, "id: 3\ndata: 3\n\n"))
+	}
+	dripping := func(r *http.Request, w io.Writer) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n\r\ndata: ", r.Header.Get("Request-Id"))
+		for {
+			time.Sleep(50 * time.Millisecond)
+			if _, err := io.WriteString(w, "x"); err != nil {
+				return false
+			}
+		}
+	}
+	f = newTestGateway(t, newEndpoint(t, "e2", dripping)).configure()
+	for _, path := range []string{"/chat/1", "/report/1"} {
+		began := time.Now()
+		_, err := f.discard(t, path)
+		assert.Assert(t, err != nil, "the stream looks complete")
+		assert.Assert(t, time.Since(began) < timeout, "the stream lasted beyond its deadline")
+	}
+}
+
 // Guards against a resumed stream that lacks an event or repeats one, and against a
 // stream that looks complete although it was cut off.
 func TestStreams(t *testing.T) {
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -29,6 +29,11 @@
 		return ejected
 	}
 	if pool, ok := g.pools[state.Endpoint]; ok {
+		if pool.HeardSince(now.Add(-dialTimeout)) {
+			// One connection timed out, as after a lost packet or at a full queue of new
+			// connections, but the endpoint sends on others.
+			return ejected
+		}
 		pool.CloseStalled(now.Add(-silenceThreshold))
 	}
 	if !g.balancer.RecordSilence(now, state) {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -72,6 +72,8 @@
 	// lastRead is when bytes from the endpoint were last read, in Unix nanoseconds. It
 	// is set to the current time when the connection is taken for a request.
 	lastRead atomic.Int64
+	// heard is set when bytes have arrived since the connection was taken for a request.
+	heard atomic.Bool
 }
 
 func newConn(conn net.Conn, pool *Pool) *Conn {
@@ -99,6 +101,7 @@
 	}
 	if n > 0 {
 		r.conn.lastRead.Store(time.Now().UnixNano())
+		r.conn.heard.Store(true)
 	}
 	return n, err
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -95,6 +95,7 @@
 // markBusy records that a connection has been taken for a request.
 func (p *Pool) markBusy(conn *Conn, now time.Time) {
 	conn.lastRead.Store(now.UnixNano())
+	conn.heard.Store(false)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.busy[conn] = struct{}{}
@@ -158,6 +159,19 @@
 	}
 }
 
+// HeardSince reports whether a byte from the endpoint has arrived since the given time on a
+// connection that is in use.
+func (p *Pool) HeardSince(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.busy {
+		if conn.heard.Load() && conn.lastRead.Load() >= since.UnixNano() {
+			return true
+		}
+	}
+	return false
+}
+
 // Prune closes connections whose idle timeout has passed.
 func (p *Pool) Prune(now time.Time) {
 	var expired []*Conn
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -201,6 +201,22 @@
 	assert.Equal(t, len(pool.busy), 0)
 }
 
+// Guards against taking an endpoint for silent that sends on one of its connections, and
+// against taking one for alive because a request was just sent to it.
+func TestHeardSince(t *testing.T) {
+	pool := newTestPool(t, answerWith(completeResponse))
+	conn := dial(t, pool)
+	began := time.Now()
+	assert.Assert(t, !pool.HeardSince(began.Add(-time.Second)), "nothing was received")
+	assert.NilError(t, conn.Send(request))
+	_, err := conn.Receive(nil) //nolint:bodyclose // the connection is closed
+	assert.NilError(t, err)
+	assert.Assert(t, pool.HeardSince(began))
+	assert.Assert(t, !pool.HeardSince(time.Now().Add(time.Minute)))
+	conn.Close()
+	assert.Assert(t, !pool.HeardSince(began))
+}
+
 // Guards against classifying a refused connection or the end of the request's own deadline
 // as a network time-out, and against not recognizing a network time-out.
 func TestIsNetworkTimeout(t *testing.T) {
