Send a request on whose address belongs to another endpoint

The endpoint that was chosen was never reached.

Change: up to two such sends do not count towards the route's limit; they still draw on the retry budget.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -26,6 +26,10 @@
 // on a connection while the router waits for the response to the current request.
 const maxSkippedResponses = 2
 
+// maxMisdirected bounds the sends of a request to addresses that belong to another endpoint
+// meanwhile and that do not count towards the route's limit.
+const maxMisdirected = 2
+
 // The deadline that is sent to the endpoint is responseMargin earlier than the router's own
 // deadline for the request, so that the endpoint's final response still arrives in time.
 const responseMargin = 5 * time.Millisecond
@@ -229,6 +233,12 @@
 	}
 	x.release(state, nil)
 	if head.Misdirected {
+		if x.misdirected < maxMisdirected {
+			// The endpoint was not reached, so that the request may still go to as many as the
+			// route allows.
+			x.misdirected++
+			x.sends--
+		}
 		x.g.markMisdirected(state, x.request.ID)
 		return result{refusal: api.RefusalEndpointWithdrawn, retry: api.RetryReasonRefusedByEndpoint, retryAfter: retryAfterMove}
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -75,8 +75,9 @@
 	// tried are the endpoints that the request was sent to or that could not be
 	// reached for it.
 	tried []*roster.Endpoint
-	// sends is the number of times that the request was sent to an endpoint.
-	sends int
+	// sends is the number of times that the request was sent to an endpoint. misdirected
+	// is the number of sends that are left out, since another endpoint had the address.
+	sends, misdirected int
 	// mayHaveRun is set when an endpoint may have begun to work on the request.
 	mayHaveRun bool
 	// promptKey is the request's SharedKey, or 0 if the route does not cache prompts.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -224,6 +224,33 @@
 	}
 }
 
+// Guards against sending a caller away because the address of a lost endpoint belongs to
+// another one meanwhile, and against a request that tries address after address.
+func TestMisdirectedIsNoAttempt(t *testing.T) {
+	misdirected := func(r *http.Request, w io.Writer) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 421 X\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+		return true
+	}
+	moved := newEndpoint(t, "e1", misdirected)
+	f := newTestGateway(t, moved, newEndpoint(t, "e2", answer(200, "", "ok"))).configure()
+	for range 8 {
+		response, _, _ := f.do(t, "/once/1")
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	assert.Assert(t, len(moved.received()) <= 1)
+	var all []*endpoint
+	for i := range 6 {
+		all = append(all, newEndpoint(t, fmt.Sprint("e", i), misdirected))
+	}
+	response, _, _ := newTestGateway(t, all...).configure().do(t, "/once/1")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	received := 0
+	for _, e := range all {
+		received += len(e.received())
+	}
+	assert.Equal(t, received, 1+2)
+}
+
 // Guards against a resumed stream that lacks an event or repeats one, and against a
 // stream that looks complete although it was cut off.
 func TestStreams(t *testing.T) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -225,6 +225,7 @@
 			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Safe, Timeout: timeout, Targets: target, MaxEndpoints: 2},
 			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routing.Unsafe, Timeout: timeout, Targets: target, MaxEndpoints: 2},
 			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: routing.Stream, Timeout: timeout, Targets: target, MaxEndpoints: 3, Resumable: true},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.Unsafe, Timeout: timeout, Targets: target, MaxEndpoints: 1},
 			{Name: "report", Host: "h", Prefix: "/report/", Kind: routing.Stream, Timeout: timeout, Targets: target, MaxEndpoints: 2},
 		},
 		Workspaces: []*routing.Workspace{{Name: "w", Keys: []string{"key"}}},
