Add the log command, and kind and workspace to the lines of requests

Operators of hundreds of routers had no way to read the lines of a night at once. Commands of docs/OPERATIONS.md are run by its test.

Not built: the HTML page with plots.

--- a/cmd/hornbeamproxy/main.go
+++ b/cmd/hornbeamproxy/main.go
@@ -52,6 +52,7 @@
 	addSettingsCommands(app)
 	addNoteCommands(app)
 	addReportCommand(app)
+	addLogCommand(app)
 	addVersionCommand(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "hornbeamproxy:", err)
--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -14,6 +14,10 @@
 func TestOperationsPage(t *testing.T) {
 	text, err := os.ReadFile("OPERATIONS.md")
 	assert.NilError(t, err)
+	programs := t.TempDir()
+	built, err := exec.Command("go", "build", "-o", programs, "../cmd/hornbeamproxy").CombinedOutput()
+	assert.NilError(t, err, "%s", built)
+	t.Setenv("PATH", programs+":"+os.Getenv("PATH"))
 	found := map[string]string{}
 	for _, line := range strings.Split(string(text), "\n") {
 		command, ok := strings.CutPrefix(line, "    ")
@@ -24,9 +28,11 @@
 		assert.NilError(t, err, "%s: %s", command, out)
 		found[command] = string(out)
 	}
-	assert.Equal(t, len(found), 5)
+	assert.Equal(t, len(found), 7)
 	for command, out := range found {
 		switch {
+		case strings.HasSuffix(command, "log testdata/router.log"):
+			assert.Assert(t, strings.Contains(out, "answer broken or lost: upstream_failed") && strings.Contains(out, "0 bad lines"))
 		case strings.Contains(command, "af9c2c558f8d965d"):
 			assert.Assert(t, strings.Contains(out, `"reason":"endpoint_withdrawn"`) && strings.Contains(out, `"may_have_run":false`))
 		case strings.Contains(command, "54c21c101b8df638"):
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -184,7 +184,11 @@
 		fields = append(fields, zap.String("request", x.request.ID))
 	}
 	if x.route != nil {
-		fields = append(fields, zap.String("route", x.route.Name), zap.String("service", x.service))
+		fields = append(fields, zap.String("route", x.route.Name), zap.String("service", x.service),
+			zap.Stringer("kind", x.route.Kind))
+	}
+	if x.workspace != nil {
+		fields = append(fields, zap.String("workspace", x.workspace.Name))
 	}
 	if len(x.tried) > 0 {
 		fields = append(fields, zap.String("endpoint", x.tried[len(x.tried)-1].ID))
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -23,6 +23,17 @@
 	Stream
 )
 
+// String returns the kind's name in logs.
+func (k Kind) String() string {
+	switch k {
+	case Safe:
+		return "safe"
+	case Stream:
+		return "stream"
+	}
+	return "unsafe"
+}
+
 // Route maps requests, by host and path prefix, to services.
 type Route struct {
 	Name   string
