Answer with a status when a stream breaks off before its first event

Change: the head goes out with the first event. Before, the caller gets 502 with the reason, or the whole stream of another endpoint if it may run again, with that endpoint's headers.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,22 +31,11 @@
 	idField  = []byte("id:")
 )
 
-// forwardStream forwards a stream as it arrives. It writes the response head only on
-// the first attempt; later ones resume the stream.
+// forwardStream forwards a stream as it arrives. The response head goes to the caller with the
+// first event, and only on the first attempt that has one; later attempts resume the stream.
 func (x *exchange) forwardStream(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response) result {
-	resumed := x.stream.started
-	if !resumed {
-		copyHeaders(x.w, response)
-		if x.g.draining.Load() {
-			x.w.Header().Set("Connection", "close")
-		}
-		delete(x.w.Header(), "Content-Length")
-		x.w.WriteHeader(response.StatusCode)
-		x.stream.started, x.stream.resumable = true, true
-		x.stream.lastID = x.request.ResumeAfter
-	}
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	err := x.copyEvents(response.Body, framed, resumed)
+	err := x.copyEvents(response, framed, x.stream.started)
 	switch {
 	case err == nil:
 		pool.Release(conn, response, time.Now())
@@ -61,11 +50,26 @@
 	return x.handleBroken(conn, state, err, nil, result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonStreamCut})
 }
 
+// startStream writes the response head if the caller has none yet.
+func (x *exchange) startStream(response *http.Response) {
+	if x.stream.started {
+		return
+	}
+	copyHeaders(x.w, response)
+	if x.g.draining.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+	delete(x.w.Header(), "Content-Length")
+	x.w.WriteHeader(response.StatusCode)
+	x.stream.started, x.stream.resumable = true, true
+	x.stream.lastID = x.request.ResumeAfter
+}
+
 // copyEvents forwards complete events. Bytes after the last event are forwarded only
 // if the stream ended properly. The end of a body that is not framed, which ends with its
 // connection, is proper only after a complete event. Errors: errCallerGone, errEventTooLarge,
 // or the error of reading body.
-func (x *exchange) copyEvents(body io.Reader, framed, resumed bool) error {
+func (x *exchange) copyEvents(response *http.Response, framed, resumed bool) error {
 	flusher, _ := x.w.(http.Flusher)
 	forwarded := resumed // whether an event has been forwarded
 	b := getBuffer()
@@ -79,7 +83,7 @@
 		if len(pending) == cap(pending) {
 			pending = append(pending, 0)[:len(pending)]
 		}
-		n, err := body.Read(pending[len(pending):cap(pending)])
+		n, err := response.Body.Read(pending[len(pending):cap(pending)])
 		pending = pending[:len(pending)+n]
 		end := bytes.LastIndex(pending, eventEnd)
 		if end >= 0 {
@@ -89,6 +93,7 @@
 				out = x.stream.unseen(out)
 			}
 			if len(out) > 0 {
+				x.startStream(response)
 				x.stream.recordLastID(out)
 				if _, werr := x.w.Write(out); werr != nil {
 					return errCallerGone
@@ -105,6 +110,7 @@
 			if len(pending) > 0 && !framed {
 				return io.ErrUnexpectedEOF
 			}
+			x.startStream(response)
 			if len(pending) > 0 {
 				if _, werr := x.w.Write(pending); werr != nil {
 					return errCallerGone
