--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
@@ -265,3 +266,32 @@
 	assert.Equal(t, fleet[1].config.Metrics.Counter("panics.recovered").Count(), int64(1))
 	assert.Assert(t, fleet[1].config.Metrics.Counter("exchange.malformed").Count() >= 4)
 }
+
+// Guards against a datagram that ends the process.
+func FuzzMessage(f *testing.F) {
+	for _, m := range []message{
+		{Router: "r1", HasLoads: true, Loads: map[string]int{"e": 1}, Prompts: map[uint32]int{1: 2}},
+		{Router: "r1", Relay: true, View: newFleetView(Loads{Endpoints: map[string]int{"e": 3}})},
+		{Router: "r1", Fragment: &fragment{Kind: "k", To: 1, Count: 1, Data: []byte{1}}},
+		{Batch: &mirror.Batch{Kind: "k", To: 2}},
+	} {
+		datagram, err := cbor.Marshal(m)
+		assert.NilError(f, err)
+		f.Add(datagram)
+	}
+	e, err := Listen(Config{
+		Router: "r0", Peer: Peer{Address: "127.0.0.1:0"}, Logger: zap.NewNop(), Metrics: telemetry.NewMetrics(),
+		ReceiveLoad: func(string, string, int) {}, ReceivePrompts: func(string, map[uint32]int) {},
+		ReceiveFleetLoads: func(func(string) int, map[uint32]int) {}, ReceiveBatch: func(mirror.Batch) {},
+	})
+	assert.NilError(f, err)
+	f.Cleanup(e.Close)
+	e.SetPeers(map[string]Peer{"r1": {Address: "127.0.0.1:9"}})
+	f.Fuzz(func(_ *testing.T, datagram []byte) {
+		var m message
+		if cbor.Unmarshal(datagram, &m) == nil {
+			e.handleMessage(time.Now(), m)
+			e.sumLoads(time.Now())
+		}
+	})
+}
