--- a/balance/hotprompt_sim_test.go
+++ b/balance/hotprompt_sim_test.go
@@ -28,7 +28,7 @@
 // requests may reach an endpoint over the limit. Endpoints leave and join meanwhile, and some
 // views are lost.
 func TestHotPromptKeepsLoadLimit(t *testing.T) {
-	for _, config := range []simConfig{
+	testLoadLimit(t, []simConfig{
 		{routers: 6, endpoints: 18, hotShare: 0.5, viewAge: 500 * time.Millisecond},
 		{routers: 91, endpoints: 90, hotShare: 0.1, viewAge: 250 * time.Millisecond},
 		{routers: 91, endpoints: 90, hotShare: 0.3, viewAge: 500 * time.Millisecond},
@@ -37,7 +37,22 @@
 		{routers: 195, endpoints: 93, hotShare: 0.2, viewAge: 750 * time.Millisecond},
 		{routers: 195, endpoints: 93, hotShare: 0.5, viewAge: 250 * time.Millisecond},
 		{routers: 350, endpoints: 200, hotShare: 0.2, viewAge: 500 * time.Millisecond},
-	} {
+	})
+}
+
+// Guards against the same with a prompt that gets half of all requests at once, and loads as
+// old as they may be in a large fleet.
+func TestVeryHotPromptKeepsLoadLimit(t *testing.T) {
+	testLoadLimit(t, []simConfig{
+		{routers: 91, endpoints: 93, hotShare: 0.5, viewAge: 500 * time.Millisecond},
+		{routers: 195, endpoints: 93, hotShare: 0.5, viewAge: 500 * time.Millisecond},
+		{routers: 350, endpoints: 200, hotShare: 0.5, viewAge: 500 * time.Millisecond},
+	})
+}
+
+// testLoadLimit plays each fleet with two seeds.
+func testLoadLimit(t *testing.T, configs []simConfig) {
+	for _, config := range configs {
 		for seed := range uint64(2) {
 			config.churn, config.lost, config.seed = true, 0.05, seed+1
 			config := config
@@ -226,7 +241,7 @@
 	router := s.random.IntN(s.routers)
 	b, now := s.balancers[router], start.Add(at)
 	state, _ := b.Pick(now, Criteria{
-		Members: s.members, Usable: anyUsable, Key: key, HomeLoadFactor: 1.25, Draw: s.random.Uint64(),
+		Members: s.members, Usable: anyUsable, Key: key, HomeLoadFactor: 1.5, LoadFactor: limitFactor, Draw: s.random.Uint64(),
 	})
 	id := state.Endpoint.ID
 	total := 0
