--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -253,3 +253,34 @@
 		t.Fatal("router still runs after its last request")
 	}
 }
+
+// Guards against requests that are cut off without an answer during a planned stop under
+// load: callers open new connections, and keep others, until the load balancer has taken the
+// router out of rotation.
+func TestStopUnderLoad(t *testing.T) {
+	s := newSite(t)
+	s.register("ready")
+	s.configure("k")
+	r := s.start(t, "r1")
+	eventually(t, 2*time.Second, "ready", r.ready)
+	const callers = 16
+	const untilOutOfRotation = 2200 * time.Millisecond
+	end := time.Now().Add(300*time.Millisecond + untilOutOfRotation)
+	failed := make(chan string, callers)
+	for range callers {
+		go func() {
+			for time.Now().Before(end) {
+				if status, body := r.call("/call/1", "k"); status != http.StatusOK {
+					failed <- fmt.Sprint(status, " ", body)
+					return
+				}
+			}
+			failed <- ""
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	r.stop()
+	for range callers {
+		assert.Equal(t, <-failed, "")
+	}
+}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -221,6 +221,25 @@
 	assert.DeepEqual(t, source.calls, []string{"list"})
 }
 
+// Guards against an object that was deleted, or an old version, which a batch from before the
+// first list of a router that has just started would bring back.
+func TestBatchFromBeforeStart(t *testing.T) {
+	release := make(chan struct{})
+	source := &scriptedSource{steps: []func(uint64) ([]objectstore.Object, uint64, error){
+		func(uint64) ([]objectstore.Object, uint64, error) {
+			<-release
+			return replyWith(5, nil, "a")(0)
+		},
+	}}
+	m, events := startMirror(t, source, &peerStub{changed: 5, fresh: true})
+	m.Offer(newBatch(2, 4, "deleted", "a"))
+	close(release)
+	events("list a")
+	m.Offer(newBatch(3, 5, "deleted"))
+	m.Offer(newBatch(5, 6, "b"))
+	events("list a", "change b")
+}
+
 // Guards against missing the changes of a batch that was lost, has no objects, or starts
 // after the known revision.
 func TestFollowBehind(t *testing.T) {
