--- a/balance/hotprompt.go
+++ b/balance/hotprompt.go
@@ -112,10 +112,11 @@
 }
 
 // pickHome chooses among the candidates for a prompt. total is the load of all usable
-// endpoints, bound the load that none of them should exceed. The prompt is shared by the candidates with the highest rendezvous scores among
-// those whose load stays within the bound: one, which is the prompt's home unless that is over
-// the bound, or several if the prompt is hot. Of these, pickHome draws two and returns the one
-// with the lower load. If all loads exceed the bound, it draws among all candidates.
+// endpoints, bound the load that none of them should exceed. The prompt is shared by the
+// candidates with the highest rendezvous scores among those whose load stays within the
+// bound: one, which is the prompt's home unless that is over the bound, or several if the
+// prompt is hot. Of these, pickHome draws two and returns the one with the lower load. If all
+// loads exceed the bound, it draws among all candidates.
 func (b *Balancer) pickHome(now time.Time, criteria Criteria, total, bound float64) *State {
 	requests := b.promptRequests(now, criteria.Key) + 1
 	othersMean := max(0, total-float64(requests-1)) / float64(len(b.scratch))
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -51,9 +51,8 @@
 	Heads    map[string]mirror.Head `cbor:"4,keyasint,omitempty"` // by kind, from relays
 	Batch    *mirror.Batch          `cbor:"5,keyasint,omitempty"`
 	Relay    bool                   `cbor:"6,keyasint,omitempty"` // the sender is a relay
-	// RemoteLoads are sent by earlier versions: the numbers of requests that all routers
-	// except the receiver have in flight, by endpoint id.
-	RemoteLoads map[string]int `cbor:"7,keyasint,omitempty"`
+	// Key 7 is not used: earlier versions send totals of single endpoints in it.
+
 	// Prompts are the numbers of requests that the sender has in flight, by
 	// balance.PromptID. They belong to Loads. Earlier versions do not send them.
 	Prompts map[uint32]int `cbor:"8,keyasint,omitempty"`
@@ -81,10 +80,10 @@
 	Guard telemetry.Guard
 	// Loads returns the numbers of requests that this router has in flight.
 	Loads func() Loads
-	// ReceiveLoad is called with the number of requests that another router has in
-	// flight at an endpoint, or with the total of all others, for which router is "*".
+	// ReceiveLoad is called in a small fleet with the number of requests that another
+	// router has in flight at an endpoint.
 	ReceiveLoad func(router, endpointID string, requests int)
-	// ReceivePrompts is called with the numbers of requests that another router has in
+	// ReceivePrompts is called in a small fleet with the numbers of requests that another router has in
 	// flight, by balance.PromptID.
 	ReceivePrompts func(router string, requests map[uint32]int)
 	// ReceiveFleetLoads is called in a large fleet with the numbers of requests that all
@@ -350,8 +349,8 @@
 	if batch != nil {
 		e.config.ReceiveBatch(*batch)
 	}
-	if ok {
-		e.applyLoads(m, previous, direct)
+	if ok && m.HasLoads && direct {
+		e.applyLoads(m, previous)
 	}
 	if acceptsView {
 		e.applyView(m.View, reported)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -20,6 +20,9 @@
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
+// allOthers stands for the sums of all other routers in router.loads.
+const allOthers = "*"
+
 // promptOfTest is the prompt of all requests in flight at endpoint "e".
 const promptOfTest = 77
 
--- a/exchange/loads.go
+++ b/exchange/loads.go
@@ -2,16 +2,10 @@
 
 import "time"
 
-const (
-	// maxDirectRouters is the number of routers up to which each sends its loads to all
-	// others. In a larger fleet that would exceed the limit for control traffic; there the
-	// routers send their loads to the relays, and a relay sends the sums to all (see
-	// fleetview.go).
-	maxDirectRouters = 32
-	// allOthers is the router id that stands for all other routers in a message of earlier
-	// versions.
-	allOthers = "*"
-)
+// maxDirectRouters is the number of routers up to which each sends its loads to all others. In
+// a larger fleet that would exceed the limit for control traffic; there the routers send their
+// loads to the relays, and a relay sends the sums to all (see fleetview.go).
+const maxDirectRouters = 32
 
 // Loads are the numbers of requests that one router has in flight.
 type Loads struct {
@@ -39,18 +33,10 @@
 	return outgoing
 }
 
-// applyLoads passes the loads of a message to the functions of Config. previous are the
-// loads at endpoints in the sender's last report; those that are missing in the new one are
-// set to 0. In a large fleet loads count only as parts of a view.
-func (e *Exchange) applyLoads(m message, previous map[string]int, direct bool) {
-	for endpoint, requests := range m.RemoteLoads {
-		if direct {
-			e.config.ReceiveLoad(allOthers, endpoint, requests)
-		}
-	}
-	if !m.HasLoads || !direct {
-		return
-	}
+// applyLoads passes the loads of a message of a small fleet to the functions of Config.
+// previous are the loads at endpoints in the sender's last report; those that are missing in the
+// new one are set to 0.
+func (e *Exchange) applyLoads(m message, previous map[string]int) {
 	for endpoint, requests := range m.Loads {
 		e.config.ReceiveLoad(m.Router, endpoint, requests)
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -98,7 +98,7 @@
 }
 
 // SetRemoteLoad sets the number of requests that another router has in flight at an
-// endpoint. router is "*" for the total of all other routers.
+// endpoint.
 func (g *Gateway) SetRemoteLoad(router, endpointID string, requests int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
