--- a/cmd/hornbeamproxy/log.go
+++ b/cmd/hornbeamproxy/log.go
@@ -36,7 +36,7 @@
 	l := &logCommand{in: in, out: out}
 	c := app.Command("log", "Summarize what routers wrote to standard error: what failed, why and where.")
 	c.Flag("request", "Print the lines of the request with this id instead.").StringVar(&l.request)
-	c.Flag("output", "Output format.").Default("text").EnumVar(&l.output, "text", "json")
+	c.Flag("output", "Output format.").Default("text").EnumVar(&l.output, "text", "json", "html")
 	c.Arg("file", "Files of JSON lines, plain or gzip; standard input if there are none, or for -.").StringsVar(&l.files)
 	c.Action(func(*kingpin.ParseContext) error { return l.run() })
 }
@@ -87,8 +87,11 @@
 }
 
 func (l *logCommand) writeSummary(summary routerlog.Summary) error {
-	if l.output == "json" {
+	switch l.output {
+	case "json":
 		return writeJSON(l.out, summary)
+	case "html":
+		return summary.WriteHTML(l.out)
 	}
 	return summary.WriteText(l.out)
 }
--- a/routerlog/line.go
+++ b/routerlog/line.go
@@ -37,6 +37,7 @@
 	Endpoint   string    `json:"endpoint"`
 	Status     int       `json:"status"`
 	MayHaveRun bool      `json:"may_have_run"`
+	Age        float64   `json:"age"` // of the request, in seconds
 }
 
 // parseLine parses one line. It fails if the line is not a JSON object with a time and a
--- a/routerlog/routerlog_test.go
+++ b/routerlog/routerlog_test.go
@@ -13,7 +13,7 @@
 
 const lines = `{"level":"info","ts":"2026-09-05T22:00:00Z","msg":"router started","router":"r1","zone":"za"}
 {"level":"info","ts":"2026-09-05T22:01:00Z","msg":"refused","router":"r1","request":"a","reason":"endpoint_full","service":"s","kind":"unsafe","workspace":"w","status":503,"may_have_run":false}
-{"level":"info","ts":"2026-09-05T22:02:00Z","msg":"refused","router":"r1","request":"b","reason":"upstream_failed","service":"s","kind":"unsafe","workspace":"w","endpoint":"e","status":502,"may_have_run":true}
+{"level":"info","ts":"2026-09-05T22:02:00Z","msg":"refused","router":"r1","request":"b","reason":"upstream_failed","service":"s","kind":"unsafe","workspace":"w","endpoint":"e","status":502,"may_have_run":true,"age":0.25}
 not json
 {"level":"info","ts":"2026-09-05T22:20:00Z","msg":"refused","router":"r2","request":"c","reason":"upstream_failed","service":"s","kind":"safe","status":502,"may_have_run":true}
 {"level":"info","ts":"2026-09-05T22:20:01Z","msg":"response aborted","router":"r2","request":"d","reason":"upstream_incomplete","service":"t","kind":"stream"}
@@ -43,6 +43,7 @@
 	assert.DeepEqual(t, s.Restarts, []Count{{"r1", 1}})
 	assert.DeepEqual(t, s.Endpoints, []Count{{"e", 1}})
 	assert.Equal(t, len(s.ByTime), 3)
+	assert.DeepEqual(t, s.Ages[1], Ages{"outcome unknown", 0.25, 0.25, 0.25})
 	assert.Equal(t, s.ByTime[0].Name, "2026-09-05T22:00:00Z outcome unknown")
 	var text strings.Builder
 	assert.NilError(t, s.WriteText(&text))
@@ -95,6 +96,18 @@
 	assert.Assert(t, len(s.routers) <= maxKeys)
 }
 
+// Guards against a page that needs other files, or in which a name from a line becomes markup.
+func TestHTML(t *testing.T) {
+	input := strings.ReplaceAll(lines, `"reason":"upstream_failed"`, `"reason":"<script src=x>"`)
+	var page strings.Builder
+	assert.NilError(t, summarize(t, []byte(input)).WriteHTML(&page))
+	assert.Assert(t, strings.Contains(page.String(), "<svg") && strings.Contains(page.String(), "outcome unknown"))
+	for _, bad := range []string{"<script", "<link", "src=\"", "href=\""} {
+		assert.Assert(t, !strings.Contains(page.String(), bad), bad)
+	}
+	assert.NilError(t, Summary{}.WriteHTML(&page))
+}
+
 // BenchmarkRead measures the bytes a second of reading and summarizing.
 func BenchmarkRead(b *testing.B) {
 	input := bytes.Repeat([]byte(lines), 1000)
--- a/routerlog/summary.go
+++ b/routerlog/summary.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -13,6 +15,9 @@
 	otherKey = "(other)"
 	// maxUnknown bounds the requests with an unknown outcome that are listed.
 	maxUnknown = 1000
+	// ageSampleSize is the number of requests of each outcome from which the quantiles of the
+	// age are estimated.
+	ageSampleSize = 2048
 	// slotLength is the time that one row of the summary by time covers.
 	slotLength = 10 * time.Minute
 )
@@ -33,6 +38,15 @@
 	Endpoint  string    `json:"endpoint"`
 }
 
+// Ages are quantiles of the time after their arrival at which requests ended, in seconds. They
+// are estimates from a sample.
+type Ages struct {
+	Outcome string  `json:"outcome"`
+	P50     float64 `json:"p50"`
+	P95     float64 `json:"p95"`
+	P99     float64 `json:"p99"`
+}
+
 // Summary is what the lines say together. Tables are sorted by descending count.
 type Summary struct {
 	From     time.Time `json:"from"`
@@ -49,6 +63,7 @@
 	ByWorkspace []Count `json:"by_workspace"`
 	ByKind      []Count `json:"by_kind"`
 	ByTime      []Count `json:"by_time"` // by start of the slot, in order of time
+	Ages        []Ages  `json:"ages"`    // by outcome, in the order of Requests
 	// Events counts what happened to endpoints, zones, the store and routers.
 	Events    []Count `json:"events"`
 	Endpoints []Count `json:"endpoints"` // ejections by endpoint
@@ -93,6 +108,7 @@
 	summary                                        Summary
 	requests, reasons, zones, services, workspaces counter
 	kinds, slots, events, endpoints, restarts      counter
+	ages                                           map[string]metrics.Sample
 	routers                                        map[string]*routerState
 }
 
@@ -101,7 +117,7 @@
 	return &Summarizer{
 		requests: counter{}, reasons: counter{}, zones: counter{}, services: counter{}, workspaces: counter{},
 		kinds: counter{}, slots: counter{}, events: counter{}, endpoints: counter{}, restarts: counter{},
-		routers: map[string]*routerState{},
+		ages: map[string]metrics.Sample{}, routers: map[string]*routerState{},
 	}
 }
 
@@ -161,6 +177,10 @@
 	s.workspaces.add(string(result) + ": " + orUnknown(l.Workspace))
 	s.kinds.add(string(result) + ": " + orUnknown(l.Kind))
 	s.slots.add(l.At.UTC().Truncate(slotLength).Format(time.RFC3339) + " " + string(result))
+	if s.ages[string(result)] == nil {
+		s.ages[string(result)] = metrics.NewUniformSample(ageSampleSize)
+	}
+	s.ages[string(result)].Update(time.Duration(l.Age * float64(time.Second)).Microseconds())
 	if result != outcomeUnknown {
 		return
 	}
@@ -189,6 +209,11 @@
 	summary.Events, summary.Endpoints, summary.Restarts = s.events.sorted(), s.endpoints.sorted(), s.restarts.sorted()
 	summary.ByTime = s.slots.sorted()
 	slices.SortFunc(summary.ByTime, func(a, b Count) int { return cmp.Compare(a.Name, b.Name) })
+	for _, count := range summary.Requests {
+		quantiles := s.ages[count.Name].Percentiles([]float64{0.5, 0.95, 0.99})
+		const perSecond = float64(time.Second / time.Microsecond)
+		summary.Ages = append(summary.Ages, Ages{count.Name, quantiles[0] / perSecond, quantiles[1] / perSecond, quantiles[2] / perSecond})
+	}
 	slices.SortStableFunc(summary.Unknown, func(a, b UnknownRequest) int { return a.At.Compare(b.At) })
 	return summary
 }
--- a/routerlog/text.go
+++ b/routerlog/text.go
@@ -33,6 +33,12 @@
 	} {
 		writeTable(out, table.title, table.counts)
 	}
+	if len(s.Ages) > 0 {
+		fmt.Fprintf(out, "\nSeconds after the arrival, 50th, 95th and 99th percentile\n")
+	}
+	for _, ages := range s.Ages {
+		fmt.Fprintf(out, "  %.3f\t%.3f\t%.3f\t%s\n", ages.P50, ages.P95, ages.P99, ages.Outcome)
+	}
 	if len(s.Unknown) > 0 {
 		fmt.Fprintf(out, "\nRequests that may have run, to look up at the service\n")
 	}
