--- a/cmd/hornbeamproxy/log_test.go
+++ b/cmd/hornbeamproxy/log_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"strings"
 	"testing"
 
@@ -51,3 +52,10 @@
 	assert.Equal(t, summary.Lines, strings.Count(string(recorded), "\n"))
 	assert.Equal(t, summary.BadLines, 0)
 }
+
+// Guards against a version that does not tell which sources a router was built from.
+func TestBuildCommit(t *testing.T) {
+	assert.Equal(t, buildCommit(nil), "unknown commit")
+	info := &debug.BuildInfo{Settings: []debug.BuildSetting{{Key: "vcs.revision", Value: "abc"}, {Key: "vcs.modified", Value: "true"}}}
+	assert.Equal(t, buildCommit(info), "abc (modified)")
+}
--- a/cmd/hornbeamproxy/main.go
+++ b/cmd/hornbeamproxy/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 )
@@ -72,9 +73,28 @@
 }
 
 func addVersionCommand(app *kingpin.Application) {
-	command := app.Command("version", "Print the version.")
+	command := app.Command("version", "Print the version and the commit that it was built from.")
 	command.Action(func(*kingpin.ParseContext) error {
-		_, err := fmt.Println("hornbeamproxy", Version)
+		info, _ := debug.ReadBuildInfo()
+		_, err := fmt.Println("hornbeamproxy", Version, buildCommit(info))
 		return err
 	})
 }
+
+// buildCommit returns the commit that the program was built from, with a mark if the sources
+// differed from it, or "unknown commit".
+func buildCommit(info *debug.BuildInfo) string {
+	commit, modified := "unknown commit", ""
+	if info == nil {
+		return commit
+	}
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			commit = setting.Value
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			modified = " (modified)"
+		}
+	}
+	return commit + modified
+}
