Tell a surge of a prompt at once, and report changed loads twice as often

Change: above 32 routers a router reports every 125 ms if its loads have changed, at least every 0.5 s; the relay that sends the views sends one at once, 60 ms after the last one at the earliest, when a prompt has 8 or more requests in flight and twice as many as it told.

--- a/balance/hotprompt_sim_test.go
+++ b/balance/hotprompt_sim_test.go
@@ -29,24 +29,24 @@
 // views are lost.
 func TestHotPromptKeepsLoadLimit(t *testing.T) {
 	testLoadLimit(t, []simConfig{
-		{routers: 6, endpoints: 18, hotShare: 0.5, viewAge: 500 * time.Millisecond},
-		{routers: 91, endpoints: 90, hotShare: 0.1, viewAge: 250 * time.Millisecond},
-		{routers: 91, endpoints: 90, hotShare: 0.3, viewAge: 500 * time.Millisecond},
-		{routers: 91, endpoints: 90, hotShare: 0.2, viewAge: 750 * time.Millisecond},
-		{routers: 195, endpoints: 93, hotShare: 0.3, viewAge: 500 * time.Millisecond},
-		{routers: 195, endpoints: 93, hotShare: 0.2, viewAge: 750 * time.Millisecond},
-		{routers: 195, endpoints: 93, hotShare: 0.5, viewAge: 250 * time.Millisecond},
-		{routers: 350, endpoints: 200, hotShare: 0.2, viewAge: 500 * time.Millisecond},
+		{routers: 6, endpoints: 18, hotShare: 0.5, viewInterval: 250 * time.Millisecond},
+		{routers: 91, endpoints: 90, hotShare: 0.1, viewInterval: 125 * time.Millisecond},
+		{routers: 91, endpoints: 90, hotShare: 0.3, viewInterval: 250 * time.Millisecond},
+		{routers: 91, endpoints: 90, hotShare: 0.2, viewInterval: 375 * time.Millisecond},
+		{routers: 195, endpoints: 93, hotShare: 0.3, viewInterval: 250 * time.Millisecond},
+		{routers: 195, endpoints: 93, hotShare: 0.2, viewInterval: 375 * time.Millisecond},
+		{routers: 195, endpoints: 93, hotShare: 0.5, viewInterval: 125 * time.Millisecond},
+		{routers: 350, endpoints: 200, hotShare: 0.2, viewInterval: 250 * time.Millisecond},
 	})
 }
 
-// Guards against the same with a prompt that gets half of all requests at once, and loads as
-// old as they may be in a large fleet.
+// Guards against the same with a prompt that gets half of all requests at once, at the interval
+// of views in a large fleet.
 func TestVeryHotPromptKeepsLoadLimit(t *testing.T) {
 	testLoadLimit(t, []simConfig{
-		{routers: 91, endpoints: 93, hotShare: 0.5, viewAge: 500 * time.Millisecond},
-		{routers: 195, endpoints: 93, hotShare: 0.5, viewAge: 500 * time.Millisecond},
-		{routers: 350, endpoints: 200, hotShare: 0.5, viewAge: 500 * time.Millisecond},
+		{routers: 91, endpoints: 93, hotShare: 0.5, viewInterval: 250 * time.Millisecond},
+		{routers: 195, endpoints: 93, hotShare: 0.5, viewInterval: 250 * time.Millisecond},
+		{routers: 350, endpoints: 200, hotShare: 0.5, viewInterval: 250 * time.Millisecond},
 	})
 }
 
@@ -56,7 +56,7 @@
 		for seed := range uint64(2) {
 			config.churn, config.lost, config.seed = true, 0.05, seed+1
 			config := config
-			t.Run(fmt.Sprintf("%d routers, hot %.1f, age %s, seed %d", config.routers, config.hotShare, config.viewAge, config.seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d routers, hot %.1f, views every %s, seed %d", config.routers, config.hotShare, config.viewInterval, config.seed), func(t *testing.T) {
 				t.Parallel()
 				over := newSimulation(config).run()
 				assert.Equal(t, over, 0.0, "fraction over the limit in 5 s")
@@ -69,37 +69,43 @@
 type simConfig struct {
 	routers, endpoints int
 	hotShare           float64       // of all requests, from hotFrom on
-	viewAge            time.Duration // greatest age of the loads that a router knows: two intervals of reports
+	viewInterval       time.Duration // between two views without a surge; reports come twice as often
 	lost               float64       // fraction of the views that do not arrive
 	churn              bool          // endpoints leave and join while the prompt is hot
 	seed               uint64
 }
 
 const (
-	simLength    = 14 * time.Second
-	hotFrom      = 4 * time.Second
-	simStep      = time.Millisecond
-	meanLoad     = 4.4 // requests in flight at an endpoint
-	meanService  = 1100 * time.Millisecond
-	simPrompts   = 1300
-	churnAt      = 7 * time.Second
-	leaving      = 6
-	joining      = 12
-	hotPromptKey = 7
+	simLength = 14 * time.Second
+	hotFrom   = 4 * time.Second
+	simStep   = time.Millisecond
+	// surgeRequests, surgeFactor and surgeInterval are those of package exchange.
+	surgeRequests = 8
+	surgeFactor   = 2
+	surgeInterval = 60 * time.Millisecond
+	meanLoad      = 4.4 // requests in flight at an endpoint
+	meanService   = 1100 * time.Millisecond
+	simPrompts    = 1300
+	churnAt       = 7 * time.Second
+	leaving       = 6
+	joining       = 12
+	hotPromptKey  = 7
 )
 
-// simulation plays requests on many balancers, each with a view of the others that is up to
-// viewAge old.
+// simulation plays requests on many balancers, each with a view of the others.
 type simulation struct {
 	simConfig
 	random    *rand.Rand
 	balancers []*Balancer
 	members   []*roster.Endpoint
 	load      map[string]int
-	reports   []simLoads      // the newest of each router
-	phase     []time.Duration // of the reports of each router
-	ends      map[time.Duration][]simRequest
-	over      []arrival
+	// sums are the requests by prompt of the newest reports, told those at the last view.
+	sums, told  map[uint32]int
+	deliveredAt time.Duration   // when the last view was delivered
+	reports     []simLoads      // the newest of each router
+	phase       []time.Duration // of the reports of each router
+	ends        map[time.Duration][]simRequest
+	over        []arrival
 }
 
 // simLoads are the numbers of requests in flight at one moment.
@@ -127,7 +133,7 @@
 func newSimulation(config simConfig) *simulation {
 	s := &simulation{
 		simConfig: config, random: rand.New(rand.NewPCG(config.seed, 1)),
-		load: map[string]int{}, ends: map[time.Duration][]simRequest{},
+		load: map[string]int{}, sums: map[uint32]int{}, ends: map[time.Duration][]simRequest{},
 	}
 	for i := range config.endpoints {
 		s.members = append(s.members, simEndpoint(i))
@@ -135,7 +141,7 @@
 	for i := range config.routers {
 		s.balancers = append(s.balancers, New(fmt.Sprintf("z%d", i%6)))
 		s.reports = append(s.reports, simLoads{})
-		s.phase = append(s.phase, time.Duration(s.random.Int64N(int64(config.viewAge/2))).Round(simStep))
+		s.phase = append(s.phase, time.Duration(s.random.Int64N(int64(config.viewInterval))).Round(simStep))
 		for _, endpoint := range s.members {
 			s.balancers[i].Join(start, endpoint, true)
 		}
@@ -147,19 +153,20 @@
 // a window in which the rule is broken, or 0 if it is kept.
 func (s *simulation) run() float64 {
 	rate := meanLoad * float64(s.endpoints) / meanService.Seconds()
-	interval := s.viewAge / 2
 	for at := time.Duration(0); at < simLength; at += simStep {
 		for _, request := range s.ends[at] {
 			s.end(request)
 		}
 		delete(s.ends, at)
+		surge := false
 		for router := range s.balancers {
-			if (at+s.phase[router])%interval == 0 {
-				s.report(router)
+			if (at+s.phase[router])%(s.viewInterval/2) == 0 {
+				surge = s.report(router) || surge
 			}
 		}
-		if at%interval == 0 {
+		if at%s.viewInterval == 0 || surge && at-s.deliveredAt >= surgeInterval {
 			s.deliver(start.Add(at))
+			s.deliveredAt = at
 		}
 		if s.churn && at == churnAt {
 			s.churnEndpoints()
@@ -186,12 +193,21 @@
 	}
 }
 
-// report records the loads of one router for the next views.
-func (s *simulation) report(router int) {
+// report records the loads of one router for the next views. It returns true if the requests
+// of a prompt have surged since the last view.
+func (s *simulation) report(router int) (surge bool) {
 	b := s.balancers[router]
 	loads := simLoads{endpoints: map[string]int{}, prompts: b.LocalPrompts()}
 	b.Loads(func(id string, requests int) { loads.endpoints[id] = requests })
+	for id, requests := range s.reports[router].prompts {
+		s.sums[id] -= requests
+	}
+	for id, requests := range loads.prompts {
+		s.sums[id] += requests
+		surge = surge || s.sums[id] >= surgeRequests && s.sums[id] >= surgeFactor*s.told[id]
+	}
 	s.reports[router] = loads
+	return surge
 }
 
 // deliver passes the sum of the newest reports to each balancer, without its own report,
@@ -206,6 +222,7 @@
 			sum.prompts[id] += requests
 		}
 	}
+	s.told = sum.prompts
 	for router, b := range s.balancers {
 		if s.random.Float64() < s.lost {
 			continue
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -108,8 +108,10 @@
 	pending        []pendingBatch         // oldest first
 	rank           int                    // number of relays among predecessors; below relayCount, this router is a relay
 	reported       Loads                  // what this router last sent to the relays of a large fleet
+	reportedAt     time.Time              // when that was
 	relaySince     time.Time              // when this router became a relay; zero if it is none
 	viewSentAt     time.Time              // when this router last sent a view
+	surges         surgeDetector          // of the reports to this router
 	heartbeatIndex int                    // index in relayOrder of the peer that got the last heartbeat
 }
 
@@ -193,7 +195,14 @@
 
 // Send sends datagrams until ctx ends, and returns nil.
 func (e *Exchange) Send(ctx context.Context) error {
-	return timing.Every(ctx, sendInterval, e.sendDue)
+	ticks := 0
+	return timing.Every(ctx, reportInterval, func(now time.Time) {
+		if ticks++; ticks%int(sendInterval/reportInterval) == 0 {
+			e.sendDue(now)
+			return
+		}
+		e.sendReport(now)
+	})
 }
 
 // sendDue sends the datagrams that are due: loads, heads if this router is a relay,
@@ -205,10 +214,7 @@
 	outgoing := e.loadMessages(now, own)
 	view := e.dueView(now, own)
 	if e.rank < relayCount {
-		m := &message{Router: e.config.Router, Relay: true, Heads: maps.Clone(e.heads), View: view}
-		for _, p := range e.peers {
-			outgoing = append(outgoing, outgoingMessage{p.address, m})
-		}
+		outgoing = append(outgoing, e.toAll(&message{Router: e.config.Router, Relay: true, Heads: maps.Clone(e.heads), View: view})...)
 	}
 	outgoing = append(outgoing, e.heartbeats()...)
 	overdue := e.overdueBatches(now)
@@ -232,12 +238,18 @@
 // broadcast sends a message to all peers.
 func (e *Exchange) broadcast(m *message) {
 	e.mu.Lock()
+	outgoing := e.toAll(m)
+	e.mu.Unlock()
+	e.send(outgoing)
+}
+
+// toAll returns the message for each peer. Callers hold e.mu.
+func (e *Exchange) toAll(m *message) []outgoingMessage {
 	outgoing := make([]outgoingMessage, 0, len(e.peers))
 	for _, p := range e.peers {
 		outgoing = append(outgoing, outgoingMessage{p.address, m})
 	}
-	e.mu.Unlock()
-	e.send(outgoing)
+	return outgoing
 }
 
 // broadcastBatch sends a batch to all peers: in one datagram if it fits, otherwise in
@@ -322,7 +334,7 @@
 	e.mu.Lock()
 	p, ok := e.peers[m.Router]
 	var previous map[string]int
-	direct, acceptsView, reported := e.sendsDirect(), false, e.reported
+	direct, acceptsView, surge, reported := e.sendsDirect(), false, false, e.reported
 	batch := m.Batch
 	if ok {
 		p.lastHeard = now
@@ -331,6 +343,7 @@
 			p.heads, p.headsAt = m.Heads, now
 		}
 		if m.HasLoads {
+			surge = !direct && e.surges.add(p.prompts, m.Prompts)
 			previous, p.loads = p.loads, m.Loads
 			p.prompts, p.loadsAt = m.Prompts, now
 		}
@@ -355,6 +368,9 @@
 	if acceptsView {
 		e.applyView(m.View, reported)
 	}
+	if surge {
+		e.sendSurgeView(now)
+	}
 }
 
 // Close closes the socket, which ends Receive.
--- a/exchange/fleetview.go
+++ b/exchange/fleetview.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,6 +17,10 @@
 // what a router knows expires with remoteLoadTTL of package balance.
 
 const (
+	// reportInterval is the time between two reports to the relays. A report that equals the
+	// last one is sent only after repeatInterval, in case that one was lost.
+	reportInterval = sendInterval / 2
+	repeatInterval = 500 * time.Millisecond
 	// viewBytesPerSecond bounds the size of the views that a router receives. Where the
 	// loads of all endpoints are large, views are sent less often.
 	viewBytesPerSecond = 3 << 10
@@ -37,6 +42,28 @@
 	viewEntryBytes = 4
 )
 
+// reportDue reports whether the loads have to be sent to the relays. Callers hold e.mu.
+func (e *Exchange) reportDue(now time.Time, own Loads) bool {
+	return now.Sub(e.reportedAt) >= repeatInterval-reportInterval/2 ||
+		!maps.Equal(own.Endpoints, e.reported.Endpoints) || !maps.Equal(own.Prompts, e.reported.Prompts)
+}
+
+// sendReport sends the loads of this router to the relays of a large fleet if they have
+// changed.
+func (e *Exchange) sendReport(now time.Time) {
+	e.mu.Lock()
+	direct := e.sendsDirect()
+	e.mu.Unlock()
+	if direct {
+		return
+	}
+	own := e.config.Loads()
+	e.mu.Lock()
+	outgoing := e.loadMessages(now, own)
+	e.mu.Unlock()
+	e.send(outgoing)
+}
+
 // fleetView is the sum of the loads of all routers, as a relay sends it.
 type fleetView struct {
 	// Endpoints has viewEntryBytes for each endpoint with requests in flight: a hash of
@@ -125,9 +152,7 @@
 	if now.Sub(e.relaySince) < collectTime || !complete || e.viewFromPredecessor(now) {
 		return nil
 	}
-	addTo(sum.Endpoints, own.Endpoints)
-	addTo(sum.Prompts, own.Prompts)
-	view := newFleetView(sum)
+	view := e.newView(sum, own)
 	if now.Sub(e.viewSentAt) < view.interval()-sendInterval/2 {
 		return nil
 	}
@@ -135,6 +160,15 @@
 	return view
 }
 
+// newView returns the view of the sums of the peers and of this router's own loads. Callers
+// hold e.mu.
+func (e *Exchange) newView(sum, own Loads) *fleetView {
+	addTo(sum.Endpoints, own.Endpoints)
+	e.surges.reset(sum.Prompts)
+	addTo(sum.Prompts, own.Prompts)
+	return newFleetView(sum)
+}
+
 // viewFromPredecessor reports whether a router that becomes a relay before this one has
 // sent a view within viewTimeout. Callers hold e.mu.
 func (e *Exchange) viewFromPredecessor(now time.Time) bool {
--- a/exchange/loads.go
+++ b/exchange/loads.go
@@ -23,8 +23,11 @@
 	m := &message{Router: e.config.Router, Loads: own.Endpoints, Prompts: own.Prompts, HasLoads: true}
 	receivers := e.relayOrder
 	if !e.sendsDirect() {
+		if !e.reportDue(now, own) {
+			return nil
+		}
 		receivers = e.collectors(now)
-		e.reported = own
+		e.reported, e.reportedAt = own, now
 	}
 	outgoing := make([]outgoingMessage, 0, len(receivers))
 	for _, p := range receivers {
--- a/exchange/loads_test.go
+++ b/exchange/loads_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
 // offline returns the exchange of one router in a fleet of the given size. Send is not
@@ -82,6 +84,8 @@
 	for _, routers := range []int{maxDirectRouters + 1, 350} {
 		e := offline(t, 0, routers)
 		assert.Equal(t, len(e.loadMessages(now, Loads{})), relayCount, "%d routers", routers)
+		assert.Equal(t, len(e.loadMessages(now.Add(reportInterval), Loads{})), 0, "nothing has changed")
+		assert.Equal(t, len(e.loadMessages(now.Add(2*reportInterval), Loads{Endpoints: map[string]int{"e": 1}})), relayCount)
 		assert.Assert(t, len(e.heartbeats()) <= 9)
 	}
 	assert.Equal(t, len(offline(t, 0, maxDirectRouters).loadMessages(now, Loads{})), maxDirectRouters-1)
@@ -128,6 +132,43 @@
 	assert.Assert(t, e.dueView(now.Add(2*collectTime), Loads{}) == nil, "not due again")
 }
 
+// Guards against a surge of a prompt that waits for the next view, and against views without
+// end while a prompt stays hot or its requests only vary.
+func TestSurge(t *testing.T) {
+	var d surgeDetector
+	one := map[uint32]int{1: 1}
+	assert.Assert(t, !d.add(nil, one), "no view was sent yet")
+	d.reset(map[uint32]int{1: 2})
+	for range surgeRequests - 3 {
+		assert.Assert(t, !d.add(nil, one))
+	}
+	assert.Assert(t, d.add(nil, one))
+	d.reset(d.sums)
+	assert.Assert(t, !d.add(nil, one), "the surge has been told")
+	assert.Assert(t, !d.add(one, one))
+	d.reset(map[uint32]int{1: 40})
+	assert.Assert(t, !d.add(one, map[uint32]int{1: 2}))
+}
+
+// Guards against a surge that is not told before the next regular view, and against views of
+// several relays.
+func TestSurgeView(t *testing.T) {
+	now := time.Unix(1000, 0)
+	metrics := telemetry.NewMetrics()
+	e := offline(t, 0, maxDirectRouters+2)
+	e.config.Metrics = metrics
+	e.config.Loads = func() Loads { return Loads{} }
+	e.config.ReceiveFleetLoads = func(func(string) int, map[uint32]int) {}
+	e.rank, e.viewSentAt = 0, now
+	views := func() int64 { return metrics.Counter("exchange.surge_views").Count() }
+	e.sendSurgeView(now.Add(minViewInterval / 2))
+	assert.Equal(t, views(), int64(0), "too soon")
+	e.sendSurgeView(now.Add(minViewInterval))
+	assert.Equal(t, views(), int64(1))
+	e.sendSurgeView(now.Add(minViewInterval + 2*viewTimeout))
+	assert.Equal(t, views(), int64(1), "another relay sends the views")
+}
+
 // Guards against a malformed view that ends the process or is used in part.
 func TestMalformedView(t *testing.T) {
 	view := fleetView{Endpoints: []byte{1, 2, 3, 4, 5, 6}}
