exchange: never leave the lock held after a panic, and move receiving to a file

A panic that Guard recovers while a message is recorded would have left the lock held: the router would have hung instead of ended. Recording is a function with a deferred unlock now, and a batch is decompressed outside the lock. No change of behaviour otherwise.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -33,9 +32,6 @@
 	// maxDatagram is the largest size of a datagram in bytes. A batch that does not fit
 	// is sent in fragments.
 	maxDatagram = 8 << 10
-	// receiveErrorPause is the time after an error of the socket before the next datagram is
-	// received.
-	receiveErrorPause = 50 * time.Millisecond
 	// maxAssemblies bounds the number of kinds whose fragments are kept for a peer.
 	maxAssemblies = 8
 )
@@ -303,75 +299,5 @@
 	return datagram
 }
 
-// Receive handles incoming datagrams until the socket is closed. Other errors of the socket
-// are counted, and it goes on after receiveErrorPause.
-func (e *Exchange) Receive() error {
-	buffer := make([]byte, maxDatagram+1)
-	for {
-		n, _, err := e.socket.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return fmt.Errorf("receiving from peers: %w", err)
-		}
-		if err != nil {
-			e.config.Metrics.Counter("exchange.receive_errors").Inc(1)
-			e.config.Logger.Warn("datagram not received", zap.Error(err))
-			time.Sleep(receiveErrorPause)
-			continue
-		}
-		var m message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
-			e.config.Metrics.Counter("exchange.malformed").Inc(1)
-			continue
-		}
-		e.config.Guard.Run("message of a router", func() { e.handleMessage(time.Now(), m) })
-	}
-}
-
-// handleMessage records what a message says of its sender, and passes the batch, the
-// loads and the view to the functions of Config. If the sender is not a known peer, only the batch is
-// used.
-func (e *Exchange) handleMessage(now time.Time, m message) {
-	e.mu.Lock()
-	p, ok := e.peers[m.Router]
-	var previous map[string]int
-	direct, acceptsView, surge, reported := e.sendsDirect(), false, false, e.reported
-	batch := m.Batch
-	if ok {
-		p.lastHeard = now
-		if m.Relay {
-			p.relayAt = now
-			p.heads, p.headsAt = m.Heads, now
-		}
-		if m.HasLoads {
-			surge = !direct && e.surges.add(p.prompts, m.Prompts)
-			previous, p.loads = p.loads, m.Loads
-			p.prompts, p.loadsAt = m.Prompts, now
-		}
-		if m.Fragment != nil {
-			var err error
-			if batch, err = p.addFragment(m.Fragment); err != nil {
-				e.config.Metrics.Counter("exchange.malformed").Inc(1)
-			}
-		}
-		if m.View != nil {
-			p.viewAt = now
-			acceptsView = !direct && e.acceptsView(now, p)
-		}
-	}
-	e.mu.Unlock()
-	if batch != nil {
-		e.config.ReceiveBatch(*batch)
-	}
-	if ok && m.HasLoads && direct {
-		e.applyLoads(m, previous)
-	}
-	if acceptsView {
-		e.applyView(m.View, reported)
-	}
-	if surge {
-		e.sendSurgeView(now)
-	}
-}
-
 // Close closes the socket, which ends Receive.
 func (e *Exchange) Close() { _ = e.socket.Close() }
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -230,10 +230,13 @@
 		{Kind: "k", To: 1, Index: -1, Count: 2},
 		{Kind: "k", To: 1, Index: 0, Count: maxFragments + 1},
 		{Kind: "k", To: 1, Count: 1, Data: make([]byte, fragmentBytes+1)},
-		{Kind: "k", To: 1, Count: 1, Data: []byte("not compressed")},
 	} {
-		batch, err := p.addFragment(&f)
-		assert.Assert(t, batch == nil && err != nil, "%+v", f)
+		compressed, err := p.addFragment(&f)
+		assert.Assert(t, compressed == nil && err != nil, "%+v", f)
+	}
+	for _, compressed := range []string{"not compressed", "", "\x01\x02\x00\xfd\xff\xff\xff"} {
+		batch, err := decompressBatch([]byte(compressed))
+		assert.Assert(t, batch == nil && err != nil, "%q", compressed)
 	}
 	for i := range 1000 {
 		_, err := p.addFragment(&fragment{Kind: fmt.Sprint("k", i), To: 1, Index: 0, Count: 2, Data: []byte{1}})
--- a/exchange/fragments.go
+++ b/exchange/fragments.go
@@ -71,9 +71,9 @@
 	return messages, nil
 }
 
-// addFragment adds a fragment to those of its batch, and returns the batch when none is
-// missing. The fragments of an older batch of the kind are dropped. Callers hold e.mu.
-func (p *peer) addFragment(f *fragment) (*mirror.Batch, error) {
+// addFragment adds a fragment to those of its batch, and returns the compressed batch when none
+// is missing. The fragments of an older batch of the kind are dropped. Callers hold e.mu.
+func (p *peer) addFragment(f *fragment) ([]byte, error) {
 	if f.Count < 1 || f.Count > maxFragments || f.Index < 0 || f.Index >= f.Count || len(f.Data) > fragmentBytes {
 		return nil, fmt.Errorf("exchange: fragment %d of %d with %d bytes", f.Index, f.Count, len(f.Data))
 	}
@@ -96,7 +96,7 @@
 	for i := range a.parts {
 		a.parts[i] = []byte{} // received; the bytes are no longer needed
 	}
-	return decompressBatch(compressed)
+	return compressed, nil
 }
 
 func decompressBatch(compressed []byte) (*mirror.Batch, error) {
