--- a/cmd/hornbeamproxy/log.go
+++ b/cmd/hornbeamproxy/log.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	var input io.Reader = file
 	if info, err := file.Stat(); err == nil && isatty.IsTerminal(os.Stderr.Fd()) {
 		bar := progressbar.DefaultBytes(info.Size(), name)
--- a/routerlog/text.go
+++ b/routerlog/text.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 	"time"
 )
@@ -12,7 +13,7 @@
 
 // WriteText writes the summary for people.
 func (s Summary) WriteText(w io.Writer) error {
-	out := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	out := &strings.Builder{}
 	fmt.Fprintf(out, "%s to %s, %d routers, %d lines, %d bad lines\n",
 		s.From.UTC().Format(time.RFC3339), s.To.UTC().Format(time.RFC3339), s.Routers, s.Lines, s.BadLines)
 	fmt.Fprintln(out, "Times are those of the routers' clocks, which may differ.")
@@ -51,10 +52,14 @@
 	if more := len(s.Unknown) - maxRows + s.UnknownLeftOut; more > 0 && len(s.Unknown) > maxRows {
 		fmt.Fprintf(out, "  and %d more\n", more)
 	}
-	return out.Flush()
+	aligned := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	if _, err := io.WriteString(aligned, out.String()); err != nil {
+		return fmt.Errorf("writing: %w", err)
+	}
+	return aligned.Flush()
 }
 
-func writeTable(out io.Writer, title string, counts []Count) {
+func writeTable(out *strings.Builder, title string, counts []Count) {
 	if len(counts) == 0 {
 		return
 	}
