Send nothing to cold endpoints before the other routers are known

The store came back 0.1 s after all 80 routers had started in its outage; each read the configuration and the endpoints at once, but the other routers only up to 1 s later, and a router that does not know the others had a share of 1 request. It also waited 1.5 s for a relay before it watched, with a list that lacked the entries that had expired in the outage.

Change: the share is 0 until the routers are listed; they are listed before this router registers, and every 0.25 s until that succeeds; a router that started in an outage watches at once.

TestStartInOutageWatchesAtOnce and the last line of TestShare fail without. That line asked for a share of 1; 0 is the stricter side of the platform's limit.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -19,6 +19,9 @@
 	// the interval after that.
 	firstListInterval = time.Second
 	listInterval      = 5 * time.Second
+	// failedListInterval is the interval after a list that failed before any succeeded. A
+	// router that does not know the others sends nothing to cold endpoints.
+	failedListInterval = 250 * time.Millisecond
 	// deadAfter is the silence after which a router's registration is removed.
 	deadAfter = 60 * time.Second
 )
@@ -42,12 +45,16 @@
 	f.silentSince = map[string]time.Time{}
 	pause := time.Duration(0)
 	for timing.Pause(ctx, pause) {
+		found := f.list(ctx)
 		if !f.registered {
 			f.registered = f.register(ctx)
 		}
 		pause = firstListInterval
-		if f.list(ctx) && f.registered {
+		switch {
+		case found && f.registered:
 			pause = listInterval
+		case f.peers.Routers() == nil:
+			pause = failedListInterval
 		}
 	}
 	return nil
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -137,8 +137,10 @@
 	batches chan Batch
 
 	haveList bool
-	// listedAt is when the first list arrived.
-	listedAt time.Time
+	// listedAt is when the first list arrived. startedInOutage is set if a call failed
+	// before: the list may then lack entries that expired in the outage and come back soon.
+	listedAt        time.Time
+	startedInOutage bool
 	// relist is set after a failed call, so that the next call is a list. A watch
 	// would return all changes since the last revision, which may take longer than its
 	// time-out.
@@ -244,11 +246,11 @@
 }
 
 // awaitsRelays reports whether the router waits for a relay instead of calling the store
-// itself: shortly after its start.
+// itself: shortly after its start, unless it started in an outage.
 func (m *Mirror) awaitsRelays() bool {
 	relay, _ := m.Peers.RelayRole()
 	_, fresh := m.Peers.HighestRevision(m.Kind)
-	return !relay && !fresh && time.Since(m.listedAt) < startGrace
+	return !relay && !fresh && !m.startedInOutage && time.Since(m.listedAt) < startGrace
 }
 
 // followsRelays reports whether the router gets the changes from relays. That is so if it
@@ -437,6 +439,7 @@
 	}
 	m.failures++
 	m.relist = true
+	m.startedInOutage = m.startedInOutage || m.listedAt.IsZero()
 	m.Receiver.StoreUnavailable(err)
 	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision})
 	backoff := min(minBackoff<<min(m.failures-1, 8), maxBackoff)
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -396,6 +396,18 @@
 	assert.DeepEqual(t, source.calls, []string{"list"})
 }
 
+// Guards against a router that starts in an outage and keeps for long to its first list, which
+// lacks the entries that expired in the outage.
+func TestStartInOutageWatchesAtOnce(t *testing.T) {
+	source := &scriptedSource{steps: []func(uint64) ([]objectstore.Object, uint64, error){
+		replyWith(0, objectstore.ErrUnavailable), replyWith(5, nil, "a"), replyWith(6, nil, "back"),
+	}}
+	began := time.Now()
+	_, events := startMirror(t, source, &peerStub{})
+	events("unavailable", "list a", "available", "change back")
+	assert.Assert(t, time.Since(began) < startGrace)
+}
+
 // Guards against all routers calling a store that does not answer the relays either, and
 // against a router that does not learn from the relays that the store is back.
 func TestFollowersLeaveOutageToRelays(t *testing.T) {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -40,11 +40,12 @@
 // add up to it. Each router gets limit divided by the number of routers, rounded down. The
 // remainder r goes to the first r routers in the order of placement.Rank for name, one
 // event each. In a fleet with more routers than allowed events, some routers therefore have
-// a share of 0. A router that does not know the others yet has a share of 1.
+// a share of 0. A router that does not know the others yet has a share of 0: after a loss of all
+// routers, each of hundreds would otherwise send one.
 func (r *Routers) Share(limit float64, name string) int {
 	whole := int(max(1, limit))
 	if r == nil {
-		return 1
+		return 0
 	}
 	even, rest := whole/len(r.routers), whole%len(r.routers)
 	if rest > 0 && placement.Rank(name, r.self, r.routers) < rest {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -29,7 +29,7 @@
 	assert.Equal(t, NewRouters("a", nil).Share(35, "e"), 35)
 	assert.Equal(t, NewRouters("a", nil).Share(0.5, "e"), 1)
 	var unknown *Routers
-	assert.Equal(t, unknown.Share(35, "e"), 1)
+	assert.Equal(t, unknown.Share(35, "e"), 0, "hundreds of routers may not know each other at the same time")
 }
 
 // Guards against an even share of 0, with which a router could send nothing at all.
