--- a/exchange/fleetview.go
+++ b/exchange/fleetview.go
@@ -27,7 +27,7 @@
 	viewBytesPerSecond = 3 << 10
 	maxViewInterval    = time.Second
 	// maxViewEndpoints bounds the endpoints of a view, so that it fits into a datagram; those
-	// with the highest loads are kept. It is three times the number that the design is for.
+	// with the highest loads are kept.
 	maxViewEndpoints = 1800
 	// viewTimeout is the time after the last view of a relay of a lower rank at which
 	// this relay sends views in its place, and receivers accept them.
