--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOPLS = go run golang.org/x/tools/gopls@v0.23.0
 SCHEMAS = $(wildcard schema/*.json)
 
-.PHONY: build test measure generate check-generated format check-format lint rename
+.PHONY: build test regression measure generate check-generated format check-format lint rename
 
 build:
 	go build -o bin/hornbeamproxy ./cmd/hornbeamproxy
@@ -18,6 +18,16 @@
 	go test $(SKIP) $$(go list ./... | grep -v /integration$$)
 	go test $(SKIP) -parallel 1 -timeout 30m ./integration
 
+# The users' deployments that a change must not make worse. FLEETBENCH is the program of
+# their bench and SITES the folder of its site files; neither is part of this repository.
+REGRESSION_SITES = large/zhds-almaty-large further-grown/quetzal-coil-grown further/quetzal-coil \
+	shifted/zhds-almaty-now-grown grown/zhds-almaty-grown grown/perruque-hub-grown
+
+regression:
+	@test -n "$(FLEETBENCH)" -a -n "$(SITES)" || { echo "set FLEETBENCH and SITES"; exit 2; }
+	for site in $(REGRESSION_SITES); do \
+		$(FLEETBENCH) score $(SITES)/$$site.toml --quick --why "regression run" || exit 1; done
+
 # The exit status is 1 if the build misses a target.
 measure: build
 	bin/hornbeamproxy measure
