gateway: log which requests were at an endpoint when it exited

Logs charge failures to endpoints only, so that they can't tell a request that crashes endpoints from one that was there when an endpoint exited. When a connection with a prompt breaks, the router now opens a new one; if it is refused, the line 'endpoint exited with requests in flight' names the requests, whether their answers had begun, and the shared parts of their prompts.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,6 +41,7 @@
 		return refused
 	}
 	x.tried = append(x.tried, state.Endpoint)
+	x.answerBegan = time.Time{}
 	pool := x.g.pool(state)
 	x.addOwnTime()
 	conn, err := x.connect(pool)
@@ -179,7 +180,11 @@
 		x.release(state, timeoutErr)
 		return result{refusal: api.RefusalDeadlineExceeded}
 	}
-	x.release(state, x.errOrCallerGone(err))
+	err = x.errOrCallerGone(err)
+	if !errors.Is(err, errCallerGone) {
+		x.recordBroken(state)
+	}
+	x.release(state, err)
 	return failure
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -89,6 +89,9 @@
 	copyFrom string
 	// stream is the part of a stream that the caller has received so far.
 	stream streamState
+	// answerBegan is when the first event of the answer arrived in the current attempt; zero
+	// before that.
+	answerBegan time.Time
 	// failure is the latest 5xx response of an endpoint to a repeatable request. It
 	// is forwarded if no later attempt succeeds.
 	failure *bufferedResponse
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,6 +91,8 @@
 	// back-off, since a retry goes to another endpoint.
 	retries retry.Policy
 	pools   map[*roster.Endpoint]*upstream.Pool
+	// exitChecks are the checks of endpoints to which connections broke.
+	exitChecks map[*roster.Endpoint]*exitCheck
 }
 
 // New returns a gateway without a configuration and without endpoints. It refuses all
@@ -102,6 +104,7 @@
 		balancer:    balance.New(config.Zone),
 		bodyTimeout: bodyTimeout,
 		pools:       map[*roster.Endpoint]*upstream.Pool{},
+		exitChecks:  map[*roster.Endpoint]*exitCheck{},
 		latency:     metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
 		firstByte:   metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
 		own:         metrics.GetOrRegisterTimer("requests.own_seconds", config.Metrics.Registry),
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -35,6 +35,7 @@
 	closed   int // number of connections that the gateway closed
 	accepted int // number of connections in all
 	open     int // number of connections that are not closed
+	conns    map[net.Conn]bool
 }
 
 // script writes the response to a request. The connection is closed when it returns
@@ -45,7 +46,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	e := &endpoint{id: id, listener: listener, scripts: scripts}
+	e := &endpoint{id: id, listener: listener, scripts: scripts, conns: map[net.Conn]bool{}}
 	t.Cleanup(func() { listener.Close() })
 	go func() {
 		for {
@@ -60,8 +61,8 @@
 }
 
 func (e *endpoint) serve(conn net.Conn) {
-	e.countOpen(1)
-	defer e.countOpen(-1)
+	e.countOpen(conn, 1)
+	defer e.countOpen(conn, -1)
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
@@ -90,10 +91,14 @@
 	}
 }
 
-// countOpen changes the number of open connections.
-func (e *endpoint) countOpen(change int) {
+// countOpen records that a connection was opened (change 1) or closed (-1).
+func (e *endpoint) countOpen(conn net.Conn, change int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.conns[conn] = true
+	if change < 0 {
+		delete(e.conns, conn)
+	}
 	e.open += change
 	e.accepted += max(0, change)
 }
@@ -226,6 +231,8 @@
 			{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: routing.Unsafe, Timeout: timeout, Targets: target, MaxEndpoints: 2},
 			{Name: "chat", Host: "h", Prefix: "/chat/", Kind: routing.Stream, Timeout: timeout, Targets: target, MaxEndpoints: 3, Resumable: true},
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: routing.Unsafe, Timeout: timeout, Targets: target, MaxEndpoints: 1},
+			{Name: "prompt", Host: "h", Prefix: "/prompt/", Kind: routing.Stream, Timeout: timeout, Targets: target, MaxEndpoints: 1, CachesPrompts: true},
+			{Name: "chatprompt", Host: "h", Prefix: "/chatprompt/", Kind: routing.Stream, Timeout: timeout, Targets: target, MaxEndpoints: 3, Resumable: true, CachesPrompts: true},
 			{Name: "report", Host: "h", Prefix: "/report/", Kind: routing.Stream, Timeout: timeout, Targets: target, MaxEndpoints: 2},
 		},
 		Workspaces: []*routing.Workspace{{Name: "w", Keys: []string{"key"}}},
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -51,6 +51,19 @@
 	return nonZero(r.PromptParts[len(r.PromptParts)-2].ID)
 }
 
+// SharedParts returns the ids of the prompt's parts that other requests may share: all but the
+// last.
+func (r *Request) SharedParts() []uint64 {
+	if len(r.PromptParts) < 2 {
+		return nil
+	}
+	ids := make([]uint64, 0, len(r.PromptParts)-1)
+	for _, part := range r.PromptParts[:len(r.PromptParts)-1] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 func nonZero(key uint64) uint64 {
 	if key == 0 {
 		return 1
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,6 +87,9 @@
 		pending = pending[:len(pending)+n]
 		end := bytes.LastIndex(pending, eventEnd)
 		if end >= 0 {
+			if x.answerBegan.IsZero() {
+				x.answerBegan = time.Now()
+			}
 			end += len(eventEnd)
 			out := pending[:end]
 			if resumed {
--- a/routerlog/line.go
+++ b/routerlog/line.go
@@ -13,6 +13,7 @@
 	messageRefused       = "refused"
 	messageAborted       = "response aborted"
 	messageEjected       = "endpoint ejected"
+	messageExited        = "endpoint exited with requests in flight"
 	messageStoreDown     = "store unavailable"
 	messageStoreUp       = "store available again"
 	messageZoneDoubted   = "zone suspected unreachable"
--- a/routerlog/summary.go
+++ b/routerlog/summary.go
@@ -148,7 +148,7 @@
 		router.running = false
 	case messageEjected:
 		s.endpoints.add(l.Endpoint)
-	case messageStoreDown, messageStoreUp, messageZoneDoubted, messagePanic, messageRouterRemoved:
+	case messageExited, messageStoreDown, messageStoreUp, messageZoneDoubted, messagePanic, messageRouterRemoved:
 	default:
 		if l.Level != "error" {
 			return
