--- /dev/null
+++ b/gateway/poison_test.go
@@ -0,0 +1,119 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/roster"
+)
+
+// poisonPart is the part of a prompt that makes the endpoints of a crashingPool exit.
+const poisonPart = "dead"
+
+// crashingPool is a service whose endpoints exit when they begin an answer to a prompt with
+// poisonPart. Each comes back after a pause, under a new id.
+type crashingPool struct {
+	t       *testing.T
+	gateway testGateway
+
+	mu       sync.Mutex
+	exits    []time.Time // one for each request with poisonPart that reached an endpoint
+	started  int
+	replaced sync.WaitGroup
+}
+
+const restartPause = 300 * time.Millisecond
+
+func newCrashingPool(t *testing.T, size int) *crashingPool {
+	t.Helper()
+	p := &crashingPool{t: t, gateway: newTestGateway(t).configure()}
+	for range size {
+		p.start()
+	}
+	t.Cleanup(p.replaced.Wait)
+	return p
+}
+
+// start starts an endpoint and registers it.
+func (p *crashingPool) start() {
+	p.mu.Lock()
+	p.started++
+	id := fmt.Sprintf("e%d", p.started)
+	p.mu.Unlock()
+	var e *endpoint
+	e = newEndpoint(p.t, id, func(r *http.Request, w io.Writer) bool {
+		time.Sleep(20 * time.Millisecond)
+		if strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart) {
+			p.replaced.Add(1)
+			go p.replace(e)
+			return false
+		}
+		return events(1, 2, true)(r, w)
+	})
+	p.gateway.SetEndpoint(roster.Entry{ID: id, Service: "s", Address: e.listener.Addr().String(), Zone: "z", Slots: 8})
+}
+
+func (p *crashingPool) replace(e *endpoint) {
+	defer p.replaced.Done()
+	e.exit()
+	p.mu.Lock()
+	p.exits = append(p.exits, time.Now())
+	p.mu.Unlock()
+	time.Sleep(restartPause)
+	p.gateway.RemoveEndpoint(e.id)
+	p.start()
+}
+
+// reachedAfter returns the number of requests with poisonPart that reached an endpoint later
+// than the given time after the fifth one.
+func (p *crashingPool) reachedAfter(pause time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	late := 0
+	for _, at := range p.exits {
+		if len(p.exits) >= 5 && at.Sub(p.exits[4]) > pause {
+			late++
+		}
+	}
+	return late
+}
+
+// Guards against requests with a part that crashes endpoints being sent to endpoint after
+// endpoint for as long as they come, and against sound requests with the same first part being
+// refused with them.
+func TestPromptPartThatCrashesEndpointsIsStopped(t *testing.T) {
+	p := newCrashingPool(t, 6)
+	const stableWindow = 3 * time.Second
+	var served, sound atomic.Int64
+	var requests sync.WaitGroup
+	begun := time.Now()
+	for i := 0; time.Since(begun) < 2*stableWindow+2*time.Second; i++ {
+		prompt := fmt.Sprintf("a:800,b%d:80,c%d:20", i%3, i)
+		poison := i%10 == 9
+		if poison {
+			prompt = fmt.Sprintf("a:800,b%d:80,%s:30,c%d:20", i%3, poisonPart, i)
+		}
+		requests.Go(func() {
+			response, _, err := p.gateway.do(t, "/prompt/1", "Prompt-Prefix", prompt, "Request-Id", fmt.Sprintf("r%d", i))
+			if poison || time.Since(begun) < stableWindow {
+				return
+			}
+			sound.Add(1)
+			if response.StatusCode == http.StatusOK && err == nil {
+				served.Add(1)
+			}
+		})
+		time.Sleep(15 * time.Millisecond)
+	}
+	requests.Wait()
+	assert.Assert(t, p.reachedAfter(stableWindow) <= 3, "%d requests with the part reached endpoints", p.reachedAfter(stableWindow))
+	assert.Assert(t, served.Load()*10 >= sound.Load()*9, "%d of %d sound requests were served", served.Load(), sound.Load())
+}
