Quarantine the parts of prompts that crash endpoints

Cause: failures were charged to endpoints only; nothing kept which requests were there, so that each new request with the part was sent like any other.

Package poison counts exits against the parts of unanswered prompts, clears parts by answers, and quarantines a part after three exits. Routers tell the relays, which decide and announce, since one of 195 routers sees a request in half a minute. Requests with a quarantined part are refused as not run, with the time of its end, and are not resumed. Ruled out: retries (the route allows one endpoint) and load (no endpoint fell over).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/gateway"
 	"github.com/hornbeamproxy/hornbeamproxy/mirror"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
+	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -102,6 +103,11 @@
 		ReceiveFleetLoads: func(atEndpoint func(string) int, prompts map[uint32]int) {
 			p.gateway.SetFleetLoads(atEndpoint, prompts)
 		},
+		PoisonReport:       func() *poison.Report { return p.gateway.PoisonReport() },
+		PoisonAnnouncement: func() *poison.Report { return p.gateway.PoisonAnnouncement() },
+		ReceivePoison: func(report *poison.Report, announcement bool) {
+			p.gateway.ReceivePoison(report, announcement)
+		},
 		ReceiveBatch: p.receiveBatch,
 	})
 	if err != nil {
--- a/edge/failures.go
+++ b/edge/failures.go
@@ -139,6 +139,18 @@
 // were removed, which need no further action.
 func (f *reporter) EndpointRecovered(id string) { f.rec.CloseIfOpen(api.RecordKindEndpointDown, id) }
 
+// PromptQuarantined implements gateway.Reporter.
+func (f *reporter) PromptQuarantined(part string, until time.Time) {
+	if f.rank(part) > 0 {
+		return
+	}
+	f.rec.RecordEvent(api.RecordKindPromptQuarantined, part, "",
+		fmt.Sprintf("Several endpoints exited when they began to answer prompts with the part %s.", part),
+		"Requests with this part are refused as not run.",
+		fmt.Sprintf("They are refused until %s, or until an answer to one of them succeeds.", until.UTC().Format(time.RFC3339)),
+		"Look in the logs for 'endpoint exited with requests in flight', and report the prompt to those who run the engines.")
+}
+
 // recordRouterLost records a router whose registration was removed because it had been
 // silent for too long.
 func (f *reporter) recordRouterLost(router string) {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/mirror"
+	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 	"github.com/hornbeamproxy/hornbeamproxy/timing"
@@ -57,6 +58,10 @@
 	// Fragment is a part of a batch that does not fit into one datagram. Earlier versions
 	// ignore it and read the changes from the store.
 	Fragment *fragment `cbor:"10,keyasint,omitempty"`
+	// PoisonReport is what a router tells the relays of prompts that crash endpoints, and
+	// PoisonAnnouncement what a relay tells all routers. Earlier versions ignore both.
+	PoisonReport       *poison.Report `cbor:"11,keyasint,omitempty"`
+	PoisonAnnouncement *poison.Report `cbor:"12,keyasint,omitempty"`
 }
 
 // Peer is the registration of a router.
@@ -85,6 +90,12 @@
 	// ReceiveFleetLoads is called in a large fleet with the numbers of requests that all
 	// other routers together have in flight: at an endpoint, and by balance.PromptID.
 	ReceiveFleetLoads func(atEndpoint func(endpointID string) int, prompts map[uint32]int)
+	// PoisonReport returns what this router has to tell the relays of prompts that crash
+	// endpoints, and PoisonAnnouncement what it announces as a relay; nil for nothing.
+	PoisonReport, PoisonAnnouncement func() *poison.Report
+	// ReceivePoison is called with the report of a router, or with the announcement of a
+	// relay.
+	ReceivePoison func(report *poison.Report, announcement bool)
 	// ReceiveBatch is called with the changes that a relay forwards.
 	ReceiveBatch func(batch mirror.Batch)
 }
@@ -193,8 +204,10 @@
 func (e *Exchange) Send(ctx context.Context) error {
 	ticks := 0
 	return timing.Every(ctx, reportInterval, func(now time.Time) {
+		e.sendPoisonReport(now)
 		if ticks++; ticks%int(sendInterval/reportInterval) == 0 {
 			e.sendDue(now)
+			e.announcePoison()
 			return
 		}
 		e.sendReport(now)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/mirror"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -35,6 +36,7 @@
 	loads   map[string]int // "router/endpoint"
 	prompts map[uint32]int // of all others, from the newest view
 	batches []mirror.Batch
+	poison  *poison.Detector
 	stop    context.CancelFunc
 }
 
@@ -43,7 +45,7 @@
 	fleet := make([]*router, n)
 	addresses := map[string]Peer{}
 	for i := range fleet {
-		r := &router{own: map[string]int{}, loads: map[string]int{}}
+		r := &router{own: map[string]int{}, loads: map[string]int{}, poison: poison.New()}
 		e, err := Listen(Config{
 			Router: fmt.Sprintf("r%d", i), Peer: Peer{Address: "127.0.0.1:0"}, Logger: zap.NewNop(), Metrics: telemetry.NewMetrics(),
 			Loads: func() Loads {
@@ -66,6 +68,21 @@
 				defer r.mu.Unlock()
 				r.loads[allOthers+"/e"], r.prompts = atEndpoint("e"), prompts
 			},
+			PoisonReport: func() *poison.Report {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return r.poison.TakeReport(time.Now())
+			},
+			PoisonAnnouncement: func() *poison.Report {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return r.poison.Announcement(time.Now())
+			},
+			ReceivePoison: func(report *poison.Report, announcement bool) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.poison.Receive(time.Now(), report, announcement)
+			},
 			ReceiveBatch: func(batch mirror.Batch) {
 				r.mu.Lock()
 				defer r.mu.Unlock()
@@ -280,15 +297,19 @@
 		{Router: "r1", Relay: true, View: newFleetView(Loads{Endpoints: map[string]int{"e": 3}})},
 		{Router: "r1", Fragment: &fragment{Kind: "k", To: 1, Count: 1, Data: []byte{1}}},
 		{Batch: &mirror.Batch{Kind: "k", To: 2}},
+		{Router: "r1", PoisonReport: &poison.Report{Exits: []poison.Exit{{Endpoint: 1, Prompts: [][]uint64{{1, 2}}}}}},
+		{Router: "r1", PoisonAnnouncement: &poison.Report{Quarantines: []poison.Quarantine{{Part: 1}}, Answers: []poison.Answer{{Part: 2}}}},
 	} {
 		datagram, err := cbor.Marshal(m)
 		assert.NilError(f, err)
 		f.Add(datagram)
 	}
+	detector := poison.New()
 	e, err := Listen(Config{
 		Router: "r0", Peer: Peer{Address: "127.0.0.1:0"}, Logger: zap.NewNop(), Metrics: telemetry.NewMetrics(),
 		ReceiveLoad: func(string, string, int) {}, ReceivePrompts: func(string, map[uint32]int) {},
 		ReceiveFleetLoads: func(func(string) int, map[uint32]int) {}, ReceiveBatch: func(mirror.Batch) {},
+		ReceivePoison: func(report *poison.Report, announcement bool) { detector.Receive(time.Now(), report, announcement) },
 	})
 	assert.NilError(f, err)
 	f.Cleanup(e.Close)
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -63,6 +63,12 @@
 	if batch != nil {
 		e.config.ReceiveBatch(*batch)
 	}
+	if r.known && m.PoisonReport != nil {
+		e.config.ReceivePoison(m.PoisonReport, false)
+	}
+	if r.known && m.PoisonAnnouncement != nil {
+		e.config.ReceivePoison(m.PoisonAnnouncement, true)
+	}
 	if r.known && r.direct && m.HasLoads {
 		e.applyLoads(m, r.previous)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,7 +41,7 @@
 		return refused
 	}
 	x.tried = append(x.tried, state.Endpoint)
-	x.answerBegan = time.Time{}
+	x.answerBegan, x.answerRecorded = time.Time{}, false
 	pool := x.g.pool(state)
 	x.addOwnTime()
 	conn, err := x.connect(pool)
--- a/gateway/endpointexit.go
+++ b/gateway/endpointexit.go
@@ -67,6 +67,9 @@
 	if len(check.requests) < maxExitRequests {
 		check.requests = append(check.requests, request)
 	}
+	if !check.exitedAt.IsZero() {
+		g.recordExit(now, state.Endpoint, []brokenRequest{request})
+	}
 }
 
 // checkExit opens a connection to an endpoint of which a connection has broken. If the
@@ -84,6 +87,7 @@
 	if exited {
 		check.exitedAt = now
 		g.logExit(state.Endpoint, check)
+		g.recordExit(now, state.Endpoint, check.requests)
 	}
 	g.mu.Unlock()
 	if exited {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -92,6 +92,9 @@
 	// answerBegan is when the first event of the answer arrived in the current attempt; zero
 	// before that.
 	answerBegan time.Time
+	// answerRecorded is set when the current attempt has shown that its endpoint bears the
+	// request.
+	answerRecorded bool
 	// failure is the latest 5xx response of an endpoint to a repeatable request. It
 	// is forwarded if no later attempt succeeds.
 	failure *bufferedResponse
@@ -155,6 +158,9 @@
 		x.refuse(http.StatusUnauthorized, api.RefusalUnauthorized, 0)
 		return false
 	}
+	if !x.admitPrompt() {
+		return false
+	}
 	x.addOwnTime()
 	if !x.readBody() {
 		return false
@@ -235,9 +241,10 @@
 }
 
 // shouldRetry decides whether to attempt the request once more. A stream of which the
-// caller has a part is retried only if it can be resumed.
+// caller has a part is retried only if it can be resumed, and a prompt only if none of its parts
+// is quarantined.
 func (x *exchange) shouldRetry(r result) bool {
-	if r.retry == "" || x.stream.started && !x.stream.resumable {
+	if r.retry == "" || x.stream.started && !x.stream.resumable || !x.quarantineEnd(time.Now()).IsZero() {
 		return false
 	}
 	failed := retry.FailedAttempt{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/retry"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
@@ -93,6 +94,7 @@
 	pools   map[*roster.Endpoint]*upstream.Pool
 	// exitChecks are the checks of endpoints to which connections broke.
 	exitChecks map[*roster.Endpoint]*exitCheck
+	poison     *poison.Detector
 }
 
 // New returns a gateway without a configuration and without endpoints. It refuses all
@@ -105,6 +107,7 @@
 		bodyTimeout: bodyTimeout,
 		pools:       map[*roster.Endpoint]*upstream.Pool{},
 		exitChecks:  map[*roster.Endpoint]*exitCheck{},
+		poison:      poison.New(),
 		latency:     metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
 		firstByte:   metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
 		own:         metrics.GetOrRegisterTimer("requests.own_seconds", config.Metrics.Registry),
--- /dev/null
+++ b/gateway/poison.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/hornbeamproxy/hornbeamproxy/api"
+	"github.com/hornbeamproxy/hornbeamproxy/poison"
+	"github.com/hornbeamproxy/hornbeamproxy/roster"
+)
+
+// This file refuses requests whose prompts crash endpoints. Package poison decides which.
+
+// recordExit records the exit of an endpoint while these requests were there. Callers hold g.mu.
+func (g *Gateway) recordExit(now time.Time, endpoint *roster.Endpoint, requests []brokenRequest) {
+	var prompts [][]uint64
+	for _, request := range requests {
+		if request.answered < poison.SettledTime {
+			prompts = append(prompts, request.parts)
+		}
+	}
+	start := xxhash.Sum64String(endpoint.ID + "/" + strconv.FormatInt(endpoint.Started, 10))
+	g.poison.RecordExit(now, start, prompts)
+	g.logQuarantines()
+}
+
+// recordAnswer records, once for each attempt, that the endpoint bears the request.
+func (x *exchange) recordAnswer() {
+	if x.answerRecorded || !x.route.CachesPrompts {
+		return
+	}
+	x.answerRecorded = true
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	x.g.poison.RecordAnswer(time.Now(), x.request.SharedParts())
+	x.g.logQuarantines()
+}
+
+// quarantineEnd returns the time until which requests with the prompt's parts are refused; zero
+// if they are not.
+func (x *exchange) quarantineEnd(now time.Time) time.Time {
+	if !x.route.CachesPrompts {
+		return time.Time{}
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	_, until, _ := x.g.poison.Quarantined(now, x.request.SharedParts())
+	return until
+}
+
+// admitPrompt reports whether no part of the prompt is quarantined. Otherwise it refuses the
+// request.
+func (x *exchange) admitPrompt() bool {
+	until := x.quarantineEnd(x.arrived)
+	if until.IsZero() {
+		return true
+	}
+	x.refuse(http.StatusServiceUnavailable, api.RefusalPromptQuarantined, until.Sub(x.arrived))
+	return false
+}
+
+// PoisonReport returns what this router has to tell the relays about exits of endpoints and
+// quarantines, or nil.
+func (g *Gateway) PoisonReport() *poison.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.poison.TakeReport(time.Now())
+}
+
+// PoisonAnnouncement returns the quarantines that this router announces as a relay, or nil.
+func (g *Gateway) PoisonAnnouncement() *poison.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.poison.Announcement(time.Now())
+}
+
+// ReceivePoison records the report of a router, or the announcement of a relay.
+func (g *Gateway) ReceivePoison(report *poison.Report, announcement bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.poison.Receive(time.Now(), report, announcement)
+	g.logQuarantines()
+}
+
+// logQuarantines logs the quarantines that began or were lifted. Callers hold g.mu.
+func (g *Gateway) logQuarantines() {
+	for _, change := range g.poison.TakeChanges() {
+		part := strconv.FormatUint(change.Part, 16)
+		if change.Lifted {
+			g.metrics.Counter("prompts.released").Inc(1)
+			g.logger.Warn("quarantine of a prompt part lifted by an answer", zap.String("part", part))
+			continue
+		}
+		g.config.Reporter.PromptQuarantined(part, change.Until)
+		g.metrics.Counter("prompts.quarantined").Inc(1)
+		g.logger.Warn("prompt part quarantined", zap.String("part", part), zap.Int("exits", change.Exits), zap.Int("returns", change.Returns), zap.Time("until", change.Until))
+	}
+}
--- a/gateway/reporter.go
+++ b/gateway/reporter.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
@@ -27,6 +29,9 @@
 	// reached, and EndpointRecovered for one that is reachable again or has been removed.
 	EndpointUnreachable(entry roster.Entry)
 	EndpointRecovered(id string)
+	// PromptQuarantined is called when requests with a part of a prompt (its id in hex) are
+	// refused from now until the given time, since they crash endpoints.
+	PromptQuarantined(part string, until time.Time)
 }
 
 // unreachableAfterFailures is the number of consecutive failures after which an endpoint is
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -134,6 +134,9 @@
 		x.failure = buffered
 		return result{refusal: api.RefusalUpstreamFailed, retry: api.RetryReasonEndpointError}
 	}
+	if response.StatusCode < http.StatusMultipleChoices {
+		x.recordAnswer()
+	}
 	buffered.write(x.w)
 	x.recordOwnTime()
 	x.g.metrics.Counter("answers.whole").Inc(1)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
 
@@ -40,6 +41,7 @@
 	case err == nil:
 		pool.Release(conn, response, time.Now())
 		x.release(state, nil)
+		x.recordAnswer()
 		x.g.metrics.Counter("answers.streams").Inc(1)
 		return result{done: true}
 	case errors.Is(err, errCallerGone):
@@ -89,6 +91,8 @@
 		if end >= 0 {
 			if x.answerBegan.IsZero() {
 				x.answerBegan = time.Now()
+			} else if time.Since(x.answerBegan) >= poison.SettledTime {
+				x.recordAnswer()
 			}
 			end += len(eventEnd)
 			out := pending[:end]
--- a/records/report_text.go
+++ b/records/report_text.go
@@ -29,6 +29,7 @@
 	api.RecordKindNoteRejected:        {"release note", "rejected"},
 	api.RecordKindOrderFailed:         {"order", "failed"},
 	api.RecordKindAnswerBroken:        {"answer", "broken"},
+	api.RecordKindPromptQuarantined:   {"prompt part", "quarantined"},
 	api.RecordKindOutcomeUnknown:      {"outcome", "unknown"},
 	api.RecordKindRecordsLost:         {"router", "could not keep records"},
 	api.RecordKindIsolated:            {"router", "isolated"},
