poison: close the gap between the evidence against a part and its effect

Cause: for 0.75 s after the decision, and up to 0.25 s more until it was announced, requests with the part were still sent, and each that broke was resumed at a second endpoint. Requests with the part are now held off from the decision on, asked to come back when the time for objections (0.4 s) is over; announcements go out every 0.125 s; a request with a part against which one more exit would decide is not sent to a second endpoint.

TestSuspectedPromptIsNotSentAgain: 5 exits without the change, 3 with it.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -205,9 +205,9 @@
 	ticks := 0
 	return timing.Every(ctx, reportInterval, func(now time.Time) {
 		e.sendPoisonReport(now)
+		e.announcePoison()
 		if ticks++; ticks%int(sendInterval/reportInterval) == 0 {
 			e.sendDue(now)
-			e.announcePoison()
 			return
 		}
 		e.sendReport(now)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -242,9 +242,9 @@
 
 // shouldRetry decides whether to attempt the request once more. A stream of which the
 // caller has a part is retried only if it can be resumed, and a prompt only if none of its parts
-// is quarantined.
+// is suspected of crashing endpoints.
 func (x *exchange) shouldRetry(r result) bool {
-	if r.retry == "" || x.stream.started && !x.stream.resumable || !x.quarantineEnd(time.Now()).IsZero() {
+	if r.retry == "" || x.stream.started && !x.stream.resumable || x.suspected() {
 		return false
 	}
 	failed := retry.FailedAttempt{
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -40,23 +40,27 @@
 	x.g.logQuarantines()
 }
 
-// quarantineEnd returns the time until which requests with the prompt's parts are refused; zero
-// if they are not.
-func (x *exchange) quarantineEnd(now time.Time) time.Time {
+// suspected reports whether the request may be the one that made its endpoint exit, so that it is
+// not sent to another one.
+func (x *exchange) suspected() bool {
 	if !x.route.CachesPrompts {
-		return time.Time{}
+		return false
 	}
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	_, until, _ := x.g.poison.Quarantined(now, x.request.SharedParts())
-	return until
+	return x.g.poison.Suspected(time.Now(), x.request.SharedParts())
 }
 
 // admitPrompt reports whether no part of the prompt is quarantined. Otherwise it refuses the
 // request.
 func (x *exchange) admitPrompt() bool {
-	until := x.quarantineEnd(x.arrived)
-	if until.IsZero() {
+	if !x.route.CachesPrompts {
+		return true
+	}
+	x.g.mu.Lock()
+	_, until, quarantined := x.g.poison.Quarantined(x.arrived, x.request.SharedParts())
+	x.g.mu.Unlock()
+	if !quarantined {
 		return true
 	}
 	x.refuse(http.StatusServiceUnavailable, api.RefusalPromptQuarantined, until.Sub(x.arrived))
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -117,3 +117,20 @@
 	assert.Assert(t, p.reachedAfter(stableWindow) <= 3, "%d requests with the part reached endpoints", p.reachedAfter(stableWindow))
 	assert.Assert(t, served.Load()*10 >= sound.Load()*9, "%d of %d sound requests were served", served.Load(), sound.Load())
 }
+
+// Guards against a request whose prompt is about to be quarantined crashing a second endpoint
+// because its route allows a retry.
+func TestSuspectedPromptIsNotSentAgain(t *testing.T) {
+	p := newCrashingPool(t, 6)
+	send := func(path string) {
+		_, _, _ = p.gateway.do(t, path, "Prompt-Prefix", "a:800,"+poisonPart+":30,c:20")
+	}
+	for range 2 {
+		send("/prompt/1")
+		time.Sleep(150 * time.Millisecond)
+	}
+	send("/chatprompt/1")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Equal(t, len(p.exits), 2+1)
+}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -10,8 +10,8 @@
 //
 // Each router sees a part of the exits and answers only. The routers send what they see to the
 // relays, whose detectors add it up and announce the quarantines to all routers. A router that
-// has seen an answer contradicts a quarantine, so that a quarantine takes effect only after
-// objectionTime.
+// has seen an answer contradicts a quarantine. Callers are asked to come back after objectionTime,
+// in which that happens, and only then to stay away until the quarantine ends.
 package poison
 
 import (
@@ -29,10 +29,10 @@
 	minExitFraction = 3
 	// minSeparation is the time between two exits that count against the same part. Exits at
 	// the same moment have a common cause outside the endpoints.
-	minSeparation = 200 * time.Millisecond
-	// objectionTime is the time between the decision on a quarantine and its effect. In it
-	// an announcement reaches all routers and an answer that contradicts it the relays.
-	objectionTime = 750 * time.Millisecond
+	minSeparation = 100 * time.Millisecond
+	// objectionTime is the time after the decision in which an announcement reaches all
+	// routers, and an answer that contradicts it the relays.
+	objectionTime = 400 * time.Millisecond
 	// A quarantine lasts firstQuarantine, and after each return of the part twice as long,
 	// up to maxQuarantine.
 	firstQuarantine = 10 * time.Minute
@@ -322,20 +322,38 @@
 	return at, ok
 }
 
-// Quarantined returns the end of the quarantine if one of the parts is quarantined, and that
-// part.
+// Quarantined returns the part that is quarantined, if there is one, and when a request with it
+// may be sent again: the end of objectionTime while the quarantine may be contradicted, and then
+// the end of the quarantine.
 func (d *Detector) Quarantined(now time.Time, parts []uint64) (part uint64, until time.Time, quarantined bool) {
 	if len(d.quarantines) == 0 {
 		return 0, time.Time{}, false
 	}
 	for _, part := range parts {
-		if q := d.quarantines[part]; q != nil && q.active(now) && now.Sub(q.since) >= objectionTime {
+		if q := d.quarantines[part]; q != nil && q.active(now) {
+			if objections := q.since.Add(objectionTime); now.Before(objections) {
+				return part, objections, true
+			}
 			return part, q.until(), true
 		}
 	}
 	return 0, time.Time{}, false
 }
 
+// Suspected reports whether one of the parts is about to be quarantined: the decision is made, or
+// one more exit would make it. A request with such a part is not sent to a second endpoint.
+func (d *Detector) Suspected(now time.Time, parts []uint64) bool {
+	for _, part := range parts {
+		if q := d.quarantines[part]; q != nil && q.active(now) {
+			return true
+		}
+		if count, _ := d.count(part); count > 0 && count >= d.exitsNeeded(part)-1 {
+			return true
+		}
+	}
+	return false
+}
+
 // TakeChanges returns the quarantines that began or were lifted since the last call.
 func (d *Detector) TakeChanges() []Change {
 	changes := d.changes
--- a/poison/sim_test.go
+++ b/poison/sim_test.go
@@ -92,7 +92,7 @@
 const tick = 5 * time.Millisecond
 
 func (s *simulation) run(duration time.Duration) {
-	const reportTicks, announceTicks = 25, 50
+	const reportTicks, announceTicks = 25, 25
 	for end := s.now.Add(duration); s.now.Before(end); s.now = s.now.Add(tick) {
 		step := int(s.now.Sub(s.begun) / tick)
 		for s.random.Float64() < s.requestsPerSecond*tick.Seconds() {
@@ -206,11 +206,9 @@
 		}
 	}
 	start := e.start
-	s.after(30*time.Millisecond, func() {
-		for router, parts := range prompts {
-			s.routers[router].RecordExit(s.now, start, parts)
-		}
-	})
+	for router, parts := range prompts {
+		s.after(time.Duration(20+s.random.IntN(100))*time.Millisecond, func() { s.routers[router].RecordExit(s.now, start, parts) })
+	}
 	s.starts++
 	e.start, e.upAt, e.flights = s.starts, s.now.Add(restartTime), nil
 }
