poison: weigh exits against all that endpoints had lately

All exits of the last 20 s count now. The simulation drew random numbers in the order of a map, so that it differed from run to run; it no longer does. New simulation of a deadly part among other exits.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -24,9 +24,11 @@
 const (
 	// minExits is the number of exits that quarantine a part.
 	minExits = 3
-	// At least one in minExitFraction of all exits since then must count against the part.
-	// Otherwise the part was there by chance while endpoints exit for another reason.
+	// At least one in minExitFraction of all exits in contextTime, or since the first that
+	// counts, must count against the part. Otherwise the part was there by chance while
+	// endpoints exit for another reason.
 	minExitFraction = 3
+	contextTime     = 20 * time.Second
 	// minSeparation is the time between two exits that count against the same part. Exits at
 	// the same moment have a common cause outside the endpoints.
 	minSeparation = 100 * time.Millisecond
@@ -189,7 +191,7 @@
 			continue
 		}
 		count, first := d.count(part)
-		if count < d.exitsNeeded(part) || count*minExitFraction < d.moments(first) {
+		if count < d.exitsNeeded(part) || count*minExitFraction < d.moments(now, first) {
 			continue
 		}
 		q := &quarantine{firstExit: first, since: now}
@@ -228,9 +230,12 @@
 	return d.countExits(func(e *exit) bool { return e.has(part) && e.at.After(cleared) && !d.explained(e, part) })
 }
 
-// moments returns the number of exits since first that no quarantined part caused.
-func (d *Detector) moments(first time.Time) int {
-	count, _ := d.countExits(func(e *exit) bool { return !e.at.Before(first) && !d.explained(e, 0) })
+// moments returns the number of exits in contextTime, or since first if that is longer ago, that
+// no quarantined part caused.
+func (d *Detector) moments(now, first time.Time) int {
+	count, _ := d.countExits(func(e *exit) bool {
+		return (!e.at.Before(first) || now.Sub(e.at) < contextTime) && !d.explained(e, 0)
+	})
 	return count
 }
 
--- a/poison/sim_test.go
+++ b/poison/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -206,7 +207,8 @@
 		}
 	}
 	start := e.start
-	for router, parts := range prompts {
+	for _, router := range slices.Sorted(maps.Keys(prompts)) {
+		parts := prompts[router]
 		s.after(time.Duration(20+s.random.IntN(100))*time.Millisecond, func() { s.routers[router].RecordExit(s.now, start, parts) })
 	}
 	s.starts++
@@ -270,6 +272,20 @@
 	}
 }
 
+// Guards against a deadly part that is not found because endpoints exit for other reasons too.
+func TestDeadlyPartAmongOtherExits(t *testing.T) {
+	for seed := range uint64(3) {
+		s := newSimulation(seed, 6, 18, 140)
+		for i := range 10 {
+			s.run(1500 * time.Millisecond)
+			if e := s.endpoints[i]; !e.upAt.After(s.now) {
+				s.exit(e)
+			}
+		}
+		assert.Assert(t, len(s.exits) >= minExits && s.late <= 3, "seed %d: %d exits, %d requests late", seed, len(s.exits), s.late)
+	}
+}
+
 // Guards against a quarantine that is forgotten when the relays, or most routers, start again.
 func TestQuarantineOutlivesRelays(t *testing.T) {
 	s := newSimulation(2, 12, 18, 140)
