gateway: keep errors of the resuming endpoint out of a begun stream

Report of another operator: a stream broke off, the next endpoint answered with an error, and callers found its text in their stream, which then ended as if complete. Reproduced: a 3xx or 4xx of the second endpoint, any error above 256 KiB, and a success of another type were written into the caller's stream as ordinary answers. A response that does not continue the stream is now discarded; the request goes on to the next endpoint if its route allows one, else the connection is aborted and the answer recorded as broken.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -210,6 +210,9 @@
 		x.release(state, nil)
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
+	if x.stream.started && !(success && x.stream.continuedBy(response)) {
+		return x.handleNotResumed(conn, pool, state, response)
+	}
 	if success && x.route.Kind == routing.Stream {
 		x.g.recordCachedPrompt(x.promptKey, state)
 		return x.forwardStream(conn, pool, state, response)
@@ -217,6 +220,23 @@
 	return x.forwardBuffered(conn, pool, state, response)
 }
 
+// handleNotResumed handles a response that does not continue the stream of which the caller has a
+// part: nothing of it may reach the caller.
+func (x *exchange) handleNotResumed(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response) result {
+	if err := discardBody(response); err == nil {
+		pool.Release(conn, response, time.Now())
+	} else {
+		conn.Close()
+	}
+	var outcome error
+	if response.StatusCode >= http.StatusInternalServerError {
+		outcome = errEndpointFailed
+	}
+	x.release(state, outcome)
+	x.log("stream not resumed", string(api.RefusalUpstreamIncomplete), zap.Int("status", response.StatusCode))
+	return result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonEndpointError}
+}
+
 // markMisdirected ejects an endpoint whose address now belongs to another endpoint, so
 // that requests for the ejected one are no longer sent to that address.
 func (g *Gateway) markMisdirected(state *balance.State, requestID string) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,6 +25,14 @@
 	// first one it is the request's ResumeAfter, or empty if the response head has not
 	// been forwarded yet.
 	lastID string
+	// contentType is that of the response head that has been forwarded.
+	contentType string
+}
+
+// continuedBy reports whether a successful response is of the same type as the stream that it
+// resumes.
+func (s *streamState) continuedBy(response *http.Response) bool {
+	return response.Header.Get("Content-Type") == s.contentType
 }
 
 var (
@@ -65,6 +73,7 @@
 	x.w.WriteHeader(response.StatusCode)
 	x.stream.started, x.stream.resumable = true, true
 	x.stream.lastID = x.request.ResumeAfter
+	x.stream.contentType = response.Header.Get("Content-Type")
 }
 
 // copyEvents forwards complete events. Bytes after the last event are forwarded only
