gateway: a framed stream that ends inside an event is broken

Only streams without a length were treated so; one with a length or chunks was passed on as complete, with a part of an event at its end. The case 'ends inside an event' of TestErrorWhileResumingStream failed before.

--- a/gateway/resumederror_test.go
+++ b/gateway/resumederror_test.go
@@ -31,6 +31,7 @@
 		"large server error":        plain(500, "text/plain", large),
 		"error without a length":    unframed,
 		"success that is no stream": plain(200, "application/json", `{"error":"error text"}`),
+		"ends inside an event":      plain(200, "text/event-stream", "id: 3\ndata: error text"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			var requests atomic.Int32
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -35,6 +36,13 @@
 	return response.Header.Get("Content-Type") == s.contentType
 }
 
+// isEventStream reports whether a response is made of events, so that one that ends inside an event
+// has been broken off.
+func isEventStream(response *http.Response) bool {
+	mediaType, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	return mediaType == "text/event-stream"
+}
+
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
@@ -77,8 +85,8 @@
 }
 
 // copyEvents forwards complete events. Bytes after the last event are forwarded only
-// if the stream ended properly. The end of a body that is not framed, which ends with its
-// connection, is proper only after a complete event. Errors: errCallerGone, errEventTooLarge,
+// if the stream ended properly. The end of an event stream, or of a body that is not framed and
+// ends with its connection, is proper only after a complete event. Errors: errCallerGone, errEventTooLarge,
 // or the error of reading body.
 func (x *exchange) copyEvents(response *http.Response, framed, resumed bool) error {
 	flusher, _ := x.w.(http.Flusher)
@@ -123,7 +131,7 @@
 			pending = pending[:copy(pending, pending[end:])]
 		}
 		if err == io.EOF {
-			if len(pending) > 0 && !framed {
+			if len(pending) > 0 && (!framed || isEventStream(response)) {
 				return io.ErrUnexpectedEOF
 			}
 			x.startStream(response)
