Obey endpoints that say in their answers that they leave

Until now a leaving endpoint was known only from the store, so that it got new work while the store was silent or still called it ready. The header is read from each answer that bears the id of the request; the endpoint is withdrawn until it starts again, and the other routers are told.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -108,7 +108,9 @@
 		ReceivePoison: func(report *poison.Report, announcement bool) {
 			p.gateway.ReceivePoison(report, announcement)
 		},
-		ReceiveBatch: p.receiveBatch,
+		TakeLeaving:    func() []uint64 { return p.gateway.TakeLeaving() },
+		ReceiveLeaving: func(starts []uint64) { p.gateway.ReceiveLeaving(starts) },
+		ReceiveBatch:   p.receiveBatch,
 	})
 	if err != nil {
 		return err
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -62,6 +62,9 @@
 	// PoisonAnnouncement what a relay tells all routers. Earlier versions ignore both.
 	PoisonReport       *poison.Report `cbor:"11,keyasint,omitempty"`
 	PoisonAnnouncement *poison.Report `cbor:"12,keyasint,omitempty"`
+	// Leaving are the starts of endpoints that have told the sender that they leave. Earlier
+	// versions ignore them.
+	Leaving []uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // Peer is the registration of a router.
@@ -96,6 +99,10 @@
 	// ReceivePoison is called with the report of a router, or with the announcement of a
 	// relay.
 	ReceivePoison func(report *poison.Report, announcement bool)
+	// TakeLeaving returns the starts of endpoints that have told this router that they leave.
+	// ReceiveLeaving is called with those that told another router.
+	TakeLeaving    func() []uint64
+	ReceiveLeaving func(starts []uint64)
 	// ReceiveBatch is called with the changes that a relay forwards.
 	ReceiveBatch func(batch mirror.Batch)
 }
@@ -206,6 +213,9 @@
 	return timing.Every(ctx, reportInterval, func(now time.Time) {
 		e.sendPoisonReport(now)
 		e.announcePoison()
+		if leaving := e.config.TakeLeaving(); len(leaving) > 0 {
+			e.broadcast(&message{Router: e.config.Router, Leaving: leaving})
+		}
 		if ticks++; ticks%int(sendInterval/reportInterval) == 0 {
 			e.sendDue(now)
 			return
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -37,6 +37,8 @@
 	prompts map[uint32]int // of all others, from the newest view
 	batches []mirror.Batch
 	poison  *poison.Detector
+	leaving []uint64 // to tell the others
+	left    []uint64 // told by others
 	stop    context.CancelFunc
 }
 
@@ -68,6 +70,18 @@
 				defer r.mu.Unlock()
 				r.loads[allOthers+"/e"], r.prompts = atEndpoint("e"), prompts
 			},
+			TakeLeaving: func() []uint64 {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				taken := r.leaving
+				r.leaving = nil
+				return taken
+			},
+			ReceiveLeaving: func(starts []uint64) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.left = append(r.left, starts...)
+			},
 			PoisonReport: func() *poison.Report {
 				r.mu.Lock()
 				defer r.mu.Unlock()
@@ -309,7 +323,8 @@
 		Router: "r0", Peer: Peer{Address: "127.0.0.1:0"}, Logger: zap.NewNop(), Metrics: telemetry.NewMetrics(),
 		ReceiveLoad: func(string, string, int) {}, ReceivePrompts: func(string, map[uint32]int) {},
 		ReceiveFleetLoads: func(func(string) int, map[uint32]int) {}, ReceiveBatch: func(mirror.Batch) {},
-		ReceivePoison: func(report *poison.Report, announcement bool) { detector.Receive(time.Now(), report, announcement) },
+		ReceiveLeaving: func([]uint64) {},
+		ReceivePoison:  func(report *poison.Report, announcement bool) { detector.Receive(time.Now(), report, announcement) },
 	})
 	assert.NilError(f, err)
 	f.Cleanup(e.Close)
--- a/exchange/poison_test.go
+++ b/exchange/poison_test.go
@@ -31,3 +31,22 @@
 		assert.Equal(t, fleet[0].config.Metrics.Counter("exchange.malformed").Count(), int64(0))
 	}
 }
+
+// Guards against routers that are not told of an endpoint that leaves, and against a flood of such
+// messages.
+func TestLeavingIsToldToAll(t *testing.T) {
+	fleet := newFleet(t, maxDirectRouters+3)
+	fleet[1].mu.Lock()
+	fleet[1].leaving = []uint64{7, 8}
+	fleet[1].mu.Unlock()
+	for i, r := range fleet {
+		if i == 1 {
+			continue
+		}
+		eventually(t, "all routers are told", func() bool {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return len(r.left) == 2
+		})
+	}
+}
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -63,6 +63,9 @@
 	if batch != nil {
 		e.config.ReceiveBatch(*batch)
 	}
+	if r.known && len(m.Leaving) > 0 {
+		e.config.ReceiveLeaving(m.Leaving)
+	}
 	if r.known && m.PoisonReport != nil {
 		e.config.ReceivePoison(m.PoisonReport, false)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -199,6 +199,7 @@
 		x.release(state, nil)
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
+	x.noteLeaving(state.Endpoint, head)
 	if head.NotRun || head.Misdirected {
 		return x.handleNotRun(conn, pool, state, response, head)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,9 @@
 	// exitChecks are the checks of endpoints to which connections broke.
 	exitChecks map[*roster.Endpoint]*exitCheck
 	poison     *poison.Detector
+	// leavingStarts are the starts of endpoints that leave and of which the other routers have
+	// not been told yet.
+	leavingStarts []uint64
 }
 
 // New returns a gateway without a configuration and without endpoints. It refuses all
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -222,10 +222,12 @@
 	f.SetEndpoint(roster.Entry{ID: e.id, Service: "s", Address: e.listener.Addr().String(), Zone: "z", Slots: 8})
 }
 
-func (f testGateway) configure() testGateway {
+func (f testGateway) configure() testGateway { return f.configureRevision(1) }
+
+func (f testGateway) configureRevision(revision uint64) testGateway {
 	target := []routing.Target{{Service: "s", Weight: 1}}
 	f.SetConfig(routing.Config{
-		Revision: 1,
+		Revision: revision,
 		Services: map[string]*routing.Service{"s": {Name: "s"}},
 		Routes: []*routing.Route{
 			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routing.Safe, Timeout: timeout, Targets: target, MaxEndpoints: 2},
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
@@ -23,8 +22,7 @@
 			prompts = append(prompts, request.parts)
 		}
 	}
-	start := xxhash.Sum64String(endpoint.ID + "/" + strconv.FormatInt(endpoint.Started, 10))
-	g.poison.RecordExit(now, start, prompts)
+	g.poison.RecordExit(now, endpointStart(endpoint), prompts)
 	g.logQuarantines()
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -103,6 +103,8 @@
 	NotRun bool
 	// Misdirected is set when the address now belongs to another endpoint.
 	Misdirected bool
+	// Leaving is set when the endpoint says that it leaves: it wants no new work.
+	Leaving bool
 	// Encoded is set when the body has a content encoding. Endpoints use none, so the
 	// body is not the one that the endpoint sent.
 	Encoded bool
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -26,9 +26,12 @@
 // Fields change only under the lock that the owner of the Roster holds.
 type Endpoint struct {
 	Entry
-	// Withdrawn endpoints get no new work: they are draining, are no longer
+	// Withdrawn endpoints get no new work: they are draining or leaving, are no longer
 	// registered, or were replaced after a restart.
 	Withdrawn bool
+	// leaving is set when the endpoint has said in an answer that it leaves. Its entry may
+	// say so later or never.
+	leaving bool
 	// ColdUntil is the time until which the endpoint counts as cold.
 	ColdUntil time.Time
 	// removeAt is the time at which the endpoint is removed if its entry, which
@@ -89,13 +92,23 @@
 	}
 	known.Entry = entry
 	known.removeAt = time.Time{}
-	known.Withdrawn = entry.Draining
+	known.Withdrawn = entry.Draining || known.leaving
 	if until := now.Add(entry.ColdFor); entry.ColdFor > 0 && until.After(known.ColdUntil) {
 		known.ColdUntil = until
 	}
 	return known, replaced
 }
 
+// MarkLeaving withdraws an endpoint that has said that it leaves, until it starts again. It returns
+// false if that is known already.
+func (r *Roster) MarkLeaving(endpoint *Endpoint) bool {
+	if endpoint.leaving {
+		return false
+	}
+	endpoint.leaving, endpoint.Withdrawn = true, true
+	return true
+}
+
 // Remove handles an entry that was deleted or expired. During an outage of the store and
 // for LapsedEntryGrace after it, the endpoint is kept unless it is draining, since its
 // entry may have expired only because it could not be renewed. Remove returns the
@@ -213,6 +226,13 @@
 	return !endpoint.Withdrawn && !r.evacuated[endpoint.Zone]
 }
 
+// All calls yield for each endpoint.
+func (r *Roster) All(yield func(*Endpoint)) {
+	for _, endpoint := range r.endpoints {
+		yield(endpoint)
+	}
+}
+
 // Len returns the number of endpoints.
 func (r *Roster) Len() int { return len(r.endpoints) }
 
