Obey endpoints that ask for a pause

TestPause, TestAllPaused, TestPausesKeepLoadLimit (6, 91 and 195 routers), TestPausedEndpointGetsNothing and TestAllEndpointsPaused fail without the exclusion.

TestCopyOfEarlierRefusal: its refusals carried Retry-After, which now takes the endpoint out before the copy can arrive; they no longer carry it, all else is as before.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -1155,6 +1155,7 @@
 	RefusalEndpointCold        Refusal = "endpoint_cold"
 	RefusalEndpointDown        Refusal = "endpoint_down"
 	RefusalEndpointFull        Refusal = "endpoint_full"
+	RefusalEndpointPaused      Refusal = "endpoint_paused"
 	RefusalEndpointWithdrawn   Refusal = "endpoint_withdrawn"
 	RefusalIsolated            Refusal = "isolated"
 	RefusalLeaseTakeover       Refusal = "lease_takeover"
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -53,6 +53,8 @@
 	None Refusal = iota
 	// NoEndpoint means that the service has no usable endpoint.
 	NoEndpoint
+	// AllPaused means that all endpoints have asked this router for a pause.
+	AllPaused
 	// AllCold means that all endpoints are cold and the router has used up its
 	// share of the requests per second that each of them may get.
 	AllCold
@@ -85,6 +87,7 @@
 	failureRate  float64   // moving average of the fraction of failed requests, 0 to 1
 	failures     int       // consecutive failures to connect or to get a whole response
 	ejectedUntil time.Time
+	pausedUntil  time.Time // until when the endpoint wants nothing from this router
 	// unverified is set from the time at which the endpoint could not be reached until
 	// a new connection to it has been opened; the endpoint gets no work meanwhile.
 	// probing is set while such a connection is being opened.
@@ -246,6 +249,9 @@
 
 // exclusionReason returns why the endpoint may not get the request, or None.
 func (s *State) exclusionReason(now time.Time, criteria Criteria, mean float64) Refusal {
+	if s.paused(now) {
+		return AllPaused
+	}
 	for _, tried := range criteria.Tried {
 		if tried == s.Endpoint {
 			return AllTried
--- a/balance/reachability.go
+++ b/balance/reachability.go
@@ -60,13 +60,13 @@
 
 // StartProbes returns the endpoints to which the caller must open a connection now: the
 // unverified ones, and up to maxZoneProbes at a time of each doubted zone. Ejected
-// endpoints are left out. The caller reports the result with RecordProbe; until then the
+// and paused endpoints are left out. The caller reports the result with RecordProbe; until then the
 // endpoint is not returned again.
 func (b *Balancer) StartProbes(now time.Time) []*State {
 	var due []*State
 	for _, state := range b.states {
 		probe := state.zone.doubted && state.zone.activeProbes < maxZoneProbes
-		if !state.unverified && !probe || state.probing || now.Before(state.ejectedUntil) {
+		if !state.unverified && !probe || state.probing || now.Before(state.ejectedUntil) || state.paused(now) {
 			continue
 		}
 		if state.zone.doubted {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -238,6 +238,15 @@
 	return result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonEndpointError}
 }
 
+// pause keeps the requests of this router away from an endpoint that has asked for it.
+func (x *exchange) pause(state *balance.State, d time.Duration) {
+	x.g.mu.Lock()
+	d = state.Pause(time.Now(), d)
+	x.g.mu.Unlock()
+	x.g.metrics.Counter("endpoints.paused").Inc(1)
+	x.log("endpoint asks for a pause", string(api.RefusalEndpointPaused), zap.Duration("pause", d))
+}
+
 // markMisdirected ejects an endpoint whose address now belongs to another endpoint, so
 // that requests for the ejected one are no longer sent to that address.
 func (g *Gateway) markMisdirected(state *balance.State, requestID string) {
@@ -257,6 +266,9 @@
 		x.log("connection closed", string(api.RefusalUpstreamMismatch), zap.Error(err))
 		conn.Close()
 	}
+	if head.Pause > 0 && head.ID == x.request.ID {
+		x.pause(state, head.Pause)
+	}
 	x.release(state, nil)
 	if head.Misdirected {
 		if x.misdirected < maxMisdirected {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -326,6 +326,9 @@
 		return state, result{}
 	}
 	switch refusal {
+	case balance.AllPaused:
+		pause := x.g.balancer.PauseEnd(now, criteria.Members, criteria.Usable)
+		return nil, result{refusal: api.RefusalEndpointPaused, retryAfter: retry.Spread(pause, criteria.Draw), notSent: true}
 	case balance.AllCold:
 		return nil, result{refusal: api.RefusalEndpointCold, retryAfter: retryAfterShort, notSent: true}
 	case balance.AllTried:
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -101,6 +101,9 @@
 	Signed bool
 	// NotRun is set when the endpoint has not run the request and never will.
 	NotRun bool
+	// Pause is how long the endpoint, which refused the request, wants nothing more from this
+	// router; 0 if it does not say so.
+	Pause time.Duration
 	// Misdirected is set when the address now belongs to another endpoint.
 	Misdirected bool
 	// Leaving is set when the endpoint says that it leaves: it wants no new work.
