Keep quarantines of prompt parts in the store

Routers have no disks, so the first relay writes each quarantine to the store and each router reads them once at its start. Store calls: a stale list for each start, a write for each begin and end.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -70,6 +70,7 @@
 	peers    *exchange.Exchange
 	mirrors  map[string]*mirror.Mirror // by kind
 	fleet    *fleet
+	poison   *quarantines
 	failures *reporter
 	stopping atomic.Bool
 }
@@ -132,6 +133,13 @@
 			Receiver: receiver, Peers: peers, Logger: p.logger, Guard: guard,
 		})
 	}
+	p.poison = &quarantines{
+		store: p.store, gateway: p.gateway, logger: p.logger,
+		firstRelay: func() bool {
+			_, first := peers.RelayRole()
+			return first
+		},
+	}
 	p.fleet = &fleet{
 		store: p.store, peers: peers, router: s.Router.ID, self: self, logger: p.logger,
 		onRouterLost: p.failures.recordRouterLost,
@@ -159,6 +167,7 @@
 	}
 	add(p.gateway.Run)
 	add(p.fleet.run)
+	add(p.poison.run)
 	add(p.failures.run)
 	add(p.peers.Send)
 	add(p.reload)
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -88,6 +88,13 @@
 	g.logQuarantines()
 }
 
+// Quarantines returns the quarantines that are in effect and were not contradicted in time.
+func (g *Gateway) Quarantines() []poison.Quarantine {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.poison.Active(time.Now())
+}
+
 // logQuarantines logs the quarantines that began or were lifted. Callers hold g.mu.
 func (g *Gateway) logQuarantines() {
 	for _, change := range g.poison.TakeChanges() {
--- a/poison/report.go
+++ b/poison/report.go
@@ -167,6 +167,17 @@
 	return report.orNil()
 }
 
+// Active returns the quarantines that were not contradicted in time and have not ended.
+func (d *Detector) Active(now time.Time) []Quarantine {
+	report := &Report{}
+	for part, q := range d.quarantines {
+		if now.Sub(q.since) >= objectionTime {
+			report.addQuarantine(now, part, q)
+		}
+	}
+	return report.Quarantines
+}
+
 // Receive records the report of a router, or the announcement of a relay.
 func (d *Detector) Receive(now time.Time, report *Report, announcement bool) {
 	for _, answer := range report.Answers {
