soak: endpoints that leave or ask for a pause

The stand-ins say in their answers that they leave while their entries stay ready, and refuse requests with a pause; the soak checks from what endpoints and callers see that no router goes on sending (2 s, and two requests within a pause).

--- a/soak/broken_test.go
+++ b/soak/broken_test.go
@@ -44,6 +44,16 @@
 			}},
 			"answers key",
 		},
+		{
+			"an endpoint that leaves gets new work",
+			[]edit{{"../gateway/attempt.go", "x.noteLeaving(state.Endpoint, head)", ""}},
+			"that it leaves",
+		},
+		{
+			"an endpoint that asks for a pause is pressed",
+			[]edit{{"../balance/balance.go", "if s.paused(now) {", "if false {"}},
+			"within its pause",
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			binary := build(t, "-overlay", overlay(t, c.edits))
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -41,6 +42,7 @@
 	configVersion int
 	runs          map[string]int // by request id
 	problems      []string
+	wishes        *wishes
 }
 
 func (h *harness) addProblem(format string, args ...any) {
@@ -115,21 +117,29 @@
 	id     string
 	server *httptest.Server
 	proxy  *standin.FaultProxy
+	born   atomic.Int64 // start, in Unix milliseconds
+	// leaving and pausing are set while the endpoint says in its answers that it leaves, and
+	// while it refuses requests and asks for a pause.
+	leaving, pausing atomic.Bool
 }
 
+// start identifies the current start of the endpoint.
+func (e *endpoint) start() string { return fmt.Sprint(e.id, "/", e.born.Load()) }
+
 func (h *harness) newEndpoint(id string) *endpoint {
 	e := &endpoint{id: id}
-	e.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { h.serveEndpoint(id, rw, r) }))
+	e.born.Store(1)
+	e.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { h.serveEndpoint(e, rw, r) }))
 	proxy, err := standin.NewFaultProxy(e.server.Listener.Addr().String())
 	assert.NilError(h.t, err)
 	e.proxy = proxy
 	return e
 }
 
-func (h *harness) serveEndpoint(id string, rw http.ResponseWriter, r *http.Request) {
+func (h *harness) serveEndpoint(e *endpoint, rw http.ResponseWriter, r *http.Request) {
 	request := r.Header.Get("Request-Id")
 	rw.Header().Set("Request-Id", request)
-	if r.Header.Get("Expect-Instance") != id {
+	if r.Header.Get("Expect-Instance") != e.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -137,6 +147,18 @@
 	if err != nil {
 		return
 	}
+	h.wishes.arrived(h, request, e.start())
+	if e.pausing.Load() {
+		h.wishes.askForPause(request, e.start())
+		rw.Header().Set("Not-Run", "1")
+		rw.Header().Set("Retry-After", fmt.Sprint(askedPause.Seconds()))
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if e.leaving.Load() {
+		rw.Header().Set("Server-Leaving", "1")
+		rw.Header().Set(startHeader, e.start())
+	}
 	h.mu.Lock()
 	h.runs[request]++
 	h.mu.Unlock()
@@ -199,7 +221,7 @@
 
 func (h *harness) register(e *endpoint, state string) {
 	h.platform.SetSpec("servers", e.id, map[string]any{
-		"service": "s", "address": e.proxy.Addr(), "zone": "z", "slots": 16, "state": state,
+		"service": "s", "address": e.proxy.Addr(), "zone": "z", "slots": 16, "state": state, "born": e.born.Load(),
 	})
 }
 
@@ -216,7 +238,7 @@
 
 func newHarness(t *testing.T, binary string) *harness {
 	t.Helper()
-	h := &harness{t: t, platform: standin.NewPlatform(""), runs: map[string]int{}}
+	h := &harness{t: t, platform: standin.NewPlatform(""), runs: map[string]int{}, wishes: newWishes()}
 	h.store = httptest.NewServer(h.platform)
 	h.configure("k0", "spare")
 	for i := range endpointCount {
@@ -314,6 +336,7 @@
 }
 
 func (h *harness) sendRequest(client *http.Client, router *routerProcess, path, id string) {
+	h.wishes.send(id)
 	r, _ := http.NewRequest(http.MethodPost, "http://"+router.callers+path+id, strings.NewReader("body "+id))
 	r.Host = "h"
 	r.Header.Set("Request-Id", id)
@@ -324,6 +347,7 @@
 		return
 	}
 	defer response.Body.Close()
+	h.wishes.answered(id, response)
 	body, err := io.ReadAll(response.Body)
 	h.checkResponse(path, id, response, string(body), err)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,6 +38,7 @@
 //   - An unsafe request that was refused has not run.
 //   - Routers apply the newest configuration and never go back to an older one.
 //   - A router ends within its grace period after SIGTERM.
+//   - An endpoint that says that it leaves, or asks for a pause, gets what it wants.
 func TestSoak(t *testing.T) {
 	binary := build(t)
 	for n := range *seeds {
@@ -77,6 +78,7 @@
 	cancel()
 	load.Wait()
 	h.checkRuns(callerCount)
+	t.Logf("routers were told %d times that an endpoint leaves, and asked %d times for a pause", h.wishes.told, h.wishes.asked)
 	return h, f.history
 }
 
@@ -104,13 +106,15 @@
 	endpoint := f.random.IntN(len(f.harness.endpoints))
 	kinds := []func(router, endpoint int){
 		f.kill, f.terminate, f.pause, f.sendHangup, f.cutEndpointConnections, f.freezeEndpoint, f.truncateResponses,
-		f.drainEndpoint, f.cutStore, f.freezeStore, f.delayStore, f.compactStore, f.rotateKeys,
+		f.drainEndpoint, f.cutStore, f.freezeStore, f.delayStore, f.compactStore, f.rotateKeys, f.leaveEndpoint, f.pauseEndpoint,
 	}
 	kinds[f.random.IntN(len(kinds))](router, endpoint)
 }
 
 func (f *faultInjector) kill(router, _ int) {
 	f.record("kill router %d", router)
+	f.harness.wishes.disturbRouter(router)
+	defer f.harness.wishes.disturbRouter(router)
 	r := f.harness.routers[router]
 	r.signal(syscall.SIGCONT)
 	r.signal(syscall.SIGKILL)
@@ -121,6 +125,8 @@
 // terminate stops a router and checks that it ends within its grace period.
 func (f *faultInjector) terminate(router, _ int) {
 	f.record("terminate router %d", router)
+	f.harness.wishes.disturbRouter(router)
+	defer f.harness.wishes.disturbRouter(router)
 	r := f.harness.routers[router]
 	r.signal(syscall.SIGCONT)
 	r.signal(syscall.SIGTERM)
@@ -134,11 +140,13 @@
 
 func (f *faultInjector) pause(router, _ int) {
 	f.record("pause router %d", router)
+	f.harness.wishes.disturbRouter(router)
 	r := f.harness.routers[router]
 	r.signal(syscall.SIGSTOP)
 	f.repairs = append(f.repairs, func() {
 		f.record("continue router %d", router)
 		r.signal(syscall.SIGCONT)
+		f.harness.wishes.disturbRouter(router)
 	})
 }
 
@@ -149,14 +157,24 @@
 
 func (f *faultInjector) cutEndpointConnections(_, endpoint int) {
 	f.record("cut connections of endpoint %d", endpoint)
+	f.harness.wishes.disturbEndpoint(f.harness.endpoints[endpoint].id)
 	f.harness.endpoints[endpoint].proxy.CutAll()
 }
 
 func (f *faultInjector) proxyFault(name string, index int, proxy *standin.FaultProxy, faults standin.ProxyFaults) {
 	f.record("%s %d: %+v", name, index, faults)
+	disturb := func() {
+		for _, e := range f.harness.endpoints {
+			if e.proxy == proxy {
+				f.harness.wishes.disturbEndpoint(e.id)
+			}
+		}
+	}
+	disturb()
 	_ = proxy.SetFaults(faults)
 	f.repairs = append(f.repairs, func() {
 		f.record("%s %d repaired", name, index)
+		disturb()
 		_ = proxy.SetFaults(standin.ProxyFaults{})
 		proxy.CutAll()
 	})
@@ -180,6 +198,31 @@
 	})
 }
 
+// leaveEndpoint makes an endpoint say in its answers that it leaves, while its entry stays ready. It
+// comes back as a new start.
+func (f *faultInjector) leaveEndpoint(_, endpoint int) {
+	f.record("endpoint %d leaves", endpoint)
+	e := f.harness.endpoints[endpoint]
+	e.leaving.Store(true)
+	f.repairs = append(f.repairs, func() {
+		f.record("endpoint %d starts again", endpoint)
+		e.leaving.Store(false)
+		e.born.Add(1)
+		f.harness.register(e, "ready")
+	})
+}
+
+// pauseEndpoint makes an endpoint refuse requests and ask for a pause.
+func (f *faultInjector) pauseEndpoint(_, endpoint int) {
+	f.record("endpoint %d asks for pauses", endpoint)
+	e := f.harness.endpoints[endpoint]
+	e.pausing.Store(true)
+	f.repairs = append(f.repairs, func() {
+		f.record("endpoint %d asks for no more pauses", endpoint)
+		e.pausing.Store(false)
+	})
+}
+
 func (f *faultInjector) cutStore(router, _ int) {
 	f.proxyFault("store of router", router, f.harness.storeProxies[router], standin.ProxyFaults{Refuse: true})
 	f.harness.storeProxies[router].CutAll()
