poison: quarantines that have ended make room for new ones

64 parts in probation, which lasts an hour, kept each new part from being quarantined. TestEndedQuarantinesMakeRoom failed before. The soak takes the binary of an earlier build that runs beside this one (-soak.previous).

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -202,9 +202,10 @@
 	}
 }
 
-// begin starts a quarantine unless there are too many.
+// begin starts a quarantine. If there are too many, it takes the place of one that has ended, and
+// is dropped if there is none.
 func (d *Detector) begin(now time.Time, part uint64, q *quarantine, exits int) {
-	if _, known := d.quarantines[part]; !known && len(d.quarantines) >= maxQuarantines {
+	if _, known := d.quarantines[part]; !known && len(d.quarantines) >= maxQuarantines && !d.dropEnded(now) {
 		return
 	}
 	d.quarantines[part] = q
@@ -213,6 +214,17 @@
 	d.changes = append(d.changes, Change{Part: part, Exits: exits, Until: q.until(), Returns: q.returns})
 }
 
+// dropEnded drops a quarantine that has ended, if there is one.
+func (d *Detector) dropEnded(now time.Time) bool {
+	for part, q := range d.quarantines {
+		if !q.active(now) {
+			delete(d.quarantines, part)
+			return true
+		}
+	}
+	return false
+}
+
 // exitsNeeded returns the number of exits that quarantine a part.
 func (d *Detector) exitsNeeded(part uint64) int {
 	if d.quarantines[part] != nil {
@@ -234,7 +246,8 @@
 // no quarantined part caused.
 func (d *Detector) moments(now, first time.Time) int {
 	count, _ := d.countExits(func(e *exit) bool {
-		return (!e.at.Before(first) || now.Sub(e.at) < contextTime) && !d.explained(e, 0)
+		const noPart = 0
+		return (!e.at.Before(first) || now.Sub(e.at) < contextTime) && !d.explained(e, noPart)
 	})
 	return count
 }
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -65,6 +65,22 @@
 	assert.Assert(t, !quarantined(d, now.Add(objectionTime), 2), "the time of probation is over")
 }
 
+// Guards against quarantines that have ended keeping new ones out.
+func TestEndedQuarantinesMakeRoom(t *testing.T) {
+	d := New()
+	d.Receive(start, &Report{Quarantines: func() (all []Quarantine) {
+		for part := range uint64(maxQuarantines) {
+			all = append(all, Quarantine{Part: 100 + part, AgeMS: uint32((firstQuarantine - time.Minute).Milliseconds())})
+		}
+		return all
+	}()}, false)
+	exits(d, start, minExits, []uint64{1, 2})
+	assert.Assert(t, !quarantined(d, start.Add(10*time.Second), 2), "all places are taken")
+	now := exits(d, start.Add(2*time.Minute), minExits, []uint64{1, 2})
+	assert.Assert(t, quarantined(d, now, 2))
+	assert.Assert(t, len(d.quarantines) <= maxQuarantines)
+}
+
 // Guards against state or messages that grow without bound, and against values of a peer that
 // end the process.
 func TestBounds(t *testing.T) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -20,6 +20,9 @@
 	seed  = flag.Uint64("soak.seed", 1, "seed of the first soak")
 	seeds = flag.Int("soak.seeds", 1, "number of soaks, with consecutive seeds")
 	steps = flag.Int("soak.steps", 12, "number of faults in a soak")
+	// previous is the binary of the build before this one. Half of the routers begin with it, and
+	// each router that is killed or terminated starts again with the other build.
+	previous = flag.String("soak.previous", "", "binary of an earlier build that runs beside this one")
 )
 
 const (
@@ -119,9 +122,21 @@
 	r.signal(syscall.SIGCONT)
 	r.signal(syscall.SIGKILL)
 	r.awaitExit(3 * time.Second)
+	f.swapBuild(router)
 	r.start(f.harness.t)
 }
 
+// swapBuild makes a router that has ended start again with the other build, if there are two.
+func (f *faultInjector) swapBuild(router int) {
+	r := f.harness.routers[router]
+	if *previous == "" {
+		return
+	}
+	r.binary, r.otherBinary = r.otherBinary, r.binary
+	f.record("router %d changes to %s", router, r.binary)
+	f.harness.wishes.setIgnored(router, r.binary == *previous)
+}
+
 // terminate stops a router and checks that it ends within its grace period.
 func (f *faultInjector) terminate(router, _ int) {
 	f.record("terminate router %d", router)
@@ -135,6 +150,7 @@
 		r.signal(syscall.SIGKILL)
 		r.awaitExit(3 * time.Second)
 	}
+	f.swapBuild(router)
 	r.start(f.harness.t)
 }
 
