roster: an entry that comes back does not lift that an endpoint leaves

When the entry of an endpoint that had said that it leaves lapsed and came back, as around an outage of the store, the endpoint counted as a new one and got work again. The starts of leaving endpoints are now kept apart from the entries (4,096 at most); a message about an endpoint whose entry has not arrived yet counts too. An endpoint without a start time starts clean when its entry comes back, since its starts can't be told apart. TestLeavingEndpointGetsNoWork failed with the entry removed and set again.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -219,7 +219,7 @@
 }
 
 func (f testGateway) register(e *endpoint) {
-	f.SetEndpoint(roster.Entry{ID: e.id, Service: "s", Address: e.listener.Addr().String(), Zone: "z", Slots: 8})
+	f.SetEndpoint(roster.Entry{ID: e.id, Service: "s", Address: e.listener.Addr().String(), Zone: "z", Slots: 8, Started: 1})
 }
 
 func (f testGateway) configure() testGateway { return f.configureRevision(1) }
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
@@ -13,11 +10,6 @@
 // without an entry that does. It is withdrawn at once, like one whose entry is draining, until it
 // starts again. The router tells the others.
 
-// endpointStart identifies one start of an endpoint.
-func endpointStart(endpoint *roster.Endpoint) uint64 {
-	return xxhash.Sum64String(endpoint.ID + "/" + strconv.FormatInt(endpoint.Started, 10))
-}
-
 // noteLeaving withdraws the endpoint if the head of its answer to this request says that it
 // leaves.
 func (x *exchange) noteLeaving(endpoint *roster.Endpoint, head ResponseHead) {
@@ -27,10 +19,10 @@
 	g := x.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.roster.MarkLeaving(endpoint) {
+	if !g.roster.MarkLeaving(endpoint.Start()) {
 		return
 	}
-	g.leavingStarts = append(g.leavingStarts, endpointStart(endpoint))
+	g.leavingStarts = append(g.leavingStarts, endpoint.Start())
 	g.metrics.Counter("endpoints.leaving").Inc(1)
 	g.logger.Info("endpoint leaves", zap.String("endpoint", endpoint.ID), zap.String("request", x.request.ID))
 }
@@ -49,12 +41,9 @@
 func (g *Gateway) ReceiveLeaving(starts []uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.roster.All(func(endpoint *roster.Endpoint) {
-		start := endpointStart(endpoint)
-		for _, leaving := range starts {
-			if leaving == start && g.roster.MarkLeaving(endpoint) {
-				g.logger.Info("endpoint leaves", zap.String("endpoint", endpoint.ID))
-			}
+	for _, start := range starts {
+		if g.roster.MarkLeaving(start) {
+			g.logger.Info("endpoint leaves", zap.Uint64("start", start))
 		}
-	})
+	}
 }
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -52,6 +52,12 @@
 				assert.Equal(t, response.StatusCode, 200)
 			}
 			assert.Equal(t, len(leaving.received()), 1)
+			f.RemoveEndpoint(leaving.id) // the entry lapses and comes back
+			f.register(leaving)
+			for i := range 10 {
+				_, _, _ = f.do(t, "/safe/1", "Request-Id", fmt.Sprint("back", i))
+			}
+			assert.Equal(t, len(leaving.received()), 1, "an entry that came back")
 			f.SetEndpoint(roster.Entry{ID: leaving.id, Service: "s", Address: leaving.listener.Addr().String(), Zone: "z", Slots: 8, Started: 5})
 			for i := range 20 {
 				_, _, _ = f.do(t, "/safe/1", "Request-Id", fmt.Sprint("again", i))
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -22,7 +22,7 @@
 			prompts = append(prompts, request.parts)
 		}
 	}
-	g.poison.RecordExit(now, endpointStart(endpoint), prompts)
+	g.poison.RecordExit(now, endpoint.Start(), prompts)
 	g.logQuarantines()
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,9 +3,16 @@
 package roster
 
 import (
+	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
+// maxLeaving bounds the starts of endpoints that are remembered as leaving: several times the
+// endpoints of a large fleet.
+const maxLeaving = 4096
+
 // Entry is the registration of an endpoint in the store.
 type Entry struct {
 	ID      string
@@ -22,6 +29,11 @@
 	Draining bool
 }
 
+// Start returns a hash of the endpoint's id and start time. It identifies one start of an endpoint.
+func (e *Entry) Start() uint64 {
+	return xxhash.Sum64String(e.ID + "/" + strconv.FormatInt(e.Started, 10))
+}
+
 // Endpoint is an endpoint from one start to the next: a restart gets a new Endpoint.
 // Fields change only under the lock that the owner of the Roster holds.
 type Endpoint struct {
@@ -29,9 +41,6 @@
 	// Withdrawn endpoints get no new work: they are draining or leaving, are no longer
 	// registered, or were replaced after a restart.
 	Withdrawn bool
-	// leaving is set when the endpoint has said in an answer that it leaves. Its entry may
-	// say so later or never.
-	leaving bool
 	// ColdUntil is the time until which the endpoint counts as cold.
 	ColdUntil time.Time
 	// removeAt is the time at which the endpoint is removed if its entry, which
@@ -58,6 +67,9 @@
 	endpoints map[string]*Endpoint
 	services  map[string][]*Endpoint
 	evacuated map[string]bool // by availability zone
+	// leaving has the starts of endpoints that have said that they leave, by Entry.Start. An
+	// entry that lapses and comes back does not make such an endpoint a new one.
+	leaving map[uint64]bool
 	// outageUntil is the time until which endpoints are kept although their entries
 	// have expired. It is LapsedEntryGrace after the last call of StoreUnavailable.
 	outageUntil time.Time
@@ -68,7 +80,7 @@
 func New(config Config) *Roster {
 	return &Roster{
 		config: config, endpoints: map[string]*Endpoint{}, services: map[string][]*Endpoint{},
-		evacuated: map[string]bool{},
+		evacuated: map[string]bool{}, leaving: map[uint64]bool{},
 	}
 }
 
@@ -81,6 +93,9 @@
 		replaced, ok = known, false
 	}
 	if !ok {
+		if entry.Started == 0 {
+			delete(r.leaving, entry.Start()) // the starts of such an endpoint can't be told apart
+		}
 		known = &Endpoint{Entry: entry}
 		r.endpoints[entry.ID] = known
 		r.services[entry.Service] = append(r.services[entry.Service], known)
@@ -92,20 +107,28 @@
 	}
 	known.Entry = entry
 	known.removeAt = time.Time{}
-	known.Withdrawn = entry.Draining || known.leaving
+	known.Withdrawn = entry.Draining || r.leaving[entry.Start()]
 	if until := now.Add(entry.ColdFor); entry.ColdFor > 0 && until.After(known.ColdUntil) {
 		known.ColdUntil = until
 	}
 	return known, replaced
 }
 
-// MarkLeaving withdraws an endpoint that has said that it leaves, until it starts again. It returns
-// false if that is known already.
-func (r *Roster) MarkLeaving(endpoint *Endpoint) bool {
-	if endpoint.leaving {
+// MarkLeaving withdraws the endpoint with this start, now or when its entry arrives, since it has
+// said that it leaves. It returns false if that is known already.
+func (r *Roster) MarkLeaving(start uint64) bool {
+	if r.leaving[start] {
 		return false
 	}
-	endpoint.leaving, endpoint.Withdrawn = true, true
+	if len(r.leaving) >= maxLeaving {
+		clear(r.leaving)
+	}
+	r.leaving[start] = true
+	for _, endpoint := range r.endpoints {
+		if endpoint.Start() == start {
+			endpoint.Withdrawn = true
+		}
+	}
 	return true
 }
 
@@ -226,13 +249,6 @@
 	return !endpoint.Withdrawn && !r.evacuated[endpoint.Zone]
 }
 
-// All calls yield for each endpoint.
-func (r *Roster) All(yield func(*Endpoint)) {
-	for _, endpoint := range r.endpoints {
-		yield(endpoint)
-	}
-}
-
 // Len returns the number of endpoints.
 func (r *Roster) Len() int { return len(r.endpoints) }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -82,3 +82,29 @@
 	assert.Equal(t, gone[0].ID, "b")
 	assert.DeepEqual(t, usable(r), []string{"a"})
 }
+
+// Guards against a leaving endpoint that gets work because its entry lapsed and came back, or
+// arrived after the message, and against one without a start time that never gets work again.
+func TestLeavingOutlivesEntry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := New(Config{ColdFor: func(string) time.Duration { return 0 }})
+	for _, started := range []int64{0, 7} {
+		entry := Entry{ID: "e", Service: "s", Started: started}
+		endpoint, _ := r.Set(now, entry)
+		assert.Assert(t, r.MarkLeaving(entry.Start()) && !r.MarkLeaving(entry.Start()))
+		assert.Assert(t, !r.Usable(endpoint))
+		endpoint, _ = r.Set(now, entry)
+		assert.Assert(t, !r.Usable(endpoint), "the entry still says ready")
+		r.Remove(now, "e")
+		endpoint, _ = r.Set(now, entry)
+		assert.Equal(t, r.Usable(endpoint), started == 0)
+		r.Remove(now, "e")
+	}
+	late := Entry{ID: "late", Service: "s", Started: 7}
+	r.MarkLeaving(late.Start())
+	endpoint, _ := r.Set(now, late)
+	assert.Assert(t, !r.Usable(endpoint))
+	late.Started = 8
+	endpoint, _ = r.Set(now, late)
+	assert.Assert(t, r.Usable(endpoint), "a new start")
+}
