--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -211,7 +211,8 @@
 		x.release(state, nil)
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
-	if x.stream.started && !(success && x.stream.continuedBy(response)) {
+	continues := success && x.stream.continuedBy(response)
+	if x.stream.started && !continues {
 		return x.handleNotResumed(conn, pool, state, response)
 	}
 	if success && x.route.Kind == routing.Stream {
--- a/poison/sim_test.go
+++ b/poison/sim_test.go
@@ -55,7 +55,6 @@
 	exits                 []time.Time // by deadlyPart
 	late                  int         // requests with deadlyPart sent later than stableWindow after the fifth exit
 	sound, refused        int
-	refusedBeforeFifth    int
 	requestsPerSecond     float64
 	deadlyShare           float64
 	documents, sessions   int
