--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases into target/, without a network.
+set -euo pipefail
+cd "$(dirname "$0")/standin"
+go build -o ../../target/review-standin .
