--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -19,35 +19,37 @@
 	chats   = "atelier-lm"
 )
 
-// configuration is the operator's configuration of the given version, with these keys of the
-// one tenant.
-func configuration(version int, keys []string) map[string]any {
+// configuration is the operator's configuration of the given version. Beside the usual routes it
+// has routes for bookings with these prefixes.
+func configuration(version int, prefixes []string) map[string]any {
+	routes := []map[string]any{}
+	for _, prefix := range append([]string{"/hold/"}, prefixes...) {
+		routes = append(routes, map[string]any{
+			"name": "r-" + strings.Trim(prefix, "/"), "host": "shop.example", "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 1500,
+			"goal_ms": 100, "priority": 0, "service": holds, "attempts": 1, "public": false, "sticky": false, "can_resume": false,
+		})
+	}
 	return map[string]any{
 		"version": version,
-		"routes": []map[string]any{
-			{
-				"name": "r-hold", "host": "shop.example", "path_prefix": "/hold/", "kind": "unsafe", "timeout_ms": 1500,
-				"goal_ms": 100, "priority": 0, "service": holds, "attempts": 1, "public": false, "sticky": false, "can_resume": false,
-			},
-			{
+		"routes": append(routes,
+			map[string]any{
 				"name": "r-chat", "host": "shop.example", "path_prefix": "/chat/", "kind": "streaming", "timeout_ms": 15000,
 				"goal_ms": 500, "priority": 1, "service": chats, "attempts": 1, "public": false, "sticky": true, "can_resume": false,
 				"gap_goal_ms": 300,
-			},
-		},
+			}),
 		"services": []map[string]any{
 			{"name": holds, "health_path": "/health", "max_conns": 110, "protocol": "h1", "tls": false, "cold_s": 0.0, "cold_per_s": 0.0},
 			{"name": chats, "health_path": "/health", "max_conns": 620, "protocol": "h1", "tls": false, "cold_s": 0.0, "cold_per_s": 0.0},
 		},
 		"limits":  map[string]any{"header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "hule930", "api_keys": keys, "priority": 1}},
+		"tenants": []map[string]any{{"name": "hule930", "api_keys": []string{goodKey}, "priority": 1}},
 	}
 }
 
 // begin starts the store, the replicas and the routers, and waits until the routers have been
 // ready for longer than the stable window.
-func (s *scene) begin(routers []string, replicas []*replica, keys []string) {
-	s.store.put("config", "main", configuration(1, keys))
+func (s *scene) begin(routers []string, replicas []*replica, prefixes []string) {
+	s.store.put("config", "main", configuration(1, prefixes))
 	for _, p := range replicas {
 		s.store.put("servers", p.id, p.entry("ready"))
 	}
@@ -84,7 +86,7 @@
 	for _, zone := range zones {
 		add(zone)
 	}
-	s.begin(routerNames(4), replicas, []string{goodKey})
+	s.begin(routerNames(4), replicas, nil)
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	var clients []*client
@@ -145,54 +147,83 @@
 	s.record.result("answers by status (0 is none): %v", answers)
 }
 
+// cutRounds is the number of rounds of playCutRelays and playBlindRouters.
+const cutRounds = 9
+
 // playCutRelays cuts the routers that watch the store off from it, while the others reach it, and
-// takes a key away at the same moment.
+// drops a route at the same moment.
 func playCutRelays(s *scene) bool {
-	const rounds = 9
+	return s.playCuts(cutRounds, 3500*time.Millisecond, func() {
+		time.Sleep(rand.N(time.Second)) // the cut comes at any moment
+		s.cutRelays()
+	})
+}
+
+// playBlindRouters cuts the same routers off for longer. The others then watch the store
+// themselves. One of their watches each is cut off, and then a route is dropped.
+func playBlindRouters(s *scene) bool {
+	return s.playCuts(3, 6*time.Second, func() {
+		s.cutRelays()
+		time.Sleep(4 * time.Second)
+		if s.trouble {
+			s.record.now("store: %d waiting watches of kind config cut off", s.store.cutWatches("config"))
+		}
+		time.Sleep(50 * time.Millisecond)
+	})
+}
+
+// cutRelays cuts the routers that have a watch waiting at the store off from it.
+func (s *scene) cutRelays() {
+	if !s.trouble {
+		return
+	}
+	for _, p := range s.fleet.routers {
+		if s.relays[p.id] {
+			p.gate.shut()
+			s.record.now("router %s cut off from the store", p.id)
+		}
+	}
+}
+
+// playCuts plays the disruption and drops a route just after it, several times. The routers that
+// reach the store are asked for the route until the given time after it was dropped.
+func (s *scene) playCuts(rounds int, asked time.Duration, disrupt func()) bool {
 	var replicas []*replica
 	for i, zone := range zones {
 		replicas = append(replicas, startReplica(s.record, holds, fmt.Sprintf("i-%08x", 0x7f3b0000+i), zone, 6, 24, 15*time.Millisecond, 0, 0))
 	}
-	key := func(round int) string { return fmt.Sprintf("n2ctnfzs989anu6wsj%02d", round) }
-	keys := []string{goodKey}
+	prefix := func(round int) string { return fmt.Sprintf("/old%d/", round+1) }
+	var routes []string // that will be dropped
 	for round := range rounds {
-		keys = append(keys, key(round))
+		routes = append(routes, prefix(round))
 	}
-	s.begin(routerNames(9), replicas, keys)
+	s.begin(routerNames(9), replicas, routes)
 	late := 0
 	for round := range rounds {
-		relays := s.relays()
-		if len(relays) != 3 {
-			s.record.result("round %d: %d routers watch the store, not 3", round+1, len(relays))
+		s.findRelays()
+		if len(s.relays) != 3 {
+			s.record.result("round %d: %d routers watch the store, not 3", round+1, len(s.relays))
 		}
 		stop := make(chan struct{})
 		var group sync.WaitGroup
 		var clients []*client
 		for _, p := range s.fleet.routers {
-			if relays[p.id] {
+			if s.relays[p.id] {
 				continue
 			}
-			c := &client{record: s.record, router: p, path: "/hold/2f", key: key(round), timeout: 1500 * time.Millisecond}
+			c := &client{record: s.record, router: p, path: prefix(round) + "2f", key: goodKey, timeout: 1500 * time.Millisecond}
 			clients = append(clients, c)
 			group.Add(1)
 			go c.every(10*time.Millisecond, stop, &group)
 		}
-		time.Sleep(time.Second + rand.N(time.Second)) // the cut comes at any moment
-		if s.trouble {
-			for _, p := range s.fleet.routers {
-				if relays[p.id] {
-					p.gate.shut()
-					s.record.now("router %s cut off from the store", p.id)
-				}
-			}
-		}
-		keys = append(keys[:1:1], keys[2:]...)
-		acknowledged := s.store.put("config", "main", configuration(round+2, keys))
-		s.record.line(acknowledged, "store: version %d acknowledged, key %s is gone", round+2, key(round))
-		time.Sleep(3500 * time.Millisecond)
+		time.Sleep(time.Second)
+		disrupt()
+		acknowledged := s.store.put("config", "main", configuration(round+2, routes[round+1:]))
+		s.record.line(acknowledged, "store: version %d acknowledged, route %s is dropped", round+2, prefix(round))
+		time.Sleep(asked)
 		if s.trouble {
 			for _, p := range s.fleet.routers {
-				if relays[p.id] {
+				if s.relays[p.id] {
 					p.gate.open()
 				}
 			}
@@ -214,25 +245,24 @@
 			}
 		}
 		late += count
-		s.record.result("round %d: %d requests with the key that is gone ran although they were sent later than 2.000 s after the acknowledgement; the last that ran was sent after %.3f s", round+1, count, last.Seconds())
+		s.record.result("round %d: %d requests on the dropped route ran although they were sent later than 2.000 s after the acknowledgement; the last that ran was sent after %.3f s", round+1, count, last.Seconds())
 		time.Sleep(stableWindow + 500*time.Millisecond)
 	}
-	s.record.result("CONFIG: %d requests ran with a key that was gone for more than 2.000 s", late)
+	s.record.result("CONFIG: %d requests ran on a route that was dropped more than 2.000 s before", late)
 	return late > 0
 }
 
-// relays returns the routers that have a watch waiting at the store, by id.
-func (s *scene) relays() map[string]bool {
-	found := map[string]bool{}
+// findRelays finds the routers that have a watch waiting at the store.
+func (s *scene) findRelays() {
+	s.relays = map[string]bool{}
 	for range 20 {
 		for _, p := range s.fleet.routers {
 			if s.store.watchedBy(p.gate) {
-				found[p.id] = true
+				s.relays[p.id] = true
 			}
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return found
 }
 
 // playUploads has as many callers as a router usually serves at once send prompts of the largest
@@ -246,7 +276,7 @@
 			startReplica(s.record, chats, fmt.Sprintf("i-%08x", 0x7f3c0000+i), zone, 128, 384, 50*time.Millisecond, 64, 60*time.Millisecond),
 			startReplica(s.record, holds, fmt.Sprintf("i-%08x", 0x7f3d0000+i), zone, 6, 24, 15*time.Millisecond, 0, 0))
 	}
-	s.begin(routerNames(3), replicas, []string{goodKey})
+	s.begin(routerNames(3), replicas, nil)
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	var clients []*client
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -63,13 +63,15 @@
 	record  *record
 	fleet   *fleet
 	store   *store
-	trouble bool // whether the disruption is played
+	trouble bool            // whether the disruption is played
+	relays  map[string]bool // the routers that watch the store for the others, by id
 }
 
 var cases = map[string]func(*scene) bool{
-	"cut-watch":  playCutWatch,
-	"cut-relays": playCutRelays,
-	"uploads":    playUploads,
+	"blind-routers": playBlindRouters,
+	"cut-watch":     playCutWatch,
+	"cut-relays":    playCutRelays,
+	"uploads":       playUploads,
 }
 
 func main() {
