--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -265,6 +265,54 @@
 	}
 }
 
+// playOddEntry has another writer replace the entry of a chat replica by one that lacks fields and
+// names the service of the bookings, until the replica writes its own entry again.
+func playOddEntry(s *scene) bool {
+	const (
+		rounds = 5
+		beat   = 1200 * time.Millisecond // beat_ms
+	)
+	var chatting, replicas []*replica
+	for i, zone := range zones {
+		chatting = append(chatting, startReplica(s.record, chats, fmt.Sprintf("i-%08x", 0x7f3e0000+i), zone, 128, 384, 50*time.Millisecond, 8, 20*time.Millisecond))
+		replicas = append(replicas, startReplica(s.record, holds, fmt.Sprintf("i-%08x", 0x7f3f0000+i), zone, 6, 24, 15*time.Millisecond, 0, 0))
+	}
+	s.begin(routerNames(4), append(replicas, chatting...), nil)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var clients []*client
+	for _, p := range s.fleet.routers {
+		for range 2 {
+			c := &client{record: s.record, router: p, path: "/hold/2f", key: goodKey, timeout: 1500 * time.Millisecond}
+			clients = append(clients, c)
+			group.Add(1)
+			go c.every(15*time.Millisecond, stop, &group)
+		}
+	}
+	for round := range rounds {
+		time.Sleep(stableWindow)
+		p := chatting[round%len(chatting)]
+		if s.trouble {
+			s.store.put("servers", p.id, map[string]any{"service": holds, "address": p.address, "zone": p.zone, "state": "ready"})
+			s.record.now("store: another writer replaced the entry of replica %s: service %s; version, slots, cold_left_ms and seq are missing", p.id, holds)
+		}
+		time.Sleep(beat)
+		s.store.put("servers", p.id, p.entry("ready"))
+		s.record.now("replica %s of service %s wrote its own entry again", p.id, chats)
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	group.Wait()
+	wrong := 0
+	for _, p := range chatting {
+		// Only bookings are sent in this case.
+		wrong += len(p.arrivals(time.Time{}))
+	}
+	s.countAnswers(clients)
+	s.record.result("ROUTE: %d bookings were run by replicas of %s, to which no configuration sends them", wrong, chats)
+	return wrong > 0
+}
+
 // playUploads has as many callers as a router usually serves at once send prompts of the largest
 // size that the configuration allows, to two of the three routers. The platform ends a process
 // that exceeds its memory and starts it again.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -71,6 +71,7 @@
 	"blind-routers": playBlindRouters,
 	"cut-watch":     playCutWatch,
 	"cut-relays":    playCutRelays,
+	"odd-entry":     playOddEntry,
 	"uploads":       playUploads,
 }
 
