--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -100,32 +100,43 @@
 	}
 	time.Sleep(stableWindow + time.Second)
 	late, lost := 0, 0
-	for i, zone := range zones {
+	// In the last round watches are cut off again and again, and the replica serves for longer.
+	for i, zone := range append(zones, zones[0]) {
 		leaving := replicas[i]
-		if s.trouble {
-			s.record.now("store: %d waiting watches of kind servers cut off", s.store.cutWatches("servers"))
-			time.Sleep(20 * time.Millisecond)
+		serves := drainTime + 200*time.Millisecond // drain_ms and a little longer
+		cut := func() {
+			if s.trouble {
+				s.record.now("store: %d waiting watches of kind servers cut off", s.store.cutWatches("servers"))
+			}
 		}
+		cut()
+		time.Sleep(20 * time.Millisecond)
 		gone := s.store.remove("servers", leaving.id)
 		s.record.line(gone, "store: entry of replica %s in zone %s removed and acknowledged", leaving.id, zone)
-		// It goes on serving for drain_ms and a little longer.
-		time.Sleep(drainTime + 200*time.Millisecond)
+		if i == len(zones) {
+			serves = 7 * time.Second
+			for range 4 {
+				time.Sleep(1500 * time.Millisecond)
+				cut()
+			}
+		}
+		time.Sleep(time.Until(gone.Add(serves)))
 		leaving.exit()
 		s.record.now("replica %s exits", leaving.id)
 		time.Sleep(500 * time.Millisecond)
 		arrived := leaving.arrivals(gone.Add(drainTime))
-		cut := 0
+		broken := 0
 		last := time.Duration(0)
 		for _, r := range arrived {
 			last = max(last, r.arrived.Sub(gone))
 			if !r.done {
-				cut++
+				broken++
 			}
 		}
 		late += len(arrived)
-		lost += cut
+		lost += broken
 		s.record.result("replica %s: %d requests arrived later than 2.000 s after the acknowledgement, the last after %.3f s; %d of them were cut by its exit",
-			leaving.id, len(arrived), last.Seconds(), cut)
+			leaving.id, len(arrived), last.Seconds(), broken)
 		next := add(zone)
 		s.store.put("servers", next.id, next.entry("ready"))
 		time.Sleep(stableWindow + 500*time.Millisecond)
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -45,16 +46,23 @@
 	return &fleet{root: root, folder: folder, record: r}
 }
 
+// freePort returns a free loopback address outside the range from which the system takes the
+// ports of other connections, so that it is still free when the router opens it.
 func freePort(network string) string {
-	if network == "udp" {
-		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-		check(err)
-		defer socket.Close()
-		return socket.LocalAddr().String()
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 18000+rand.IntN(12000))
+		if network == "udp" {
+			if socket, err := net.ListenPacket("udp", address); err == nil {
+				_ = socket.Close()
+				return address
+			}
+			continue
+		}
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	listener := listenLoopback()
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // add prepares a router; start starts its process.
