--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases into target/, without a network.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-go build -o ../../target/review-standin .
+go build -buildvcs=false -o ../../target/review-standin .
