mirror, gateway: log where changes come from and why endpoints without an entry are kept

The logs could not tell whether a late removal came from a late list, from the grace after an outage, or from the interval of prune, nor whether a router acted on what relays announced or on its own watch. Added: how long ago the store answered, with the begin of an outage and with each change between relays and store; a line and the counter endpoints.kept_without_entry for an endpoint that is kept although its entry is gone. No change of behaviour.

--- a/gateway/state.go
+++ b/gateway/state.go
@@ -46,10 +46,12 @@
 func (g *Gateway) RemoveEndpoint(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if gone := g.roster.Remove(time.Now(), id); gone != nil {
+	now := time.Now()
+	if gone := g.roster.Remove(now, id); gone != nil {
 		g.logger.Info("endpoint removed", zap.String("endpoint", id))
 		g.dropEndpoint(gone)
 	}
+	g.logKept(now)
 }
 
 // RetainEndpoints takes the ids of a complete list from the store and handles all other
@@ -57,10 +59,22 @@
 func (g *Gateway) RetainEndpoints(ids map[string]bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, gone := range g.roster.RetainOnly(time.Now(), ids) {
+	now := time.Now()
+	for _, gone := range g.roster.RetainOnly(now, ids) {
 		g.logger.Info("endpoint removed", zap.String("endpoint", gone.ID))
 		g.dropEndpoint(gone)
 	}
+	g.logKept(now)
+}
+
+// logKept logs the endpoints that have just been kept although their entries are gone.
+// Callers hold g.mu.
+func (g *Gateway) logKept(now time.Time) {
+	for _, kept := range g.roster.TakeKept() {
+		g.metrics.Counter("endpoints.kept_without_entry").Inc(1)
+		g.logger.Info("endpoint kept: its entry may have lapsed in an outage of the store", zap.String("endpoint", kept.ID),
+			zap.String("service", kept.Service), zap.Duration("until", kept.RemoveAt().Sub(now)))
+	}
 }
 
 // StoreUnavailable is called whenever the store does not answer. It starts or extends a
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -156,6 +156,10 @@
 	behindSince time.Time
 	failures    int       // consecutive failed calls
 	outageSince time.Time // start of the current outage
+	// answeredAt is when the store last answered this router, and following whether the
+	// router gets the changes from relays.
+	answeredAt time.Time
+	following  bool
 }
 
 // New returns an empty mirror.
@@ -180,6 +184,7 @@
 		case !m.haveList:
 			err = m.list(ctx)
 		case m.followsRelays():
+			m.logSource(true)
 			m.awaitBatch(ctx)
 			continue
 		case m.awaitsRelays():
@@ -188,6 +193,7 @@
 		case m.relist || m.ListToCatchUp && !m.behindSince.IsZero():
 			err = m.list(ctx)
 		default:
+			m.logSource(false)
 			err = m.watch(ctx)
 		}
 		if err != nil {
@@ -199,6 +205,28 @@
 	return nil
 }
 
+// logSource logs a change between relays and the store as the source of the changes.
+func (m *Mirror) logSource(following bool) {
+	if m.following == following {
+		return
+	}
+	m.following = following
+	source := "store"
+	if following {
+		source = "relays"
+	}
+	m.Logger.Info("changes are taken from the "+source, zap.String("kind", m.Kind), zap.Uint64("revision", m.revision),
+		zap.Duration("store_answered_ago", m.sinceAnswer()))
+}
+
+// sinceAnswer returns the time since the store last answered this router, 0 if it never did.
+func (m *Mirror) sinceAnswer() time.Duration {
+	if m.answeredAt.IsZero() {
+		return 0
+	}
+	return time.Since(m.answeredAt)
+}
+
 // list reads all objects from the store. A relay then publishes what has changed since
 // the state that it had.
 func (m *Mirror) list(ctx context.Context) error {
@@ -435,7 +463,8 @@
 	}
 	if m.failures == 0 {
 		m.outageSince = time.Now()
-		m.Logger.Warn("store unavailable", zap.String("kind", m.Kind), zap.Uint64("revision", m.revision), zap.Error(err))
+		m.Logger.Warn("store unavailable", zap.String("kind", m.Kind), zap.Uint64("revision", m.revision),
+			zap.Duration("store_answered_ago", m.sinceAnswer()), zap.Error(err))
 	}
 	m.failures++
 	m.relist = true
@@ -465,6 +494,7 @@
 
 // callSucceeded announces a Fresh head, and reports the end of an outage.
 func (m *Mirror) callSucceeded() {
+	m.answeredAt = time.Now()
 	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision, Fresh: true})
 	if m.failures == 0 {
 		return
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -52,6 +52,10 @@
 // requests because its caches are not filled yet.
 func (e *Endpoint) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
 
+// RemoveAt returns the time at which the endpoint is removed unless its entry comes back;
+// zero if it has an entry.
+func (e *Endpoint) RemoveAt() time.Time { return e.removeAt }
+
 // Config holds the settings of a Roster.
 type Config struct {
 	// ColdFor returns how long an endpoint of the service is cold after a start.
@@ -73,7 +77,8 @@
 	// outageUntil is the time until which endpoints are kept although their entries
 	// have expired. It is LapsedEntryGrace after the last call of StoreUnavailable.
 	outageUntil time.Time
-	complete    bool // whether a complete list of entries has been seen
+	kept        []*Endpoint // kept without an entry since the last call of TakeKept
+	complete    bool        // whether a complete list of entries has been seen
 }
 
 // New returns an empty roster.
@@ -144,6 +149,7 @@
 	if now.Before(r.outageUntil) && !known.Withdrawn {
 		if known.removeAt.IsZero() {
 			known.removeAt = r.outageUntil
+			r.kept = append(r.kept, known)
 		}
 		return nil
 	}
@@ -151,6 +157,13 @@
 	return known
 }
 
+// TakeKept returns the endpoints that were kept without an entry since the last call.
+func (r *Roster) TakeKept() []*Endpoint {
+	kept := r.kept
+	r.kept = nil
+	return kept
+}
+
 // RetainOnly takes the ids of a complete list of entries and handles all others as Remove
 // does. It returns the endpoints that were removed.
 func (r *Roster) RetainOnly(now time.Time, ids map[string]bool) []*Endpoint {
