roster: a watch that is cut off no longer delays the removal of endpoints

Callers: the store cut watches off, then the entry of an endpoint was removed.

Cause: an endpoint without an entry is kept for 2 s after an outage of the store, since its entry may have expired because it could not be renewed. One failed call counted as an outage.

Change: the mirror tells when the store last answered, and the roster keeps endpoints only if that is 1.5 heartbeats ago: an entry expires after three heartbeats without a renewal. The heartbeat comes from the platform's settings. A watch waits for one heartbeat at most.

--- a/config/edge.go
+++ b/config/edge.go
@@ -27,6 +27,9 @@
 	} `toml:"listen"`
 	Store struct {
 		Address string `toml:"address"` // address and port
+		// HeartbeatMS is the interval in milliseconds at which endpoints renew their entries. The
+		// store removes an entry after three intervals without a renewal.
+		HeartbeatMS float64 `toml:"heartbeat_ms"`
 	} `toml:"store"`
 	Bounds struct {
 		GraceS float64 `toml:"grace_s"` // seconds from SIGTERM to SIGKILL
@@ -44,8 +47,9 @@
 	} `toml:"bounds"`
 }
 
-// Defaults for bounds that the platform does not set.
+// Defaults for values that the platform does not set.
 const (
+	defaultHeartbeatMS    = 1200
 	defaultGraceS         = 8
 	defaultRetryRatio     = 0.1
 	defaultColdRateFactor = 1
@@ -60,6 +64,7 @@
 		return nil, fmt.Errorf("reading settings: %w", err)
 	}
 	settings := &EdgeSettings{}
+	settings.Store.HeartbeatMS = defaultHeartbeatMS
 	settings.Bounds.GraceS = defaultGraceS
 	settings.Bounds.RetryRatio = defaultRetryRatio
 	settings.Bounds.ColdRateFactor = defaultColdRateFactor
@@ -110,6 +115,7 @@
 		key   string
 		value float64
 	}{
+		{"store.heartbeat_ms", s.Store.HeartbeatMS},
 		{"bounds.grace_s", s.Bounds.GraceS},
 		{"bounds.cold_factor", s.Bounds.ColdRateFactor},
 		{"bounds.load_factor", s.Bounds.LoadFactor},
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -44,6 +44,10 @@
 	// not deliver the events of a watch, only the next watch returns them. A leaving
 	// endpoint may be sent new requests for at most 2 s, so watchWait is shorter.
 	watchWait = time.Second
+	// heartbeatsToLapse is the shortest outage of the store, in heartbeats of the endpoints, in
+	// which an entry may expire: after three without a renewal, of which the first may lie before
+	// the outage and is not exact.
+	heartbeatsToLapse = 1.5
 	// exitMargin is the part at the end of the grace period that is reserved for the
 	// exit of the process.
 	exitMargin = 400 * time.Millisecond
@@ -118,9 +122,11 @@
 	}
 	p.peers = peers
 	p.failures = newReporter(s.Router.ID, platform.KeyStore{Store: p.store}, peers.Alive, p.metrics, p.logger)
+	heartbeat := time.Duration(s.Store.HeartbeatMS * float64(time.Millisecond))
 	p.gateway = gateway.New(gateway.Config{
 		Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
 		Routers: peers.Routers, Reporter: p.failures,
+		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
 	})
 	p.mirrors = map[string]*mirror.Mirror{}
 	for kind, receiver := range map[string]mirror.Receiver{
@@ -129,7 +135,8 @@
 		platform.KindEvacuations: platform.EvacuationReceiver{Gateway: p.gateway},
 	} {
 		p.mirrors[kind] = mirror.New(mirror.Config{
-			Source: p.store, Kind: kind, WatchWait: watchWait, ListToCatchUp: kind == platform.KindConfig,
+			// A watch that is cut off must not look like an outage of EntryLifetime.
+			Source: p.store, Kind: kind, WatchWait: min(watchWait, heartbeat), ListToCatchUp: kind == platform.KindConfig,
 			Receiver: receiver, Peers: peers, Logger: p.logger, Guard: guard,
 		})
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -96,6 +96,7 @@
 	settings.Listen.Callers, settings.Listen.Readiness = addresses[0], addresses[1]
 	settings.Listen.Metrics, settings.Listen.Peers = addresses[2], addresses[3]
 	settings.Store.Address = s.store.Listener.Addr().String()
+	settings.Store.HeartbeatMS = 1200
 	settings.Bounds.GraceS, settings.Bounds.ColdRateFactor, settings.Bounds.LoadFactor = 8, 1, 2
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &router{settings: settings, stop: cancel, done: make(chan error, 1)}
@@ -225,6 +226,31 @@
 	}
 }
 
+// Guards against new work for an endpoint whose entry was removed just after the store's watches
+// were cut off, while the store answers all other calls.
+func TestCutWatchDoesNotDelayRemoval(t *testing.T) {
+	s := newSite(t)
+	s.register("ready")
+	s.configure("k")
+	r := s.start(t, "r1")
+	eventually(t, 2*time.Second, "ready", r.ready)
+	for range 3 {
+		time.Sleep(1100 * time.Millisecond)
+		s.platform.CutWatches("servers")
+		time.Sleep(20 * time.Millisecond)
+		s.platform.RemoveSpec("servers", "i-1")
+		eventually(t, time.Second, "no work for the endpoint", func() bool {
+			status, _ := r.call("/call/1", "k")
+			return status == http.StatusServiceUnavailable
+		})
+		s.register("ready")
+		eventually(t, time.Second, "the endpoint is back", func() bool {
+			status, _ := r.call("/call/1", "k")
+			return status == http.StatusOK
+		})
+	}
+}
+
 // Guards against these faults of a graceful shutdown: it aborts a stream; it refuses
 // requests that still arrive; it leaves the router ready.
 func TestGracefulShutdown(t *testing.T) {
--- a/edge/failures.go
+++ b/edge/failures.go
@@ -184,9 +184,9 @@
 }
 
 // StoreUnavailable implements mirror.Receiver.
-func (o outageReceiver) StoreUnavailable(err error) {
+func (o outageReceiver) StoreUnavailable(answeredAt time.Time, err error) {
 	o.failures.beginOutage()
-	o.Receiver.StoreUnavailable(err)
+	o.Receiver.StoreUnavailable(answeredAt, err)
 }
 
 // StoreAvailable implements mirror.Receiver.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,9 @@
 	Routers func() *quota.Routers
 	// Reporter receives the failures that are recorded for operators.
 	Reporter Reporter
+	// EntryLifetime is the shortest outage of the store after which entries of endpoints may have
+	// expired because they could not be renewed.
+	EntryLifetime time.Duration
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
@@ -115,7 +118,7 @@
 		firstByte:   metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
 		own:         metrics.GetOrRegisterTimer("requests.own_seconds", config.Metrics.Registry),
 	}
-	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapsedEntryGrace: lapsedEntryGrace})
+	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapsedEntryGrace: lapsedEntryGrace, EntryLifetime: config.EntryLifetime})
 	g.retries.Budget = retry.NewBudget(retry.BudgetConfig{
 		Fraction: config.Bounds.RetryRatio * limitFraction,
 		Capacity: g.retryCapacity(),
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -42,7 +42,8 @@
 }
 
 // RemoveEndpoint handles an entry that is no longer in the store. During an outage of the
-// store, and for lapsedEntryGrace after it, the endpoint is kept unless it is draining.
+// store in which entries may expire, and for lapsedEntryGrace after it, the endpoint is kept
+// unless it is draining.
 func (g *Gateway) RemoveEndpoint(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -77,13 +78,20 @@
 	}
 }
 
-// StoreUnavailable is called whenever the store does not answer. It starts or extends a
-// grace period of lapsedEntryGrace. An endpoint whose entry expires within the period is
-// kept until the period ends, so that it can register again.
-func (g *Gateway) StoreUnavailable() {
+// StoreUnavailable is called after each call that the store did not answer; answeredAt is when
+// it last answered. If it has not for Config.EntryLifetime, endpoints whose entries are gone are
+// kept until lapsedEntryGrace after the outage, so that they can register again.
+func (g *Gateway) StoreUnavailable(answeredAt time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.roster.StoreUnavailable(time.Now())
+	g.roster.StoreUnavailable(time.Now(), answeredAt)
+}
+
+// StoreAvailable is called when the store answers again.
+func (g *Gateway) StoreAvailable() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.roster.StoreAvailable(time.Now())
 }
 
 // SetEvacuated starts or ends the evacuation of an availability zone, whose endpoints
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -106,8 +106,10 @@
 	// ObjectChanged is called for each object that was changed or deleted.
 	ObjectChanged(object objectstore.Object)
 	// StoreUnavailable is called after each failed call to the store, and
-	// StoreAvailable after the first successful call that follows.
-	StoreUnavailable(err error)
+	// StoreAvailable after the first successful call that follows. The store last answered at
+	// answeredAt, zero if it never did. A single failed call does not show an outage: a watch
+	// may be cut off while the store answers all other calls.
+	StoreUnavailable(answeredAt time.Time, err error)
 	StoreAvailable()
 }
 
@@ -469,7 +471,7 @@
 	m.failures++
 	m.relist = true
 	m.startedInOutage = m.startedInOutage || m.listedAt.IsZero()
-	m.Receiver.StoreUnavailable(err)
+	m.Receiver.StoreUnavailable(m.answeredAt, err)
 	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision})
 	backoff := min(minBackoff<<min(m.failures-1, 8), maxBackoff)
 	m.waitApplyingBatches(ctx, backoff/2+rand.N(backoff/2+1))
@@ -487,7 +489,7 @@
 		if relay || fresh || !m.Peers.RelaysHeard() {
 			return
 		}
-		m.Receiver.StoreUnavailable(err)
+		m.Receiver.StoreUnavailable(m.answeredAt, err)
 		m.waitApplyingBatches(ctx, followInterval)
 	}
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -64,7 +64,7 @@
 	}
 }
 func (r *recorder) ObjectChanged(object objectstore.Object) { r.add("change " + object.Key) }
-func (r *recorder) StoreUnavailable(error)                  { r.add("unavailable") }
+func (r *recorder) StoreUnavailable(time.Time, error)       { r.add("unavailable") }
 func (r *recorder) StoreAvailable()                         { r.add("available") }
 
 // peerStub is a fleet whose relays announce what the test sets.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -63,6 +63,9 @@
 	// LapsedEntryGrace is how long an endpoint is kept after an outage of the store
 	// although its entry has expired, so that it can register again.
 	LapsedEntryGrace time.Duration
+	// EntryLifetime is the shortest time without an answer of the store after which entries may
+	// have expired because their endpoints could not renew them.
+	EntryLifetime time.Duration
 }
 
 // Roster is the set of endpoints. It is not safe for concurrent use.
@@ -74,11 +77,16 @@
 	// leaving has the starts of endpoints that have said that they leave, by Entry.Start. An
 	// entry that lapses and comes back does not make such an endpoint a new one.
 	leaving map[uint64]bool
-	// outageUntil is the time until which endpoints are kept although their entries
-	// have expired. It is LapsedEntryGrace after the last call of StoreUnavailable.
-	outageUntil time.Time
-	kept        []*Endpoint // kept without an entry since the last call of TakeKept
-	complete    bool        // whether a complete list of entries has been seen
+	// unanswered is set from the first call of StoreUnavailable to the next one of StoreAvailable.
+	// The store was last known to answer at answeredAt.
+	unanswered bool
+	answeredAt time.Time
+	// graceUntil is the time until which endpoints are kept although their entries have
+	// expired: LapsedEntryGrace after the store was last known not to have answered for
+	// EntryLifetime or longer.
+	graceUntil time.Time
+	kept       []*Endpoint // kept without an entry since the last call of TakeKept
+	complete   bool        // whether a complete list of entries has been seen
 }
 
 // New returns an empty roster.
@@ -137,18 +145,21 @@
 	return true
 }
 
-// Remove handles an entry that was deleted or expired. During an outage of the store and
-// for LapsedEntryGrace after it, the endpoint is kept unless it is draining, since its
-// entry may have expired only because it could not be renewed. Remove returns the
+// Remove handles an entry that was deleted or expired. In an outage of the store of at least
+// EntryLifetime, and for LapsedEntryGrace after it, the endpoint is kept unless it is draining,
+// since its entry may have expired only because it could not be renewed. Remove returns the
 // endpoint if it was removed, or nil.
 func (r *Roster) Remove(now time.Time, id string) *Endpoint {
 	known, ok := r.endpoints[id]
 	if !ok {
 		return nil
 	}
-	if now.Before(r.outageUntil) && !known.Withdrawn {
+	if !now.Before(r.graceUntil) {
+		r.extendGrace(now)
+	}
+	if now.Before(r.graceUntil) && !known.Withdrawn {
 		if known.removeAt.IsZero() {
-			known.removeAt = r.outageUntil
+			known.removeAt = r.graceUntil
 			r.kept = append(r.kept, known)
 		}
 		return nil
@@ -180,14 +191,30 @@
 	return gone
 }
 
-// StoreUnavailable records that the store can't be reached. It starts or extends a grace
-// period of LapsedEntryGrace. An endpoint whose entry expires within the period is kept
-// until the period ends.
-func (r *Roster) StoreUnavailable(now time.Time) {
-	r.outageUntil = now.Add(r.config.LapsedEntryGrace)
+// StoreUnavailable records that a call to the store failed. The store last answered at
+// answeredAt, zero if it never did. An interruption that is shorter than EntryLifetime, such as
+// a watch that was cut off, changes nothing: no entry can have expired in it.
+func (r *Roster) StoreUnavailable(now, answeredAt time.Time) {
+	r.unanswered, r.answeredAt = true, answeredAt
+	r.extendGrace(now)
+}
+
+// StoreAvailable records that the store answers again.
+func (r *Roster) StoreAvailable(now time.Time) {
+	r.extendGrace(now)
+	r.unanswered = false
+}
+
+// extendGrace starts or extends the grace period if the store has not answered for EntryLifetime
+// or longer.
+func (r *Roster) extendGrace(now time.Time) {
+	if !r.unanswered || now.Sub(r.answeredAt) < r.config.EntryLifetime {
+		return
+	}
+	r.graceUntil = now.Add(r.config.LapsedEntryGrace)
 	for _, endpoint := range r.endpoints {
 		if !endpoint.removeAt.IsZero() {
-			endpoint.removeAt = r.outageUntil
+			endpoint.removeAt = r.graceUntil
 		}
 	}
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -10,7 +10,7 @@
 var start = time.Unix(1000, 0)
 
 func newRoster() *Roster {
-	r := New(Config{ColdFor: func(string) time.Duration { return 3 * time.Second }, LapsedEntryGrace: 2 * time.Second})
+	r := New(Config{ColdFor: func(string) time.Duration { return 3 * time.Second }, LapsedEntryGrace: 2 * time.Second, EntryLifetime: 1800 * time.Millisecond})
 	r.Set(start, Entry{ID: "a", Service: "s", Address: "1:1", Zone: "z1"})
 	r.Set(start, Entry{ID: "b", Service: "s", Address: "1:2", Zone: "z2"})
 	r.RetainOnly(start, map[string]bool{"a": true, "b": true})
@@ -71,7 +71,7 @@
 // unavailable, and against keeping such endpoints if they do not register again.
 func TestLapse(t *testing.T) {
 	r := newRoster()
-	r.StoreUnavailable(start)
+	r.StoreUnavailable(start, start.Add(-2*time.Second))
 	r.Set(start, Entry{ID: "d", Service: "s", Address: "1:4", Draining: true})
 	assert.Equal(t, len(r.RetainOnly(start.Add(time.Second), map[string]bool{})), 1, "a draining endpoint is not kept")
 	assert.DeepEqual(t, usable(r), []string{"a", "b"})
@@ -83,6 +83,26 @@
 	assert.DeepEqual(t, usable(r), []string{"a"})
 }
 
+// Guards against new work for an endpoint that is gone, sent for as long as watches of a store
+// that answers all other calls are cut off; and against dropping all endpoints whose entries
+// expired in an outage that the first call after it shows to have been long.
+func TestOnlyLongOutagesKeepEndpoints(t *testing.T) {
+	r := newRoster()
+	now := start
+	for range 4 {
+		r.StoreUnavailable(now.Add(time.Second), now)
+		now = now.Add(1100 * time.Millisecond)
+		r.StoreAvailable(now)
+	}
+	r.StoreUnavailable(now, now.Add(-time.Second))
+	assert.Assert(t, r.Remove(now, "a") != nil, "watches were cut off")
+	assert.Equal(t, len(r.RetainOnly(now.Add(600*time.Millisecond), map[string]bool{"b": true})), 0)
+	assert.Assert(t, r.Remove(now.Add(time.Second), "b") == nil, "the store has not answered for 2 s")
+	r.StoreAvailable(now.Add(time.Second))
+	assert.Equal(t, len(r.Expire(now.Add(2900*time.Millisecond))), 0)
+	assert.Equal(t, len(r.Expire(now.Add(3*time.Second))), 1)
+}
+
 // Guards against a leaving endpoint that gets work because its entry lapsed and came back, or
 // arrived after the message, and against one without a start time that never gets work again.
 func TestLeavingOutlivesEntry(t *testing.T) {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -61,11 +61,13 @@
 	calls      map[string]int
 	jsonKinds  map[string]bool // kinds whose values are JSON
 	compacted  uint64          // the store's revision at the last call of Compact
+	// cutWatches is closed, and replaced, when the waiting watches of a kind are cut off.
+	cutWatches map[string]chan struct{}
 }
 
 // NewPlatform returns a platform that requires the bearer token, unless token is empty.
 func NewPlatform(token string) *Platform {
-	p := &Platform{token: token, store: objectstore.NewMemory(), calls: map[string]int{}, jsonKinds: map[string]bool{}}
+	p := &Platform{token: token, store: objectstore.NewMemory(), calls: map[string]int{}, jsonKinds: map[string]bool{}, cutWatches: map[string]chan struct{}{}}
 	p.SetFaults(PlatformFaults{})
 	return p
 }
@@ -148,6 +150,26 @@
 	p.compacted = version
 }
 
+// CutWatches closes the connections of the watches of a kind that are waiting.
+func (p *Platform) CutWatches(kind string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cut := p.cutWatches[kind]; cut != nil {
+		close(cut)
+		delete(p.cutWatches, kind)
+	}
+}
+
+// watchesCut returns the channel that the next call of CutWatches for the kind closes.
+func (p *Platform) watchesCut(kind string) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cutWatches[kind] == nil {
+		p.cutWatches[kind] = make(chan struct{})
+	}
+	return p.cutWatches[kind]
+}
+
 // Calls returns the number of calls so far, by operation: get, list, watch, put or delete.
 // Calls that list the instances are counted under "instances" instead of "list". Calls that
 // match no operation are counted under "unknown".
--- a/standin/platformcalls.go
+++ b/standin/platformcalls.go
@@ -130,7 +130,20 @@
 		http.Error(w, "history is gone", http.StatusGone)
 		return
 	}
-	objects, revision, err := p.store.Watch(r.Context(), kindPrefix(kind), since, time.Duration(wait)*time.Millisecond)
+	// The head of the response goes out at once, so that no client repeats a call that was cut off.
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	go func(cut <-chan struct{}) {
+		select {
+		case <-cut:
+			cancel()
+		case <-ctx.Done():
+		}
+	}(p.watchesCut(kind))
+	objects, revision, err := p.store.Watch(ctx, kindPrefix(kind), since, time.Duration(wait)*time.Millisecond)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -144,7 +157,7 @@
 		}
 		response.Events = append(response.Events, wireEvent{Object: p.toWire(kind, object), Deleted: object.Deleted})
 	}
-	writeJSON(w, http.StatusOK, response)
+	_ = json.NewEncoder(w).Encode(response)
 }
 
 // writeCall is a decoded write call.
