mirror: one failed call is no longer taken for an outage of the store

Cause: after a single failed call a router that is no relay did not call the store for 2.5 to 5 s while it heard relays of which none was answered. Evidence, with the log lines added before: 'unexpected EOF' 0.05 to 0.95 s after the last answer, then no call until 'store available again' with an outage of 3.9 to 5.1 s and one failed call. A slow list or a backlog would show more failed calls: ruled out.

Change: one failed call is followed by another at once. After two in a row the mirrors of a router take turns: one of them probes every 1 to 1.5 s, and all go on when the store answers one of them or a relay.

TestFollowersLeaveOutageToRelays demanded at most one call in 2 s of an outage of the relays, which is the fault itself. TestMirrorsShareProbesInOutage takes its place: it bounds the calls of all three mirrors together over 5 s, the longest time without a call, and that the changes come from the relay.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -128,6 +128,7 @@
 		Routers: peers.Routers, Reporter: p.failures,
 		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
 	})
+	access := &mirror.Access{}
 	p.mirrors = map[string]*mirror.Mirror{}
 	for kind, receiver := range map[string]mirror.Receiver{
 		platform.KindConfig:      outageReceiver{platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger}, p.failures},
@@ -137,7 +138,7 @@
 		p.mirrors[kind] = mirror.New(mirror.Config{
 			// A watch that is cut off must not look like an outage of EntryLifetime.
 			Source: p.store, Kind: kind, WatchWait: min(watchWait, heartbeat), ListToCatchUp: kind == platform.KindConfig,
-			Receiver: receiver, Peers: peers, Logger: p.logger, Guard: guard,
+			Receiver: receiver, Peers: peers, Access: access, Logger: p.logger, Guard: guard,
 		})
 	}
 	p.poison = &quarantines{
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -50,9 +50,6 @@
 	// for a relay before it watches the store itself: it needs about a second to find the
 	// others.
 	startGrace = 1500 * time.Millisecond
-	// outageCheckInterval is the time between the calls of a router that is no relay while
-	// the store does not answer the relays. In between it waits for a relay to be answered.
-	outageCheckInterval = 5 * time.Second
 	// batchQueueLength bounds the number of batches that wait to be applied. Further
 	// batches are dropped, and their changes are read from the store later.
 	batchQueueLength = 64
@@ -127,7 +124,9 @@
 	ListToCatchUp bool
 	Receiver      Receiver
 	Peers         Peers
-	Logger        *zap.Logger
+	// Access is shared by the mirrors of a router.
+	Access *Access
+	Logger *zap.Logger
 	// Guard runs the receiver.
 	Guard telemetry.Guard
 }
@@ -166,6 +165,9 @@
 
 // New returns an empty mirror.
 func New(config Config) *Mirror {
+	if config.Access == nil {
+		config.Access = &Access{}
+	}
 	return &Mirror{Config: config, batches: make(chan Batch, batchQueueLength), versions: map[string]uint64{}}
 }
 
@@ -475,28 +477,29 @@
 	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision})
 	backoff := min(minBackoff<<min(m.failures-1, 8), maxBackoff)
 	m.waitApplyingBatches(ctx, backoff/2+rand.N(backoff/2+1))
-	m.awaitFreshRelay(ctx, err)
+	m.awaitTurn(ctx, err)
 }
 
-// awaitFreshRelay waits while the store does not answer the relays either, for
-// outageCheckInterval at most: the relays tell when it answers again. It does not wait if this
-// router is a relay or hears none. The receiver is told that the outage lasts.
-func (m *Mirror) awaitFreshRelay(ctx context.Context, err error) {
-	until := time.Now().Add(outageCheckInterval/2 + rand.N(outageCheckInterval/2))
-	for ctx.Err() == nil && time.Now().Before(until) {
+// awaitTurn waits in an outage of the store until it answers a relay or another mirror of this
+// router, or until it is this mirror's turn to probe it. A relay, and a router that hears none,
+// does not wait. The receiver is told that the outage lasts.
+func (m *Mirror) awaitTurn(ctx context.Context, err error) {
+	failedAt := time.Now()
+	for ctx.Err() == nil && m.failures >= failuresToOutage {
 		relay, _ := m.Peers.RelayRole()
 		_, fresh := m.Peers.HighestRevision(m.Kind)
-		if relay || fresh || !m.Peers.RelaysHeard() {
+		if relay || fresh || !m.Peers.RelaysHeard() || m.Access.mayCall(time.Now(), failedAt) {
 			return
 		}
 		m.Receiver.StoreUnavailable(m.answeredAt, err)
-		m.waitApplyingBatches(ctx, followInterval)
+		m.waitApplyingBatches(ctx, probeCheckInterval)
 	}
 }
 
 // callSucceeded announces a Fresh head, and reports the end of an outage.
 func (m *Mirror) callSucceeded() {
 	m.answeredAt = time.Now()
+	m.Access.recordAnswer(m.answeredAt)
 	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision, Fresh: true})
 	if m.failures == 0 {
 		return
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -408,28 +408,87 @@
 	assert.Assert(t, time.Since(began) < startGrace)
 }
 
-// Guards against all routers calling a store that does not answer the relays either, and
-// against a router that does not learn from the relays that the store is back.
-func TestFollowersLeaveOutageToRelays(t *testing.T) {
-	failed := replyWith(0, objectstore.ErrUnavailable)
-	source := &scriptedSource{steps: []func(uint64) ([]objectstore.Object, uint64, error){replyWith(5, nil, "a"), failed, failed, failed, failed, failed, failed}}
+// Guards against a router that acts on an old state for seconds since one of its watches was cut
+// off, while the relays are cut off from a store that answers everybody else.
+func TestCutWatchIsNoOutage(t *testing.T) {
+	source := &scriptedSource{steps: []func(uint64) ([]objectstore.Object, uint64, error){
+		replyWith(5, nil, "a"), replyWith(0, objectstore.ErrUnavailable), replyWith(6, nil, "b"),
+	}}
+	_, events := startMirror(t, source, &peerStub{heard: true})
+	events("list a")
+	began := time.Now()
+	events("list a", "unavailable", "list b", "available")
+	assert.Assert(t, time.Since(began) < startGrace+500*time.Millisecond, "%s", time.Since(began))
+}
+
+// Guards against three faults in an outage of the store that the relays see as well: the mirrors
+// of a router call the store without measure; the router does not call it for longer than a change
+// may take; it does not learn from the relays that the store is back.
+func TestMirrorsShareProbesInOutage(t *testing.T) {
+	const outage = 5 * time.Second
+	source := &failingSource{}
 	peers := &peerStub{changed: 5, fresh: true, heard: true}
-	m, _ := startMirror(t, source, peers)
-	for source.count() < 1 {
-		time.Sleep(time.Millisecond)
+	access := &Access{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var mirrors sync.WaitGroup
+	all := make([]*Mirror, 3)
+	for i := range all {
+		all[i] = New(Config{Source: source, Kind: "k", WatchWait: time.Second, Receiver: &recorder{}, Peers: peers, Access: access, Logger: zap.NewNop()})
+		mirrors.Go(func() { _ = all[i].Run(ctx) })
 	}
+	defer mirrors.Wait()
+	defer cancel()
 	time.Sleep(startGrace)
+	assert.Equal(t, len(source.failed()), 0, "the relays are followed")
+	began := time.Now()
 	peers.set(5, false)
-	time.Sleep(2 * time.Second)
-	assert.Assert(t, source.count() <= 2, "%d calls", source.count())
+	time.Sleep(outage)
 	peers.set(8, true)
-	m.Offer(newBatch(5, 8, "b"))
-	deadline := time.Now().Add(time.Second)
-	for len(m.batches) > 0 && time.Now().Before(deadline) {
-		time.Sleep(5 * time.Millisecond)
+	for _, m := range all {
+		m.Offer(newBatch(5, 8, "b"))
+	}
+	time.Sleep(probeCheckInterval)
+	calls := source.failed()
+	// A watch and a list of each mirror, one probe at once, and one for each minProbeInterval.
+	most := 2*len(all) + 1 + int(outage/minProbeInterval)
+	assert.Assert(t, len(calls) <= most, "%d calls", len(calls))
+	last := began
+	for _, at := range append(calls, began.Add(outage)) {
+		assert.Assert(t, at.Sub(last) < 2*time.Second, "no call for %s", at.Sub(last))
+		last = at
 	}
 	time.Sleep(2 * relayTimeout)
-	assert.Assert(t, source.count() <= 2, "the changes came from the relay")
+	assert.Equal(t, len(source.failed()), len(calls), "the changes came from the relay")
+}
+
+// failingSource answers the first list of each mirror; all further calls fail.
+type failingSource struct {
+	mu    sync.Mutex
+	lists int
+	calls []time.Time
+}
+
+func (s *failingSource) List(context.Context, string, bool) ([]objectstore.Object, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lists++; s.lists <= 3 {
+		return []objectstore.Object{{Key: "a", Version: 5}}, 5, nil
+	}
+	s.calls = append(s.calls, time.Now())
+	return nil, 0, objectstore.ErrUnavailable
+}
+
+func (s *failingSource) Watch(context.Context, string, uint64, time.Duration) ([]objectstore.Object, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, time.Now())
+	return nil, 0, objectstore.ErrUnavailable
+}
+
+func (s *failingSource) failed() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.calls...)
 }
 
 // panicking is a receiver with a fault that one object shows.
