mirror, exchange: relays are followed only while the store has answered one of them

Cause: a head stayed fresh until a call of the relay had failed, 2 s after the cut, and the others looked at it 0.23 s later. Evidence: 'store unavailable' on the relays with store_answered_ago 2.00 s; on the others 'changes are taken from the store' 0.23 s after that and the configuration 5 ms later. Ruled out: lost batches, a slow call of the router itself.

Change: a head carries the time since the store answered the relay, and is trusted for 1.5 s after that answer, whatever happens to the relay. A watch waits less when the last answer is older, and has failed 0.7 s after its wait. Watches wait 0.8 s in place of 1 s. A single failed call does not end a relay's head. Earlier builds ignore the age; heads of theirs without it are trusted as before.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -41,9 +41,10 @@
 	// readiness check fails: it checks once a second and needs two failures.
 	rotationDelay = 2500 * time.Millisecond
 	// watchWait is the longest time that one watch of the store waits. If the store does
-	// not deliver the events of a watch, only the next watch returns them. A leaving
-	// endpoint may be sent new requests for at most 2 s, so watchWait is shorter.
-	watchWait = time.Second
+	// not deliver the events of a watch, only the next watch returns them. It also bounds how
+	// old the relays' knowledge gets while the store answers them, and is well below the age up
+	// to which the other routers follow them.
+	watchWait = 800 * time.Millisecond
 	// heartbeatsToLapse is the shortest outage of the store, in heartbeats of the endpoints, in
 	// which an entry may expire: after three without a renewal, of which the first may lie before
 	// the outage and is not exact.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -88,6 +88,12 @@
 }
 
 func (s *site) start(t *testing.T, id string) *router {
+	t.Helper()
+	return s.startAt(t, id, s.store.Listener.Addr().String())
+}
+
+// startAt starts a router that reaches the store at the address.
+func (s *site) startAt(t *testing.T, id, store string) *router {
 	t.Helper()
 	addresses, err := standin.FreeAddresses(4)
 	assert.NilError(t, err)
@@ -95,7 +101,7 @@
 	settings.Router.ID, settings.Router.Zone = id, "z"
 	settings.Listen.Callers, settings.Listen.Readiness = addresses[0], addresses[1]
 	settings.Listen.Metrics, settings.Listen.Peers = addresses[2], addresses[3]
-	settings.Store.Address = s.store.Listener.Addr().String()
+	settings.Store.Address = store
 	settings.Store.HeartbeatMS = 1200
 	settings.Bounds.GraceS, settings.Bounds.ColdRateFactor, settings.Bounds.LoadFactor = 8, 1, 2
 	ctx, cancel := context.WithCancel(context.Background())
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -233,7 +232,7 @@
 	outgoing := e.loadMessages(now, own)
 	view := e.dueView(now, own)
 	if e.rank < relayCount {
-		outgoing = append(outgoing, e.toAll(&message{Router: e.config.Router, Relay: true, Heads: maps.Clone(e.heads), View: view})...)
+		outgoing = append(outgoing, e.toAll(&message{Router: e.config.Router, Relay: true, Heads: headsToSend(now, e.heads), View: view})...)
 	}
 	outgoing = append(outgoing, e.heartbeats()...)
 	overdue := e.overdueBatches(now)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -204,7 +204,8 @@
 		}
 	}
 	batch := mirror.Batch{Kind: "k", From: 4, To: 6, Objects: []objectstore.Object{{Key: "a", Version: 6}}}
-	backup.Announce("k", mirror.Head{Changed: 6, Fresh: true})
+	answeredAt := time.Now().Add(-time.Second)
+	backup.Announce("k", mirror.Head{Changed: 6, Fresh: true, AnsweredAt: answeredAt})
 	backup.Publish(batch)
 	eventually(t, "batch of the backup relay", func() bool {
 		follower.mu.Lock()
@@ -214,9 +215,14 @@
 	follower.mu.Lock()
 	assert.DeepEqual(t, follower.batches[0], batch)
 	follower.mu.Unlock()
-	eventually(t, "head", func() bool { changed, ok := follower.HighestRevision("k"); return ok && changed == 6 })
+	eventually(t, "head", func() bool { head := follower.RelayHead("k"); return head.Fresh && head.Changed == 6 })
+	for range 3 {
+		late := follower.RelayHead("k").AnsweredAt.Sub(answeredAt)
+		assert.Assert(t, late.Abs() < 200*time.Millisecond, "the answer seems newer by %s", late)
+		time.Sleep(sendInterval)
+	}
 	backup.Announce("k", mirror.Head{Changed: 6})
-	eventually(t, "no fresh head", func() bool { _, ok := follower.HighestRevision("k"); return !ok })
+	eventually(t, "no fresh head", func() bool { return !follower.RelayHead("k").Fresh })
 }
 
 // largeBatch returns a batch whose objects are of the given size together. Their values do
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -95,7 +95,7 @@
 	p.lastHeard = now
 	if m.Relay {
 		p.relayAt = now
-		p.heads, p.headsAt = m.Heads, now
+		p.heads, p.headsAt = receivedHeads(now, m.Heads), now
 	}
 	if m.HasLoads {
 		r.surge = !r.direct && e.surges.add(p.prompts, m.Prompts)
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -88,23 +89,44 @@
 	return false
 }
 
-// HighestRevision implements mirror.Peers.
-func (e *Exchange) HighestRevision(kind string) (uint64, bool) {
+// RelayHead implements mirror.Peers.
+func (e *Exchange) RelayHead(kind string) mirror.Head {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var changed uint64
-	found := false
+	var newest mirror.Head
 	for _, p := range e.peers {
-		if now.Sub(p.headsAt) >= relayTimeout {
+		head := p.heads[kind]
+		if now.Sub(p.headsAt) >= relayTimeout || !head.Fresh {
 			continue
 		}
-		if head := p.heads[kind]; head.Fresh {
-			found = true
-			changed = max(changed, head.Changed)
+		newest.Fresh = true
+		newest.Changed = max(newest.Changed, head.Changed)
+		if head.AnsweredAt.After(newest.AnsweredAt) {
+			newest.AnsweredAt = head.AnsweredAt
 		}
 	}
-	return changed, found
+	return newest
+}
+
+// headsToSend returns the heads with their AgeMS.
+func headsToSend(now time.Time, heads map[string]mirror.Head) map[string]mirror.Head {
+	sent := make(map[string]mirror.Head, len(heads))
+	for kind, head := range heads {
+		head.AgeMS = uint32(min(max(0, now.Sub(head.AnsweredAt).Milliseconds()), math.MaxUint32))
+		sent[kind] = head
+	}
+	return sent
+}
+
+// receivedHeads returns the heads of a message with their AnsweredAt.
+func receivedHeads(now time.Time, heads map[string]mirror.Head) map[string]mirror.Head {
+	known := make(map[string]mirror.Head, len(heads))
+	for kind, head := range heads {
+		head.AnsweredAt = now.Add(-time.Duration(head.AgeMS) * time.Millisecond)
+		known[kind] = head
+	}
+	return known
 }
 
 // Announce implements mirror.Peers.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -28,9 +28,6 @@
 	// relayTimeout is how long a router waits for changes that a relay has announced
 	// before it asks the store itself.
 	relayTimeout = 300 * time.Millisecond
-	// catchUpWatchWait replaces WatchWait in a watch for changes that are known to
-	// exist.
-	catchUpWatchWait = time.Millisecond
 	// firstRelayWatchDelay and backupRelayWatchDelay are the times between a watch that
 	// returned changes and the next watch, so that changes in quick succession cost one
 	// call. The delay is longer for backup relays (all but the first) because they get
@@ -71,23 +68,14 @@
 	Listed bool
 }
 
-// Head is what a relay announces for a kind.
-type Head struct {
-	// Changed is the revision of the relay's newest list or change. The relay knows
-	// all changes up to it.
-	Changed uint64
-	// Fresh is set when the store answered the relay's last call.
-	Fresh bool
-}
-
 // Peers are the other routers. Implementations are safe for concurrent use.
 type Peers interface {
 	// RelayRole reports whether this router is a relay, which watches the store for the
 	// others, and whether it is the first relay, which publishes changes at once.
 	RelayRole() (relay, first bool)
-	// HighestRevision returns the highest revision that a fresh relay has announced; ok is
-	// false if there is no such relay.
-	HighestRevision(kind string) (changed uint64, ok bool)
+	// RelayHead returns what the fresh relays together announce: the highest revision and the
+	// latest answer of the store. It is not Fresh if there is no such relay.
+	RelayHead(kind string) Head
 	// RelaysHeard reports whether there is a relay that announces heads, fresh or not.
 	RelaysHeard() bool
 	// Announce sets what this router announces to the others for the kind.
@@ -157,8 +145,8 @@
 	behindSince time.Time
 	failures    int       // consecutive failed calls
 	outageSince time.Time // start of the current outage
-	// answeredAt is when the store last answered this router, and following whether the
-	// router gets the changes from relays.
+	// answeredAt is when the store last answered this router, or a relay whose changes this
+	// router knows. following is set while the router gets the changes from relays.
 	answeredAt time.Time
 	following  bool
 }
@@ -223,7 +211,7 @@
 		zap.Duration("store_answered_ago", m.sinceAnswer()))
 }
 
-// sinceAnswer returns the time since the store last answered this router, 0 if it never did.
+// sinceAnswer returns the time since answeredAt, 0 if the store never answered.
 func (m *Mirror) sinceAnswer() time.Duration {
 	if m.answeredAt.IsZero() {
 		return 0
@@ -234,10 +222,12 @@
 // list reads all objects from the store. A relay then publishes what has changed since
 // the state that it had.
 func (m *Mirror) list(ctx context.Context) error {
+	began := time.Now()
 	objects, revision, err := m.Source.List(ctx, m.Kind, false)
 	if err != nil {
 		return err
 	}
+	m.answeredAt = began
 	if m.listedAt.IsZero() {
 		m.listedAt = time.Now()
 	}
@@ -281,37 +271,40 @@
 // itself: shortly after its start, unless it started in an outage.
 func (m *Mirror) awaitsRelays() bool {
 	relay, _ := m.Peers.RelayRole()
-	_, fresh := m.Peers.HighestRevision(m.Kind)
-	return !relay && !fresh && !m.startedInOutage && time.Since(m.listedAt) < startGrace
+	trusted := m.Peers.RelayHead(m.Kind).trusted(time.Now())
+	return !relay && !trusted && !m.startedInOutage && time.Since(m.listedAt) < startGrace
 }
 
 // followsRelays reports whether the router gets the changes from relays. That is so if it
-// is not a relay itself, a fresh relay exists, and the mirror has not been behind that
-// relay for relayTimeout or longer.
+// is not a relay itself, the store has answered a relay within maxKnowledgeAge, and the
+// mirror has not been behind the relays for relayTimeout or longer.
 func (m *Mirror) followsRelays() bool {
 	if relay, _ := m.Peers.RelayRole(); relay {
 		return false
 	}
-	changed, ok := m.Peers.HighestRevision(m.Kind)
-	if !ok {
+	head, now := m.Peers.RelayHead(m.Kind), time.Now()
+	if !head.trusted(now) {
 		return false
 	}
-	if changed <= m.revision {
+	if head.Changed <= m.revision {
 		m.behindSince = time.Time{}
+		if head.AnsweredAt.After(m.answeredAt) {
+			m.answeredAt = head.AnsweredAt
+		}
 		return true
 	}
-	now := time.Now()
 	if m.behindSince.IsZero() {
 		m.behindSince = now
 	}
 	return now.Sub(m.behindSince) < relayTimeout
 }
 
-// awaitBatch applies the next batch, if one arrives within followInterval. It also
-// withdraws what this router announced while it watched the store itself.
+// awaitBatch applies the next batch, if one arrives within followInterval and before the relays
+// are no longer trusted. It also withdraws what this router announced while it watched the store
+// itself.
 func (m *Mirror) awaitBatch(ctx context.Context) {
 	m.Peers.Announce(m.Kind, Head{})
-	timer := time.NewTimer(followInterval)
+	timer := time.NewTimer(min(followInterval, m.Peers.RelayHead(m.Kind).trustLeft(time.Now())))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -350,16 +343,14 @@
 
 // watch asks the store for changes and applies batches of relays while it waits.
 func (m *Mirror) watch(ctx context.Context) error {
-	wait := m.WatchWait
-	if !m.behindSince.IsZero() {
-		wait = catchUpWatchWait
-	}
-	ctx, cancel := context.WithCancel(ctx)
+	began := time.Now()
+	wait := watchWait(began, m.answeredAt, !m.behindSince.IsZero(), m.WatchWait)
+	call, cancel := context.WithTimeout(ctx, wait+overdueAfter)
 	defer cancel()
 	from := m.revision
 	result := make(chan watchResult, 1)
 	go func() {
-		objects, revision, err := m.Source.Watch(ctx, m.Kind, from, wait)
+		objects, revision, err := m.Source.Watch(call, m.Kind, from, wait)
 		result <- watchResult{objects: objects, revision: revision, err: err}
 	}()
 	for {
@@ -367,7 +358,11 @@
 		case batch := <-m.batches:
 			m.applyBatch(batch)
 		case r := <-result:
-			if err := m.applyWatch(from, r); err != nil || len(r.objects) == 0 {
+			err := m.applyWatch(from, r)
+			if err == nil && r.err == nil {
+				m.answeredAt = answeredBy(began, time.Now(), wait, len(r.objects))
+			}
+			if err != nil || len(r.objects) == 0 {
 				return err
 			}
 			m.waitApplyingBatches(ctx, m.watchDelay())
@@ -459,8 +454,7 @@
 	}
 }
 
-// callFailed tells the receiver that a call to the store failed, announces a head that is
-// not Fresh, and backs off.
+// callFailed tells the receiver that a call to the store failed, announces that, and backs off.
 func (m *Mirror) callFailed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
@@ -474,7 +468,8 @@
 	m.relist = true
 	m.startedInOutage = m.startedInOutage || m.listedAt.IsZero()
 	m.Receiver.StoreUnavailable(m.answeredAt, err)
-	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision})
+	fresh := m.failures < failuresToOutage && m.sinceAnswer() < maxKnowledgeAge && !m.answeredAt.IsZero()
+	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision, Fresh: fresh, AnsweredAt: m.answeredAt})
 	backoff := min(minBackoff<<min(m.failures-1, 8), maxBackoff)
 	m.waitApplyingBatches(ctx, backoff/2+rand.N(backoff/2+1))
 	m.awaitTurn(ctx, err)
@@ -487,8 +482,8 @@
 	failedAt := time.Now()
 	for ctx.Err() == nil && m.failures >= failuresToOutage {
 		relay, _ := m.Peers.RelayRole()
-		_, fresh := m.Peers.HighestRevision(m.Kind)
-		if relay || fresh || !m.Peers.RelaysHeard() || m.Access.mayCall(time.Now(), failedAt) {
+		trusted := m.Peers.RelayHead(m.Kind).trusted(time.Now())
+		if relay || trusted || !m.Peers.RelaysHeard() || m.Access.mayCall(time.Now(), failedAt) {
 			return
 		}
 		m.Receiver.StoreUnavailable(m.answeredAt, err)
@@ -498,9 +493,8 @@
 
 // callSucceeded announces a Fresh head, and reports the end of an outage.
 func (m *Mirror) callSucceeded() {
-	m.answeredAt = time.Now()
-	m.Access.recordAnswer(m.answeredAt)
-	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision, Fresh: true})
+	m.Access.recordAnswer(time.Now())
+	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision, Fresh: true, AnsweredAt: m.answeredAt})
 	if m.failures == 0 {
 		return
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -69,20 +69,26 @@
 
 // peerStub is a fleet whose relays announce what the test sets.
 type peerStub struct {
-	mu        sync.Mutex
-	relay     bool
-	changed   uint64
-	fresh     bool
-	heard     bool
-	published []Batch
+	mu      sync.Mutex
+	relay   bool
+	changed uint64
+	fresh   bool
+	// answeredAt is when the store answered the relays; zero means just now.
+	answeredAt time.Time
+	heard      bool
+	published  []Batch
 }
 
 func (p *peerStub) RelayRole() (relay, first bool) { return p.relay, p.relay }
 
-func (p *peerStub) HighestRevision(string) (uint64, bool) {
+func (p *peerStub) RelayHead(string) Head {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.changed, p.fresh
+	answeredAt := p.answeredAt
+	if answeredAt.IsZero() {
+		answeredAt = time.Now()
+	}
+	return Head{Changed: p.changed, Fresh: p.fresh, AnsweredAt: answeredAt}
 }
 
 func (p *peerStub) set(changed uint64, fresh bool) {
@@ -276,6 +282,50 @@
 	assert.Equal(t, source.count(), 2)
 }
 
+// Guards against a router that acts on an old state since the relays that it follows do not know
+// yet that the store no longer answers them.
+func TestFollowsOnlyAnsweredRelays(t *testing.T) {
+	source := &scriptedSource{steps: []func(uint64) ([]objectstore.Object, uint64, error){replyWith(5, nil, "a"), replyWith(6, nil, "b")}}
+	peers := &peerStub{changed: 5, fresh: true, heard: true}
+	_, events := startMirror(t, source, peers)
+	events("list a")
+	time.Sleep(2 * followInterval)
+	peers.mu.Lock()
+	peers.answeredAt = time.Now()
+	peers.mu.Unlock()
+	began := time.Now()
+	events("list a", "change b")
+	assert.Assert(t, time.Since(began) < maxKnowledgeAge+100*time.Millisecond, "%s", time.Since(began))
+}
+
+// Guards against a router whose own knowledge grows older than a change may take, since a watch
+// waits although the answer before it is old, or takes an answer that was held up for a new one.
+func TestWatchWaitDependsOnAge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for age, want := range map[time.Duration]time.Duration{
+		0: 800 * time.Millisecond, 400 * time.Millisecond: 800 * time.Millisecond, time.Second: 500 * time.Millisecond,
+		maxKnowledgeAge: catchUpWatchWait, time.Minute: catchUpWatchWait,
+	} {
+		assert.Equal(t, watchWait(now, now.Add(-age), false, 800*time.Millisecond), want, "%s", age)
+	}
+	assert.Equal(t, watchWait(now, now, true, 800*time.Millisecond), catchUpWatchWait)
+	assert.Equal(t, answeredBy(now, now.Add(1400*time.Millisecond), 800*time.Millisecond, 0), now.Add(800*time.Millisecond))
+	assert.Equal(t, answeredBy(now, now.Add(100*time.Millisecond), 800*time.Millisecond, 1), now.Add(100*time.Millisecond))
+}
+
+// Guards against a watch of which nothing is heard that hides changes for longer than they may take.
+func TestSilentWatchIsGivenUp(t *testing.T) {
+	source := &scriptedSource{steps: []func(uint64) ([]objectstore.Object, uint64, error){replyWith(5, nil, "a")}}
+	received := &recorder{}
+	m := New(Config{
+		Source: source, Kind: "k", WatchWait: 800 * time.Millisecond, Receiver: received, Peers: &peerStub{relay: true}, Logger: zap.NewNop(),
+	})
+	assert.NilError(t, m.list(context.Background()))
+	began := time.Now()
+	assert.ErrorContains(t, m.watch(context.Background()), "deadline")
+	assert.Assert(t, time.Since(began) <= maxKnowledgeAge+50*time.Millisecond)
+}
+
 // Guards against two faults: a batch is not applied while the router's own watch is
 // pending; the late result of that watch restores an older version.
 func TestBatchDuringWatch(t *testing.T) {
