edge: a watch that was cut off is not reported as an outage of the store

Operators: the morning report listed an outage of the store, and a router wrote a record to it, for each watch that was cut off. A record is now opened when the store has not answered for 2 s.

--- a/edge/failures.go
+++ b/edge/failures.go
@@ -25,6 +25,9 @@
 	// store. One would not do, because the store may reject some routers and serve the
 	// others.
 	maxStoreOutageReporters = 3
+	// outageReportedAfter is the time without an answer of the store after which an outage is
+	// recorded. A connection that is cut off is none.
+	outageReportedAfter = 2 * time.Second
 	// flushTimeout bounds the write of records at the start of a shutdown.
 	// finalWriteTimeout bounds the write at its end, of the records that were made during
 	// the shutdown. It is short because the grace period is then nearly over.
@@ -185,7 +188,9 @@
 
 // StoreUnavailable implements mirror.Receiver.
 func (o outageReceiver) StoreUnavailable(answeredAt time.Time, err error) {
-	o.failures.beginOutage()
+	if time.Since(answeredAt) >= outageReportedAfter {
+		o.failures.beginOutage()
+	}
 	o.Receiver.StoreUnavailable(answeredAt, err)
 }
 
--- a/edge/failures_test.go
+++ b/edge/failures_test.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/records"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -47,3 +48,37 @@
 		assert.Assert(t, strings.Contains(text.String(), want), "%s: %s", want, text.String())
 	}
 }
+
+// Guards against a morning report that lists an outage of the store for each watch that was cut
+// off, or that misses a real outage.
+func TestCutWatchIsNotReported(t *testing.T) {
+	s := newSite(t)
+	s.configure("key")
+	s.register("ready")
+	r := s.start(t, "r1")
+	eventually(t, 2*time.Second, "ready", r.ready)
+	outages := func() (kinds []api.RecordKind) {
+		store := platform.KeyStore{Store: platform.NewStore(s.store.URL, "", telemetry.NewMetrics())}
+		found, err := records.Read(context.Background(), store, time.Now().Add(-time.Minute))
+		assert.NilError(t, err)
+		for _, record := range found.Records {
+			if record.Kind == api.RecordKindPlatformUnavailable {
+				kinds = append(kinds, record.Kind)
+			}
+		}
+		return kinds
+	}
+	for range 3 {
+		time.Sleep(1100 * time.Millisecond)
+		s.platform.CutWatches("config")
+	}
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, len(outages()), 0)
+	s.platform.SetFaults(standin.PlatformFaults{Outage: true})
+	time.Sleep(outageLength)
+	s.platform.SetFaults(standin.PlatformFaults{})
+	eventually(t, 10*time.Second, "the outage is recorded", func() bool { return len(outages()) > 0 })
+}
+
+// outageLength is long enough for an outage to be recorded.
+const outageLength = 4 * time.Second
