mirror: a relay that is answered ends the outage of a router that follows it

A watch of a router that follows relays failed once (the store turned it away), and 0.1 s later the router followed the relays again. The outage never ended for it, so that 10 s later it kept an endpoint whose entry was gone ('endpoint kept', 'removed' 2.2 s after that), while the relays removed it at once. Before, such an outage was only logged for too long.

The outage now ends with the first head of a relay that is trusted. A watch also waits for less time after a delay: backup relays were answered every 1.2 s plus a tick of 0.25 s when the first relay could not reach the store, so that all routers lost trust in them for 0.1 s and asked the store.

TestRelaysEndOutage failed before ('available' missing).

--- a/mirror/freshness.go
+++ b/mirror/freshness.go
@@ -40,13 +40,13 @@
 	return maxKnowledgeAge - now.Sub(h.AnsweredAt)
 }
 
-// watchWait returns the time for which a watch may wait for changes. The older the router's
-// knowledge, the sooner the watch returns and shows that the store answers.
-func watchWait(now, answeredAt time.Time, behind bool, longest time.Duration) time.Duration {
+// watchWait returns the time for which a watch may wait for changes, such that the store answers
+// the router at least once in each interval while it can.
+func watchWait(now, answeredAt time.Time, behind bool, interval time.Duration) time.Duration {
 	if behind {
 		return catchUpWatchWait
 	}
-	return max(catchUpWatchWait, min(longest, maxKnowledgeAge-now.Sub(answeredAt)))
+	return max(catchUpWatchWait, interval-now.Sub(answeredAt))
 }
 
 // answeredBy returns when a watch has shown that its router knows all changes. The answer without
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -288,6 +288,7 @@
 	}
 	if head.Changed <= m.revision {
 		m.behindSince = time.Time{}
+		m.endOutage()
 		if head.AnsweredAt.After(m.answeredAt) {
 			m.answeredAt = head.AnsweredAt
 		}
@@ -491,10 +492,16 @@
 	}
 }
 
-// callSucceeded announces a Fresh head, and reports the end of an outage.
+// callSucceeded announces a Fresh head, and ends an outage.
 func (m *Mirror) callSucceeded() {
 	m.Access.recordAnswer(time.Now())
 	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision, Fresh: true, AnsweredAt: m.answeredAt})
+	m.endOutage()
+}
+
+// endOutage reports the end of an outage, if there is one: the store has answered this router or
+// a relay that it follows.
+func (m *Mirror) endOutage() {
 	if m.failures == 0 {
 		return
 	}
