gateway: a stopping router answers what it can't finish in its grace period

Callers: in a planned stop, a request whose body was complete only late in the grace period was passed on, and everything still in flight at its end was cut without a response: the caller could not tell what had not run from what had.

Cause: the gateway did not know when its process ends. Ruled out: requests that begin late; the listener is closed after 2.5 s, and the HTTP server closes idle connections.

Change: Drain gets the time from which requests are late and the time at which they end. A late request whose deadline lies after the end is refused at once (503 shutting_down, not run). 0.2 s before the server closes, what is in flight is ended: 503 if it has not run, 502 if it may have.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -52,6 +52,9 @@
 	// exitMargin is the part at the end of the grace period that is reserved for the
 	// exit of the process.
 	exitMargin = 400 * time.Millisecond
+	// endingMargin is the part before that in which the requests still in flight are answered as
+	// ended.
+	endingMargin = 200 * time.Millisecond
 )
 
 // Options configure one process.
@@ -281,14 +284,14 @@
 
 // shutDown fails the readiness check, serves the requests that still arrive until the
 // load balancer has taken the router out of rotation, and completes the requests in
-// flight. Requests that run beyond the grace period are aborted.
+// flight. Requests that would run beyond the grace period are ended shortly before its end.
 func (p *process) shutDown(callers *http.Server) {
 	p.logger.Info("shutting down")
 	started := time.Now()
 	p.stopping.Store(true)
-	p.gateway.Drain()
-	time.Sleep(rotationDelay)
 	grace := time.Duration(p.options.Settings.Bounds.GraceS*float64(time.Second)) - exitMargin
+	p.gateway.Drain(started.Add(rotationDelay), started.Add(grace-endingMargin))
+	time.Sleep(rotationDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace))
 	defer cancel()
 	go p.failures.flush()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	platform *standin.Platform
 	store    *httptest.Server
 	endpoint *httptest.Server
+	calls    atomic.Int64 // requests that reached the endpoint
 	revision int
 }
 
@@ -30,7 +32,10 @@
 	t.Helper()
 	s := &site{platform: standin.NewPlatform("")}
 	s.store = httptest.NewServer(s.platform)
-	s.endpoint = httptest.NewServer(http.HandlerFunc(serveEndpoint))
+	s.endpoint = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.calls.Add(1)
+		serveEndpoint(w, r)
+	}))
 	t.Cleanup(func() {
 		s.endpoint.CloseClientConnections()
 		s.endpoint.Close()
@@ -41,14 +46,19 @@
 }
 
 // serveEndpoint responds as an endpoint. It aborts the response to /call/cut. For paths
-// under /stream/ it sends an event every 100 ms for 3 s. It answers all other requests at
-// once with the workspace of the request.
+// under /stream/ it sends an event every 100 ms for 3 s. It does not answer paths that end in
+// silent, and all other requests at once with the workspace of the request.
 func serveEndpoint(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	w.Header().Set("Server-Stamp", "stamp")
 	if r.URL.Path == "/call/cut" {
 		panic(http.ErrAbortHandler)
 	}
+	if strings.HasSuffix(r.URL.Path, "/silent") {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return
+	}
 	if !strings.HasPrefix(r.URL.Path, "/stream/") {
 		_, _ = io.WriteString(w, r.Header.Get("Tenant"))
 		return
@@ -67,6 +77,7 @@
 		"version": s.revision,
 		"routes": []map[string]any{
 			{"name": "c", "host": "h", "path_prefix": "/call/", "kind": "unsafe", "timeout_ms": 2000, "service": "s", "attempts": 1},
+			{"name": "l", "host": "h", "path_prefix": "/long/", "kind": "unsafe", "timeout_ms": 9000, "service": "s", "attempts": 1},
 			{"name": "s", "host": "h", "path_prefix": "/stream/", "kind": "streaming", "timeout_ms": 9000, "service": "s", "attempts": 1},
 		},
 		"services": []map[string]any{{"name": "s"}},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -104,6 +104,7 @@
 	stop := context.AfterFunc(x.r.Context(), func() { conn.Close() })
 	defer stop()
 	conn.SetDeadline(x.deadline)
+	defer x.g.onEnd(func() { conn.SetDeadline(time.Now()) })()
 	conn.SetRequestRetryable(x.route.Repeatable())
 	remaining := time.Until(x.deadline) - responseMargin
 	options := SendOptions{
@@ -176,6 +177,10 @@
 // errCallerGone if the caller has disconnected, and handleBroken returns failure.
 func (x *exchange) handleBroken(conn *upstream.Conn, state *balance.State, err, timeoutErr error, failure result) result {
 	conn.Close()
+	if x.g.ended() {
+		x.release(state, errCallerGone)
+		return result{refusal: api.RefusalShuttingDown}
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		x.release(state, timeoutErr)
 		return result{refusal: api.RefusalDeadlineExceeded}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -49,6 +49,8 @@
 	// retryAfterShort is for requests that another endpoint, or the same one a little
 	// later, can serve.
 	retryAfterShort = 300 * time.Millisecond
+	// retryAfterElsewhere is for requests that another router serves at once.
+	retryAfterElsewhere = 50 * time.Millisecond
 	// retryAfterChange covers the time until the router receives its configuration or
 	// a usable endpoint registers.
 	retryAfterChange = time.Second
@@ -117,6 +119,10 @@
 	if !x.admit() {
 		return
 	}
+	if !x.g.plan.Load().admits(time.Now(), x.deadline) {
+		x.refuse(http.StatusServiceUnavailable, api.RefusalShuttingDown, retryAfterElsewhere)
+		return
+	}
 	x.g.mu.Lock()
 	x.g.retries.Budget.RecordFirstTry(x.arrived, x.service)
 	x.g.mu.Unlock()
@@ -198,6 +204,7 @@
 	var body []byte
 	control := http.NewResponseController(x.w)
 	err := control.SetReadDeadline(x.arrived.Add(x.g.bodyTimeout))
+	defer x.g.onEnd(func() { _ = control.SetReadDeadline(time.Now()) })()
 	switch {
 	case err != nil:
 	case x.r.ContentLength > 0:
@@ -210,6 +217,9 @@
 		err = control.SetReadDeadline(time.Time{})
 	}
 	switch {
+	case err != nil && x.g.ended():
+		x.refuse(http.StatusServiceUnavailable, api.RefusalShuttingDown, retryAfterElsewhere)
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.refuse(http.StatusRequestTimeout, api.RefusalBadRequest, 0)
 		return false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,10 @@
 	table   atomic.Pointer[routing.Table]
 	// draining is set when callers' connections are to be closed after the response.
 	draining atomic.Bool
+	// plan is nil unless the router stops. ending ends at its endsAt.
+	plan        atomic.Pointer[drainPlan]
+	ending      context.Context
+	endRequests context.CancelFunc
 	// bodyTimeout bounds the time that a caller takes to send a body.
 	bodyTimeout time.Duration
 	// latency and firstByte start when the head of a request has arrived. latency ends
@@ -118,6 +122,7 @@
 		firstByte:   metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
 		own:         metrics.GetOrRegisterTimer("requests.own_seconds", config.Metrics.Registry),
 	}
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapsedEntryGrace: lapsedEntryGrace, EntryLifetime: config.EntryLifetime})
 	g.retries.Budget = retry.NewBudget(retry.BudgetConfig{
 		Fraction: config.Bounds.RetryRatio * limitFraction,
@@ -202,9 +207,6 @@
 	return g.roster.Complete()
 }
 
-// Drain makes the gateway close each caller's connection after its next response.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
 // homeLoadFraction sets the load above which a request no longer goes to its prompt's home:
 // 0 stands for the mean load, 1 for LoadFactor times the mean load. It is well below 1
 // because the reported loads of other routers are a few datagrams old.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -171,6 +171,9 @@
 	x.g.metrics.CountRefusal(reason)
 	x.log("refused", string(reason), zap.Int("status", status))
 	header := x.w.Header()
+	if x.g.draining.Load() {
+		header.Set("Connection", "close")
+	}
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
