gateway: a stream without a length or any event is not whole

Callers: 200 with an empty body, framed as whole, for a stream of which the endpoint sent only the head before it closed.

Cause: a stream whose end is that of its connection had to end after a complete event, but one without events passed.

TestCutAnswerIsNeverWhole cuts six kinds of answers at each byte; one case failed before: 'cut after 85 bytes: 200 with an empty body'.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -86,8 +86,8 @@
 
 // copyEvents forwards complete events. Bytes after the last event are forwarded only
 // if the stream ended properly. The end of an event stream, or of a body that is not framed and
-// ends with its connection, is proper only after a complete event. Errors: errCallerGone, errEventTooLarge,
-// or the error of reading body.
+// ends with its connection, is proper only after a complete event, and the latter needs one. Errors:
+// errCallerGone, errEventTooLarge, or the error of reading body.
 func (x *exchange) copyEvents(response *http.Response, framed, resumed bool) error {
 	flusher, _ := x.w.(http.Flusher)
 	forwarded := resumed // whether an event has been forwarded
@@ -131,7 +131,8 @@
 			pending = pending[:copy(pending, pending[end:])]
 		}
 		if err == io.EOF {
-			if len(pending) > 0 && (!framed || isEventStream(response)) {
+			inEvent := len(pending) > 0 && (!framed || isEventStream(response))
+			if inEvent || !framed && !forwarded {
 				return io.ErrUnexpectedEOF
 			}
 			x.startStream(response)
