--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -110,6 +110,7 @@
 	kinds := []func(router, endpoint int){
 		f.kill, f.terminate, f.pause, f.sendHangup, f.cutEndpointConnections, f.freezeEndpoint, f.truncateResponses,
 		f.drainEndpoint, f.cutStore, f.freezeStore, f.delayStore, f.compactStore, f.rotateKeys, f.leaveEndpoint, f.pauseEndpoint,
+		f.cutWatches,
 	}
 	kinds[f.random.IntN(len(kinds))](router, endpoint)
 }
@@ -262,6 +263,13 @@
 	f.harness.platform.Compact()
 }
 
+func (f *faultInjector) cutWatches(_, _ int) {
+	f.record("watches are cut off")
+	for _, kind := range []string{"config", "servers", "evacuations"} {
+		f.harness.platform.CutWatches(kind)
+	}
+}
+
 // rotateKeys replaces the newest API key by another one; the callers' key k0 stays.
 func (f *faultInjector) rotateKeys(_, _ int) {
 	f.newestKey++
