--- a/exchange/loads_test.go
+++ b/exchange/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -108,7 +109,8 @@
 		perSecond := float64(len(view.Endpoints)) / view.interval().Seconds()
 		assert.Assert(t, endpoints > 600 || perSecond <= viewBytesPerSecond, "%d endpoints: %.0f bytes a second", endpoints, perSecond)
 		assert.Assert(t, view.interval() <= maxViewInterval)
-		heads := map[string]mirror.Head{"endpoints": {Changed: 1 << 60}, "config": {Changed: 1 << 60}, "withdrawn-zones": {Changed: 1 << 60}}
+		head := mirror.Head{Changed: 1 << 60, Fresh: true, AgeMS: math.MaxUint32}
+		heads := map[string]mirror.Head{"endpoints": head, "config": head, "withdrawn-zones": head}
 		datagram, err := cbor.Marshal(&message{Router: "edge-of-a-long-name-123", Relay: true, Heads: heads, View: view})
 		assert.NilError(t, err)
 		assert.Assert(t, len(datagram) <= maxDatagram, "%d endpoints: %d bytes", endpoints, len(datagram))
--- a/gateway/cuthead_test.go
+++ b/gateway/cuthead_test.go
@@ -15,8 +15,10 @@
 	"chunks":        {"/unsafe/a", "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n"},
 	"length at end": {"/safe/a", "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: ID\r\nContent-Length: 12\r\n\r\n", "hello, world"},
 	"bare newlines": {"/unsafe/a", "HTTP/1.1 200 OK\nRequest-Id: ID\nServer-Stamp: s\nContent-Length: 12\n\n", "hello, world"},
-	"stream": {"/chat/a", "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-		"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"},
+	"stream": {
+		"/chat/a", "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n",
+	},
 	"stream without length": {"/report/a", "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n", "id: 1\ndata: a\n\n"},
 }
 
