gateway: the test of suspected prompts counts requests when they arrive

The stand-in counted an exit in a goroutine of its own, which may run after the caller has its response; a request too few was seen, never one too many.

--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -52,6 +52,9 @@
 	e = newEndpoint(p.t, id, func(r *http.Request, w io.Writer) bool {
 		time.Sleep(20 * time.Millisecond)
 		if strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart) {
+			p.mu.Lock()
+			p.exits = append(p.exits, time.Now())
+			p.mu.Unlock()
 			p.replaced.Add(1)
 			go p.replace(e)
 			return false
@@ -64,9 +67,6 @@
 func (p *crashingPool) replace(e *endpoint) {
 	defer p.replaced.Done()
 	e.exit()
-	p.mu.Lock()
-	p.exits = append(p.exits, time.Now())
-	p.mu.Unlock()
 	time.Sleep(restartPause)
 	p.gateway.RemoveEndpoint(e.id)
 	p.start()
