--- a/config/edge_test.go
+++ b/config/edge_test.go
@@ -43,6 +43,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, settings.Bounds.ColdRateFactor, 1.5)
 	assert.Equal(t, settings.Bounds.LoadFactor, float64(defaultLoadFactor))
+	assert.Equal(t, settings.Store.HeartbeatMS, float64(defaultHeartbeatMS))
 	assert.Equal(t, settings.Router.MemoryMB, 284)
 	assert.Equal(t, settings.Router.LinkMbps, 1000.0)
 }
@@ -55,6 +56,7 @@
 		"wrong type":   {"memory_mb = 284", `memory_mb = "much"`, "memory_mb"},
 		"no id":        {`id = "edge-1"`, `id = ""`, "router.id"},
 		"no store":     {`address = "127.0.0.1:4"`, ``, "store.address"},
+		"no heartbeat": {`address = "127.0.0.1:4"`, "address = \"127.0.0.1:4\"\nheartbeat_ms = 0", "store.heartbeat_ms"},
 		"no peers":     {`peers = "127.0.0.1:3"`, ``, "listen.peers"},
 		"no grace":     {"grace_s = 8", "grace_s = 0", "bounds.grace_s"},
 		"not TOML":     {"[bounds]", "[bounds", ""},
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -102,9 +102,10 @@
 type Config struct {
 	Source objectstore.KindReader
 	Kind   string
-	// WatchWait is the longest time that one watch waits for a change. It also bounds
-	// how late the mirror detects that the store has lost its history: a pending watch
-	// then gets no events, and only the next watch detects the loss.
+	// WatchWait is the longest time that one watch waits for a change, and the interval
+	// within which the store answers a router that watches it. It also bounds how late the
+	// mirror detects that the store has lost its history: a pending watch then gets no
+	// events, and only the next watch detects the loss.
 	WatchWait time.Duration
 	// ListToCatchUp is set for kinds that have few, large objects of which only the
 	// newest version matters. After missed changes, a list of all objects then costs
