platform, config: settings, versions and status writes for staged roll-outs

The routers need what a roll-out is made of: the version of an endpoint's entry, the creation and the status of a roll-out, and a write of the status that fails if its revision changed and then returns the present object. Status and creation are read only for roll-outs and are left out of batches of other kinds, so that nothing else changes on the wire. The stand-in of the store has statuses too.

--- a/config/edge.go
+++ b/config/edge.go
@@ -44,6 +44,13 @@
 		// LoadFactor is the maximum number of requests in flight at an endpoint, as a
 		// multiple of the mean of the service's endpoints.
 		LoadFactor float64 `toml:"load_factor"`
+		// Until the deadline of a staged roll-out, a bad version may get ExposeShare of the
+		// requests to its service plus ExposeSlack requests, and none that was sent later than
+		// RollbackMS milliseconds after its 50th bad answer. With an ExposeShare of 0, roll-outs
+		// are not watched.
+		ExposeShare float64 `toml:"expose_share"`
+		ExposeSlack float64 `toml:"expose_slack"`
+		RollbackMS  float64 `toml:"rollback_ms"`
 	} `toml:"bounds"`
 }
 
@@ -54,6 +61,8 @@
 	defaultRetryRatio     = 0.1
 	defaultColdRateFactor = 1
 	defaultLoadFactor     = 2
+	defaultExposeSlack    = 50
+	defaultRollbackMS     = 5000
 )
 
 // LoadEdge reads and validates the settings of a router on the platform.
@@ -69,6 +78,7 @@
 	settings.Bounds.RetryRatio = defaultRetryRatio
 	settings.Bounds.ColdRateFactor = defaultColdRateFactor
 	settings.Bounds.LoadFactor = defaultLoadFactor
+	settings.Bounds.ExposeSlack, settings.Bounds.RollbackMS = defaultExposeSlack, defaultRollbackMS
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := decoder.Decode(settings); err != nil {
 		return nil, &Error{Problems: decodeProblems(path, err)}
@@ -119,11 +129,18 @@
 		{"bounds.grace_s", s.Bounds.GraceS},
 		{"bounds.cold_factor", s.Bounds.ColdRateFactor},
 		{"bounds.load_factor", s.Bounds.LoadFactor},
+		{"bounds.rollback_ms", s.Bounds.RollbackMS},
 	}
 	for _, p := range positive {
 		if p.value <= 0 {
 			problems = append(problems, Problem{File: path, Key: p.key, Text: "must be above 0"})
 		}
 	}
+	if s.Bounds.ExposeShare < 0 || s.Bounds.ExposeShare > 1 {
+		problems = append(problems, Problem{File: path, Key: "bounds.expose_share", Text: "must be from 0 to 1"})
+	}
+	if s.Bounds.ExposeSlack < 0 {
+		problems = append(problems, Problem{File: path, Key: "bounds.expose_slack", Text: "must not be below 0"})
+	}
 	return problems
 }
--- a/config/edge_test.go
+++ b/config/edge_test.go
@@ -46,22 +46,28 @@
 	assert.Equal(t, settings.Store.HeartbeatMS, float64(defaultHeartbeatMS))
 	assert.Equal(t, settings.Router.MemoryMB, 284)
 	assert.Equal(t, settings.Router.LinkMbps, 1000.0)
+	assert.Equal(t, settings.Bounds.ExposeShare, 0.0, "roll-outs are off unless the settings ask for them")
+	assert.Equal(t, settings.Bounds.RollbackMS, float64(defaultRollbackMS))
 }
 
 // Guards against an invalid file that is accepted, and against a problem that
 // does not name its key.
 func TestLoadEdgeProblems(t *testing.T) {
 	for name, c := range map[string]struct{ from, to, key string }{
-		"unknown key":  {"zone =", "zoen =", "zoen"},
-		"wrong type":   {"memory_mb = 284", `memory_mb = "much"`, "memory_mb"},
-		"no id":        {`id = "edge-1"`, `id = ""`, "router.id"},
-		"no store":     {`address = "127.0.0.1:4"`, ``, "store.address"},
-		"no heartbeat": {`address = "127.0.0.1:4"`, "address = \"127.0.0.1:4\"\nheartbeat_ms = 0", "store.heartbeat_ms"},
-		"no peers":     {`peers = "127.0.0.1:3"`, ``, "listen.peers"},
-		"no grace":     {"grace_s = 8", "grace_s = 0", "bounds.grace_s"},
-		"not TOML":     {"[bounds]", "[bounds", ""},
-		"negative":     {"cold_factor = 1.5", "cold_factor = -1", "bounds.cold_factor"},
-		"empty number": {"grace_s = 8", "grace_s =", ""},
+		"unknown key":   {"zone =", "zoen =", "zoen"},
+		"wrong type":    {"memory_mb = 284", `memory_mb = "much"`, "memory_mb"},
+		"no id":         {`id = "edge-1"`, `id = ""`, "router.id"},
+		"no store":      {`address = "127.0.0.1:4"`, ``, "store.address"},
+		"no heartbeat":  {`address = "127.0.0.1:4"`, "address = \"127.0.0.1:4\"\nheartbeat_ms = 0", "store.heartbeat_ms"},
+		"share above 1": {"cold_factor = 1.5", "expose_share = 1.5", "bounds.expose_share"},
+		"share below 0": {"cold_factor = 1.5", "expose_share = -0.1", "bounds.expose_share"},
+		"slack below 0": {"cold_factor = 1.5", "expose_slack = -1", "bounds.expose_slack"},
+		"no time":       {"cold_factor = 1.5", "rollback_ms = 0", "bounds.rollback_ms"},
+		"no peers":      {`peers = "127.0.0.1:3"`, ``, "listen.peers"},
+		"no grace":      {"grace_s = 8", "grace_s = 0", "bounds.grace_s"},
+		"not TOML":      {"[bounds]", "[bounds", ""},
+		"negative":      {"cold_factor = 1.5", "cold_factor = -1", "bounds.cold_factor"},
+		"empty number":  {"grace_s = 8", "grace_s =", ""},
 	} {
 		_, err := loadEdge(t, strings.Replace(edgeText, c.from, c.to, 1))
 		var problems *Error
--- a/objectstore/memory.go
+++ b/objectstore/memory.go
@@ -44,7 +44,28 @@
 		return 0, ErrConflict
 	}
 	stored := append([]byte(nil), value...)
-	return m.write(Object{Key: key, Value: stored}), nil
+	object := Object{Key: key, Value: stored, Created: m.version + 1}
+	if known := m.objects[key]; ifVersion != 0 {
+		object.Status, object.Created = known.Status, known.Created
+	}
+	return m.write(object), nil
+}
+
+// PutStatus replaces the status of an object whose version is still ifVersion and returns its new
+// version. Errors: ErrNotFound, ErrConflict.
+func (m *Memory) PutStatus(_ context.Context, key string, status []byte, ifVersion uint64) (uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch m.liveVersion(key) {
+	case 0:
+		return 0, ErrNotFound
+	case ifVersion:
+		object := m.objects[key]
+		object.Status = append([]byte(nil), status...)
+		return m.write(object), nil
+	default:
+		return 0, ErrConflict
+	}
 }
 
 // Delete implements Store.
--- a/objectstore/store.go
+++ b/objectstore/store.go
@@ -43,6 +43,11 @@
 	Version uint64
 	Value   []byte
 	Deleted bool
+	// Status is the part of the object that is written apart from its value, and Created identifies
+	// its creation. Both are empty for kinds without a status, and are then not sent to other
+	// routers; earlier versions ignore them.
+	Status  []byte `cbor:",omitempty"`
+	Created uint64 `cbor:",omitempty"`
 }
 
 // Store is the platform's object API. Implementations are safe for concurrent
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -27,6 +27,8 @@
 	// A different start time under the same ID shows that the endpoint has restarted.
 	Started  int64
 	Draining bool
+	// Version is the version of the service that the endpoint runs; empty if it is not known.
+	Version string
 }
 
 // Start returns a hash of the endpoint's id and start time. It identifies one start of an endpoint.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -217,6 +217,9 @@
 	if !ok {
 		return "unknown", "", ""
 	}
+	if isStatusCall(r) {
+		path = strings.TrimSuffix(path, statusSuffix)
+	}
 	kind, escaped, named := strings.Cut(path, "/")
 	name, err := url.PathUnescape(escaped)
 	switch {
@@ -234,6 +237,15 @@
 	return "list", kind, ""
 }
 
+// statusSuffix is the end of the path of the status of an object.
+const statusSuffix = "/status"
+
+// isStatusCall reports whether a call writes the status of an object.
+func isStatusCall(r *http.Request) bool {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/objects/")
+	return r.Method == http.MethodPut && strings.Count(path, "/") == 2 && strings.HasSuffix(path, statusSuffix)
+}
+
 // admit counts a call. It returns the current faults and whether the rate limits allow
 // the call.
 func (p *Platform) admit(operation, kind string, write bool) (PlatformFaults, bool) {
--- a/standin/platformcalls.go
+++ b/standin/platformcalls.go
@@ -20,8 +20,10 @@
 	Metadata struct {
 		Name     string `json:"name"`
 		Revision uint64 `json:"revision,omitempty"`
+		Created  uint64 `json:"created,omitempty"` // revision at which the object was created
 	} `json:"metadata"`
-	Spec json.RawMessage `json:"spec"`
+	Spec   json.RawMessage `json:"spec,omitempty"`
+	Status json.RawMessage `json:"status,omitempty"`
 }
 
 // toWire returns an object in the form of the store's API. For kinds with JSON values the
@@ -30,7 +32,8 @@
 func (p *Platform) toWire(kind string, object objectstore.Object) wireObject {
 	var o wireObject
 	o.Metadata.Name = strings.TrimPrefix(object.Key, kindPrefix(kind))
-	o.Metadata.Revision = object.Version
+	o.Metadata.Revision, o.Metadata.Created = object.Version, object.Created
+	o.Status = object.Status
 	p.mu.Lock()
 	plain := p.jsonKinds[kind]
 	p.mu.Unlock()
@@ -167,10 +170,12 @@
 	value  []byte
 	// revision is the revision that the object must have; 0 means no condition.
 	revision uint64
+	// status is set if the call writes the status of the object, and value is that.
+	status bool
 }
 
 func (p *Platform) readWriteCall(r *http.Request, kind, name string) (writeCall, error) {
-	c := writeCall{method: r.Method}
+	c := writeCall{method: r.Method, status: isStatusCall(r)}
 	if r.Method == http.MethodDelete {
 		c.key = kindPrefix(kind) + name
 		if text := r.URL.Query().Get("revision"); text != "" {
@@ -190,6 +195,10 @@
 	}
 	c.key = kindPrefix(kind) + object.Metadata.Name
 	c.revision = object.Metadata.Revision
+	if c.status {
+		c.value = object.Status
+		return c, nil
+	}
 	c.value = object.Spec
 	if len(object.Spec) > 0 && object.Spec[0] == '"' {
 		return c, json.Unmarshal(object.Spec, &c.value)
@@ -217,11 +226,15 @@
 	if c.method == http.MethodDelete {
 		return current, p.store.Delete(ctx, c.key, condition)
 	}
-	version, err := p.store.Put(ctx, c.key, c.value, condition)
+	if c.status {
+		_, err = p.store.PutStatus(ctx, c.key, c.value, condition)
+	} else {
+		_, err = p.store.Put(ctx, c.key, c.value, condition)
+	}
 	if err != nil {
 		return current, err
 	}
-	return objectstore.Object{Key: c.key, Version: version, Value: c.value}, nil
+	return p.store.Get(ctx, c.key)
 }
 
 func (p *Platform) write(w http.ResponseWriter, r *http.Request, kind, name string) {
