--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -1,6 +1,13 @@
 package rollout
 
-import "time"
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Bounds of a report.
 const (
@@ -11,6 +18,15 @@
 	MaxEndpoints = 64
 )
 
+const (
+	// maxRouteName is the length in bytes at which the name of a route is cut.
+	maxRouteName = 40
+	// goalBucket is the bucket of Tally.Slow with the answers that just meet the goal.
+	goalBucket = 4
+	// logOffset and logUnits are the offset and the units of Tally.LogTime.
+	logOffset, logUnits = 8, 16
+)
+
 // ReportInterval is the time between two reports of the counts of a router.
 const ReportInterval = 500 * time.Millisecond
 
@@ -45,82 +61,121 @@
 
 // Counter counts the requests and answers of one roll-out at one router. All counts only grow.
 // It is not safe for concurrent use.
-type Counter struct{}
+type Counter struct {
+	report              Report
+	targetEnds, oldEnds uint32 // attempts that ended
+}
 
 // NewCounter returns a counter for the roll-out with an id.
-func NewCounter(id string) *Counter { return &Counter{} }
+func NewCounter(id string) *Counter {
+	return &Counter{report: Report{
+		Order: id, Target: map[string]Tally{}, Old: map[string]Tally{}, Endpoints: map[uint32]Tally{},
+	}}
+}
 
-// RecordSent counts an attempt that was sent to an endpoint, before RecordEnd.
-func (c *Counter) RecordSent(target bool) {}
+// RecordSent counts an attempt that is sent to an endpoint, before RecordEnd.
+func (c *Counter) RecordSent(target bool) {
+	if target {
+		c.report.TargetSent++
+	} else {
+		c.report.OldSent++
+	}
+}
 
 // RecordEnd counts the end of an attempt that RecordSent counted, whatever the end was.
-func (c *Counter) RecordEnd(target bool) {}
+func (c *Counter) RecordEnd(target bool) {
+	if target {
+		c.targetEnds++
+	} else {
+		c.oldEnds++
+	}
+}
 
 // RecordAnswer counts an answer or a failure. It is not called for attempts that show nothing
 // of the version: the caller left, the router's own deadline was shorter than the goal, or the
 // endpoint refused as full.
-func (c *Counter) RecordAnswer(a Answer) {}
+func (c *Counter) RecordAnswer(a Answer) {
+	route := a.Route[:min(len(a.Route), maxRouteName)]
+	tallies := c.report.Old
+	if a.Target {
+		tallies = c.report.Target
+		addBounded(c.report.Endpoints, EndpointHash(a.Endpoint), a, MaxEndpoints)
+	}
+	if _, known := tallies[route]; !known && !c.routeFits(route) {
+		route = ""
+	}
+	tally := tallies[route]
+	tally.add(a)
+	tallies[route] = tally
+}
+
+// routeFits reports whether the route is counted for one of the versions or there is room for it.
+func (c *Counter) routeFits(route string) bool {
+	routes := routeNames(c.report.Target, c.report.Old)
+	_, found := slices.BinarySearch(routes, route)
+	return found || len(routes) < MaxRoutes
+}
+
+// routeNames returns the names of the routes of both versions in order, without "".
+func routeNames(target, old map[string]Tally) []string {
+	names := slices.AppendSeq(slices.Collect(maps.Keys(target)), maps.Keys(old))
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return slices.DeleteFunc(names, func(name string) bool { return name == "" })
+}
+
+// addBounded counts an answer of a key, unless the key is new and there are limit keys.
+func addBounded(tallies map[uint32]Tally, key uint32, a Answer, limit int) {
+	tally, known := tallies[key]
+	if !known && len(tallies) >= limit {
+		return
+	}
+	tally.add(a)
+	tallies[key] = tally
+}
+
+// add counts an answer.
+func (t *Tally) add(a Answer) {
+	t.Answers++
+	if a.LongGap {
+		t.LongGaps++
+	}
+	if a.Failed {
+		t.Failed++
+		return
+	}
+	if a.Cold || a.Elapsed <= 0 || a.Goal <= 0 {
+		return
+	}
+	logRatio := math.Log2(float64(a.Elapsed) / float64(a.Goal))
+	bucket := int(math.Ceil(logRatio)) + goalBucket
+	t.Slow[min(max(bucket, 0), len(t.Slow)-1)]++
+	t.LogTime += uint32(math.Round(min(max(logRatio+logOffset, 0), 2*logOffset) * logUnits))
+}
 
-// Report returns the newest values. share is the share that the limiter has in force, 0 while it
-// is stale.
-func (c *Counter) Report(share float64) Report { return Report{} }
+// Report returns the newest values. share is the share that the limiter has in force.
+func (c *Counter) Report(share float64) Report {
+	c.report.Seq++
+	r := c.report
+	r.Share = share
+	r.OldInFlight = r.OldSent - min(c.oldEnds, r.OldSent)
+	r.Target, r.Old, r.Endpoints = maps.Clone(r.Target), maps.Clone(r.Old), maps.Clone(r.Endpoints)
+	return r
+}
 
 // Report has the counts of one router for one roll-out. It encodes itself as a byte string
 // (encoding.BinaryMarshaler, which CBOR uses).
 type Report struct {
 	Order string // Rollout.ID
-	// Share is the share that the router has in force, 0 to 1.
+	Seq   uint32 // rises with each report of one start of the router
+	// Share is the share that the router has in force, 0 to 1, in steps of 1/1000.
 	Share       float64
 	TargetSent  uint32 // attempts sent to the target
 	OldSent     uint32 // attempts sent to other versions
-	OldInFlight uint32 // attempts at old versions that have not ended
+	OldInFlight uint32 // attempts at other versions that have not ended
 	Target, Old map[string]Tally
-	Endpoints   map[uint64]Tally // target endpoints by EndpointHash
+	Endpoints   map[uint32]Tally // target endpoints by EndpointHash
 }
 
 // EndpointHash returns the key of an endpoint in Report.Endpoints.
-func EndpointHash(id string) uint64 { return 0 }
-
-// MarshalBinary encodes the report.
-func (r Report) MarshalBinary() ([]byte, error) { return nil, nil }
-
-// UnmarshalBinary decodes a report. It returns an error if the data is not a report within the
-// bounds.
-func (r *Report) UnmarshalBinary(data []byte) error { return nil }
-
-// Capacity is what the decider sees of the target endpoints of a service.
-type Capacity struct {
-	TargetEndpoints int // that are registered and not withdrawn
-	TargetSlots     int // of these; 0 if not known
-	InFlight        int // requests of the service in the fleet
-}
-
-// Counts are the counts of all routers for one roll-out.
-type Counts struct {
-	Target, Old map[string]Tally
-	Endpoints   map[uint64]Tally
-	// TargetSent and OldSent are the attempts sent, as far as reported.
-	TargetSent, OldSent uint64
-	OldInFlight         int // at routers that report
-	Routers             int // number of routers that report
-	// Confirmed is the number of these that have share 1 in force and no attempt in flight at
-	// an old endpoint.
-	Confirmed int
-	Silent    int // routers that have reported but not lately
-	// Recent are the counts of the last seconds, nil if not known.
-	Recent *Counts
-	Capacity
-}
-
-// Collector adds up the reports of the routers at a relay. It is not safe for concurrent use.
-type Collector struct{}
-
-// NewCollector returns an empty collector for the roll-out with an id.
-func NewCollector(id string) *Collector { return &Collector{} }
-
-// Add takes the report of a router. start identifies the start of the router: the counts of
-// earlier starts are kept. Reports of other roll-outs are ignored; older values change nothing.
-func (c *Collector) Add(now time.Time, router string, start uint64, r Report) {}
-
-// Counts returns the sums.
-func (c *Collector) Counts(now time.Time, capacity Capacity) Counts { return Counts{} }
+func EndpointHash(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
