gateway, exchange, edge: staged roll-outs obey, count and decide

Routers had no notion of versions: a new version got its part of the load as soon as its endpoints registered. With bounds.expose_share set, each router now filters candidates by version before balance.Pick, counts the answers of both versions by route at the end of each attempt, and reports the counts to the relays while an order is running. Without the setting, or without an order, no message, call or choice changes.

New reason version_rolled_back.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -1137,6 +1137,7 @@
 	RecordKindRecordsLost         RecordKind = "records_lost"
 	RecordKindRefusals            RecordKind = "refusals"
 	RecordKindRetries             RecordKind = "retries"
+	RecordKindRolloutEnded        RecordKind = "rollout_ended"
 	RecordKindRouterLost          RecordKind = "router_lost"
 	RecordKindZoneLost            RecordKind = "zone_lost"
 )
@@ -1179,6 +1180,7 @@
 	RefusalUpstreamFailed      Refusal = "upstream_failed"
 	RefusalUpstreamIncomplete  Refusal = "upstream_incomplete"
 	RefusalUpstreamMismatch    Refusal = "upstream_mismatch"
+	RefusalVersionRolledBack   Refusal = "version_rolled_back"
 	RefusalWorkspaceShare      Refusal = "workspace_share"
 )
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -80,6 +80,7 @@
 	fleet    *fleet
 	poison   *quarantines
 	failures *reporter
+	rollouts *rollouts // nil if they are off
 	stopping atomic.Bool
 }
 
@@ -102,6 +103,7 @@
 	p.store = platform.NewStore("http://"+s.Store.Address, "", p.metrics)
 	self := exchange.Peer{Address: s.Listen.Peers, LinkMbps: s.Router.LinkMbps}
 	guard := telemetry.Guard{Logger: p.logger, Metrics: p.metrics}
+	p.newRollouts()
 	peers, err := exchange.Listen(exchange.Config{
 		Router: s.Router.ID, Peer: self, Logger: p.logger, Metrics: p.metrics, Guard: guard,
 		Loads: func() exchange.Loads {
@@ -120,6 +122,7 @@
 		TakeLeaving:    func() []uint64 { return p.gateway.TakeLeaving() },
 		ReceiveLeaving: func(starts []uint64) { p.gateway.ReceiveLeaving(starts) },
 		ReceiveBatch:   p.receiveBatch,
+		Rollouts:       p.exchangedRollouts(),
 	})
 	if err != nil {
 		return err
@@ -128,23 +131,28 @@
 	p.failures = newReporter(s.Router.ID, platform.KeyStore{Store: p.store}, peers.Alive, p.metrics, p.logger)
 	heartbeat := time.Duration(s.Store.HeartbeatMS * float64(time.Millisecond))
 	p.gateway = gateway.New(gateway.Config{
-		Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
+		Router: s.Router.ID, Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
 		Routers: peers.Routers, Reporter: p.failures,
 		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
 	})
 	access := &mirror.Access{}
 	p.mirrors = map[string]*mirror.Mirror{}
-	for kind, receiver := range map[string]mirror.Receiver{
+	receivers := map[string]mirror.Receiver{
 		platform.KindConfig:      outageReceiver{platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger}, p.failures},
 		platform.KindEndpoints:   platform.EndpointReceiver{Gateway: p.gateway, Logger: p.logger},
 		platform.KindEvacuations: platform.EvacuationReceiver{Gateway: p.gateway},
-	} {
+	}
+	if p.rollouts != nil {
+		receivers[platform.KindRollouts] = p.rollouts
+	}
+	for kind, receiver := range receivers {
 		p.mirrors[kind] = mirror.New(mirror.Config{
 			// A watch that is cut off must not look like an outage of EntryLifetime.
 			Source: p.store, Kind: kind, WatchWait: min(watchWait, heartbeat), ListToCatchUp: kind == platform.KindConfig,
 			Receiver: receiver, Peers: peers, Access: access, Logger: p.logger, Guard: guard,
 		})
 	}
+	p.connectRollouts()
 	p.poison = &quarantines{
 		store: p.store, gateway: p.gateway, logger: p.logger,
 		firstRelay: func() bool {
@@ -180,6 +188,9 @@
 	add(p.gateway.Run)
 	add(p.fleet.run)
 	add(p.poison.run)
+	if p.rollouts != nil {
+		add(p.rollouts.run)
+	}
 	add(p.failures.run)
 	add(p.peers.Send)
 	add(p.reload)
--- a/edge/failures.go
+++ b/edge/failures.go
@@ -16,6 +16,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
 	"github.com/hornbeamproxy/hornbeamproxy/records"
+	"github.com/hornbeamproxy/hornbeamproxy/rollout"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -154,6 +155,21 @@
 		"Look in the logs for 'endpoint exited with requests in flight', and report the prompt to those who run the engines.")
 }
 
+// recordRolloutEnded records the verdict of a roll-out.
+func (f *reporter) recordRolloutEnded(r rollout.Rollout, s rollout.Status) {
+	if f.rank(r.ID) > 0 {
+		return
+	}
+	text, next := fmt.Sprintf("The roll-out of version %s of service %s is done.", r.Target, r.Service), ""
+	effect := "All requests go to this version."
+	if s.State == rollout.RolledBack {
+		text = fmt.Sprintf("Version %s of service %s was rolled back: %s.", r.Target, r.Service, s.Reason)
+		effect = "No more requests go to this version."
+		next = "Look in the logs for 'rollout decided' with this service. Order the version again when it is mended."
+	}
+	f.rec.RecordEvent(api.RecordKindRolloutEnded, r.Service+"/"+r.Target, "", text, effect, "", next)
+}
+
 // recordRouterLost records a router whose registration was removed because it had been
 // silent for too long.
 func (f *reporter) recordRouterLost(router string) {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -64,6 +64,10 @@
 	// Leaving are the starts of endpoints that have told the sender that they leave. Earlier
 	// versions ignore them.
 	Leaving []uint64 `cbor:"13,keyasint,omitempty"`
+	// RolloutReports are sent to the relays, and RolloutStatuses by a relay, while a staged
+	// roll-out is running. Earlier versions ignore both.
+	RolloutReports  []RolloutReport `cbor:"14,keyasint,omitempty"`
+	RolloutStatuses []RolloutStatus `cbor:"15,keyasint,omitempty"`
 }
 
 // Peer is the registration of a router.
@@ -102,6 +106,8 @@
 	// ReceiveLeaving is called with those that told another router.
 	TakeLeaving    func() []uint64
 	ReceiveLeaving func(starts []uint64)
+	// Rollouts connects the staged roll-outs; nil if they are off.
+	Rollouts Rollouts
 	// ReceiveBatch is called with the changes that a relay forwards.
 	ReceiveBatch func(batch mirror.Batch)
 }
@@ -126,6 +132,7 @@
 	viewSentAt     time.Time              // when this router last sent a view
 	surges         surgeDetector          // of the reports to this router
 	heartbeatIndex int                    // index in relayOrder of the peer that got the last heartbeat
+	rolloutsSentAt time.Time              // when this router last sent its rollout reports
 }
 
 // peer is another router.
@@ -212,6 +219,7 @@
 	return timing.Every(ctx, reportInterval, func(now time.Time) {
 		e.sendPoisonReport(now)
 		e.announcePoison()
+		e.sendRolloutReports(now)
 		if leaving := e.config.TakeLeaving(); len(leaving) > 0 {
 			e.broadcast(&message{Router: e.config.Router, Leaving: leaving})
 		}
@@ -226,13 +234,13 @@
 // sendDue sends the datagrams that are due: loads, heads if this router is a relay,
 // heartbeats, and the batches that no relay of a lower rank has announced in time.
 func (e *Exchange) sendDue(now time.Time) {
-	own := e.config.Loads()
+	own, statuses := e.config.Loads(), e.rolloutStatuses()
 	e.mu.Lock()
 	e.rank = e.computeRank(now)
 	outgoing := e.loadMessages(now, own)
 	view := e.dueView(now, own)
 	if e.rank < relayCount {
-		outgoing = append(outgoing, e.toAll(&message{Router: e.config.Router, Relay: true, Heads: headsToSend(now, e.heads), View: view})...)
+		outgoing = append(outgoing, e.toAll(&message{Router: e.config.Router, Relay: true, Heads: headsToSend(now, e.heads), View: view, RolloutStatuses: statuses})...)
 	}
 	outgoing = append(outgoing, e.heartbeats()...)
 	overdue := e.overdueBatches(now)
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -72,6 +72,9 @@
 	if r.known && m.PoisonAnnouncement != nil {
 		e.config.ReceivePoison(m.PoisonAnnouncement, true)
 	}
+	if r.known {
+		e.receiveRollouts(m)
+	}
 	if r.known && r.direct && m.HasLoads {
 		e.applyLoads(m, r.previous)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,6 +54,7 @@
 
 // handleNotSent handles a failure before any byte of the request was sent.
 func (x *exchange) handleNotSent(state *balance.State, err error) result {
+	x.version.class = answerShowsNothing
 	x.release(state, x.errOrCallerGone(err))
 	return result{refusal: api.RefusalEndpointDown, retry: api.RetryReasonConnectFailed, notSent: true, retryAfter: retryAfterShort}
 }
@@ -182,6 +183,7 @@
 		return result{refusal: api.RefusalShuttingDown}
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.version.class = answerLate
 		x.release(state, timeoutErr)
 		return result{refusal: api.RefusalDeadlineExceeded}
 	}
@@ -201,6 +203,7 @@
 	if head.Unidentified || head.ID != "" && head.ID != x.request.ID {
 		conn.Close()
 		x.mayHaveRun = true
+		x.version.class = answerWrong
 		x.release(state, nil)
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
@@ -213,6 +216,7 @@
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if !head.Signed || success && head.Encoded {
 		conn.Close()
+		x.version.class = answerWrong
 		x.release(state, nil)
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
@@ -239,6 +243,7 @@
 	if response.StatusCode >= http.StatusInternalServerError {
 		outcome = errEndpointFailed
 	}
+	x.version.class = answerWrong
 	x.release(state, outcome)
 	x.log("stream not resumed", string(api.RefusalUpstreamIncomplete), zap.Int("status", response.StatusCode))
 	return result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonEndpointError}
@@ -275,6 +280,7 @@
 	if head.Pause > 0 && head.ID == x.request.ID {
 		x.pause(state, head.Pause)
 	}
+	x.version.class = answerShowsNothing
 	x.release(state, nil)
 	if head.Misdirected {
 		if x.misdirected < maxMisdirected {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -97,6 +97,8 @@
 	// answerRecorded is set when the current attempt has shown that its endpoint bears the
 	// request.
 	answerRecorded bool
+	// version is the current attempt as the roll-out of its service sees it.
+	version versionAttempt
 	// failure is the latest 5xx response of an endpoint to a repeatable request. It
 	// is forwarded if no later attempt succeeds.
 	failure *bufferedResponse
@@ -325,7 +327,10 @@
 	criteria := x.g.pickCriteria(x.table.Services[x.service])
 	criteria.Key, criteria.Tried, criteria.Repeatable = x.promptKey, x.tried, x.route.Repeatable()
 	criteria.Draw = x.draw()
-	state, refusal := x.g.balancer.Pick(now, criteria)
+	state, refusal, barred := x.pickVersion(now, &criteria)
+	if barred {
+		return nil, result{refusal: api.RefusalVersionRolledBack, retryAfter: retryAfterChange, notSent: true}
+	}
 	if state != nil {
 		state.RecordStart(now)
 		x.g.balancer.RecordPromptStart(x.promptKey)
@@ -364,6 +369,7 @@
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	state.RecordEnd()
+	x.recordVersionEnd(time.Now(), state, failure)
 	x.g.balancer.RecordPromptEnd(x.promptKey)
 	switch {
 	case failure == nil:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,7 @@
 
 // Config configures a Gateway.
 type Config struct {
+	Router  string // id of this router
 	Zone    string // availability zone of this router
 	Bounds  Bounds
 	Codec   Codec
@@ -105,6 +106,8 @@
 	// leavingStarts are the starts of endpoints that leave and of which the other routers have
 	// not been told yet.
 	leavingStarts []uint64
+	// versions are what is known of the versions of services that have or had a roll-out.
+	versions map[string]*serviceVersions
 }
 
 // New returns a gateway without a configuration and without endpoints. It refuses all
@@ -118,6 +121,7 @@
 		pools:       map[*roster.Endpoint]*upstream.Pool{},
 		exitChecks:  map[*roster.Endpoint]*exitCheck{},
 		poison:      poison.New(),
+		versions:    map[string]*serviceVersions{},
 		latency:     metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
 		firstByte:   metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
 		own:         metrics.GetOrRegisterTimer("requests.own_seconds", config.Metrics.Registry),
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -150,6 +150,7 @@
 	if response.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
+	x.answerBegan = time.Now()
 	x.w.WriteHeader(response.StatusCode)
 	_, err := x.w.Write(head)
 	if err == nil {
--- /dev/null
+++ b/gateway/rollouts.go
@@ -0,0 +1,279 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/rollout"
+	"github.com/hornbeamproxy/hornbeamproxy/roster"
+	"github.com/hornbeamproxy/hornbeamproxy/upstream"
+)
+
+// This file keeps requests away from versions of a service that may not serve them during a staged
+// roll-out, and counts the answers of both versions. Package rollout decides.
+
+// lateDeadlineFactor is how many times its goal an answer must have had before the lack of it
+// counts against the version.
+const lateDeadlineFactor = 2
+
+// serviceVersions is what is known of the versions of a service that has or had a roll-out.
+type serviceVersions struct {
+	limiter *rollout.Limiter
+	counter *rollout.Counter // of the roll-out in force; nil if there is none
+}
+
+// isTarget reports whether the endpoint runs the target version of the roll-out in force.
+func (v *serviceVersions) isTarget(e *roster.Endpoint) bool {
+	return v.limiter.Class(e.Version) == rollout.Target
+}
+
+// answerClass says what an attempt shows of the version of its endpoint.
+type answerClass int
+
+const (
+	answerByError      answerClass = iota // what the error given to release shows
+	answerShowsNothing                    // the attempt did not run
+	answerWrong                           // the bytes are not an answer to the request
+	answerLate                            // the request's deadline passed
+)
+
+// versionAttempt is one attempt as the roll-out of its service sees it. The zero value is an
+// attempt at a service without a roll-out.
+type versionAttempt struct {
+	counter   *rollout.Counter
+	target    bool
+	cold      bool
+	class     answerClass
+	began     time.Time
+	lastEvent time.Time // when the last event was forwarded
+	longGap   bool
+}
+
+// recordEvent records when an event of a stream has arrived. The time that the caller took to read
+// the one before it does not count.
+func (v *versionAttempt) recordEvent(now time.Time, goal time.Duration) {
+	if goal > 0 && !v.lastEvent.IsZero() && now.Sub(v.lastEvent) > goal {
+		v.longGap = true
+	}
+	v.lastEvent = now
+}
+
+// pickVersion chooses an endpoint as balance.Pick does, among the versions that may serve the
+// request. barred is set if only versions that were rolled back could serve it. criteria.Usable
+// is left as it was for the last choice. Callers hold g.mu.
+func (x *exchange) pickVersion(now time.Time, criteria *balance.Criteria) (state *balance.State, refusal balance.Refusal, barred bool) {
+	x.version = versionAttempt{}
+	v := x.g.versions[x.service]
+	if v == nil {
+		state, refusal = x.g.balancer.Pick(now, *criteria)
+		return state, refusal, false
+	}
+	usable := criteria.Usable
+	pick := func(admits func(rollout.Class) bool) {
+		criteria.Usable = func(e *roster.Endpoint) bool { return usable(e) && admits(v.limiter.Class(e.Version)) }
+		state, refusal = x.g.balancer.Pick(now, *criteria)
+	}
+	if v.limiter.Stale(now) {
+		x.g.metrics.Counter("rollouts.stale_share").Inc(1)
+	}
+	choice := v.limiter.Allow(now, x.versionRequest(v, criteria))
+	switch choice {
+	case rollout.Refuse:
+		return nil, balance.NoEndpoint, true
+	case rollout.TargetFirst:
+		if pick(rollout.TargetOnly.Admits); state == nil {
+			pick(rollout.OldOnly.Admits)
+		}
+		v.limiter.RecordSent(state != nil && v.isTarget(state.Endpoint))
+	default:
+		pick(choice.Admits)
+	}
+	if state != nil && v.counter != nil {
+		x.startVersionAttempt(now, v, state)
+	}
+	return state, refusal, false
+}
+
+// versionRequest returns what the limiter has to know of the request. Callers hold g.mu.
+func (x *exchange) versionRequest(v *serviceVersions, criteria *balance.Criteria) rollout.Request {
+	request := rollout.Request{Repeated: len(x.tried) > 0}
+	for _, e := range criteria.Members {
+		if criteria.Usable(e) {
+			request.AddServing(v.limiter.Class(e.Version))
+		}
+	}
+	return request
+}
+
+// startVersionAttempt counts an attempt that is sent to an endpoint. Callers hold g.mu.
+func (x *exchange) startVersionAttempt(now time.Time, v *serviceVersions, state *balance.State) {
+	x.version = versionAttempt{
+		counter: v.counter, target: v.isTarget(state.Endpoint), cold: state.Endpoint.Cold(now), began: now,
+	}
+	x.version.counter.RecordSent(x.version.target)
+	if x.version.target {
+		x.g.metrics.Counter("rollouts.target_requests").Inc(1)
+		return
+	}
+	x.g.metrics.Counter("rollouts.old_requests").Inc(1)
+}
+
+// recordVersionEnd counts the answer of an attempt that ends with failure. Callers hold g.mu.
+func (x *exchange) recordVersionEnd(now time.Time, state *balance.State, failure error) {
+	v := &x.version
+	if v.counter == nil {
+		return
+	}
+	v.counter.RecordEnd(v.target)
+	failed, counts := x.versionFailed(now, failure)
+	if !counts {
+		return
+	}
+	answer := rollout.Answer{
+		Target: v.target, Route: x.route.Name, Endpoint: state.Endpoint.ID, Failed: failed,
+		LongGap: v.longGap, Cold: v.cold, Goal: x.route.LatencyGoal,
+	}
+	switch {
+	case !x.answerBegan.IsZero():
+		answer.Elapsed = x.answerBegan.Sub(v.began)
+	case !failed:
+		answer.Elapsed = now.Sub(v.began)
+	}
+	v.counter.RecordAnswer(answer)
+	if failed && v.target {
+		x.g.metrics.Counter("rollouts.bad_answers").Inc(1)
+	}
+}
+
+// versionFailed reports whether the attempt failed by a fault of the version, and whether it shows
+// anything of the version at all.
+func (x *exchange) versionFailed(now time.Time, failure error) (failed, counts bool) {
+	switch x.version.class {
+	case answerShowsNothing:
+		return false, false
+	case answerWrong:
+		return true, true
+	case answerLate:
+		return x.versionLate(now)
+	}
+	switch {
+	case failure == nil:
+		return false, true
+	case errors.Is(failure, errCallerGone), errors.Is(failure, upstream.ErrNotSent), upstream.IsNetworkTimeout(failure):
+		// A link that passes nothing on says nothing of the version behind it.
+		return false, false
+	}
+	return true, true
+}
+
+// versionLate returns the results of versionFailed for an attempt whose deadline has passed. A
+// stream that has begun is late only if it has stopped; otherwise it is longer than the caller
+// waits.
+func (x *exchange) versionLate(now time.Time) (failed, counts bool) {
+	if last := x.version.lastEvent; !last.IsZero() {
+		failed = x.route.GapGoal > 0 && now.Sub(last) > lateDeadlineFactor*x.route.GapGoal
+		return failed, true
+	}
+	enough := x.deadline.Sub(x.version.began) >= lateDeadlineFactor*x.route.LatencyGoal
+	return enough, enough
+}
+
+// versionsOf returns what is known of the versions of a service, and creates it if needed. Callers
+// hold g.mu.
+func (g *Gateway) versionsOf(service string) *serviceVersions {
+	v := g.versions[service]
+	if v == nil {
+		v = &serviceVersions{limiter: rollout.NewLimiter(g.config.Router)}
+		g.versions[service] = v
+	}
+	return v
+}
+
+// SetRollout sets the roll-out of a service. The counts start anew with a new order.
+func (g *Gateway) SetRollout(r rollout.Rollout) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.versionsOf(r.Service)
+	if v.counter == nil || v.limiter.Rollout().ID != r.ID {
+		v.counter = rollout.NewCounter(r.ID)
+	}
+	v.limiter.SetRollout(r)
+}
+
+// ClearRollout ends the roll-out of a service because the order was deleted. Versions that were
+// rolled back still get no requests.
+func (g *Gateway) ClearRollout(service string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if v := g.versions[service]; v != nil {
+		v.limiter.ClearRollout()
+		v.counter = nil
+	}
+}
+
+// SetRolloutStatus passes on the status of a service's roll-out that the source confirmed at the
+// given time.
+func (g *Gateway) SetRolloutStatus(confirmed time.Time, source rollout.Source, service string, status rollout.Status) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.versionsOf(service).limiter.SetStatus(confirmed, source, status)
+}
+
+// ConfirmRollouts records that the store or a relay confirmed at the given time that the newest
+// statuses known are in force.
+func (g *Gateway) ConfirmRollouts(at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, v := range g.versions {
+		v.limiter.Confirm(at)
+	}
+}
+
+// RolloutStatus returns the status in force of a service's roll-out; its state is None if there is
+// none.
+func (g *Gateway) RolloutStatus(service string) rollout.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if v := g.versions[service]; v != nil {
+		return v.limiter.Status()
+	}
+	return rollout.Status{}
+}
+
+// RolloutReport returns the counts of this router for the roll-out of a service. ok is false if
+// there is none.
+func (g *Gateway) RolloutReport(now time.Time, service string) (report rollout.Report, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.versions[service]
+	if v == nil || v.counter == nil {
+		return rollout.Report{}, false
+	}
+	return v.counter.Report(v.limiter.Share(now)), true
+}
+
+// RolloutCapacity returns what this router sees of the target endpoints of a service.
+func (g *Gateway) RolloutCapacity(now time.Time, service string) rollout.Capacity {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var capacity rollout.Capacity
+	v := g.versions[service]
+	if v == nil {
+		return capacity
+	}
+	for _, e := range g.roster.Members(service) {
+		capacity.InFlight += int(g.balancer.State(e).Requests(now))
+		if !g.roster.Usable(e) {
+			continue
+		}
+		switch v.limiter.Class(e.Version) {
+		case rollout.Target:
+			capacity.TargetEndpoints++
+			capacity.TargetSlots += e.Slots
+		case rollout.Old:
+			capacity.OldEndpoints++
+		}
+	}
+	return capacity
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -106,6 +106,7 @@
 		pending = pending[:len(pending)+n]
 		end := bytes.LastIndex(pending, eventEnd)
 		if end >= 0 {
+			x.version.recordEvent(time.Now(), x.route.GapGoal)
 			if x.answerBegan.IsZero() {
 				x.answerBegan = time.Now()
 			} else if time.Since(x.answerBegan) >= poison.SettledTime {
@@ -123,6 +124,7 @@
 					return errCallerGone
 				}
 				flusher.Flush()
+				x.version.lastEvent = time.Now()
 				if !forwarded {
 					x.recordOwnTime()
 				}
--- a/mirror/freshness.go
+++ b/mirror/freshness.go
@@ -57,3 +57,18 @@
 	}
 	return ended
 }
+
+// setAnswered records when the store answered this router or a relay that it follows.
+func (m *Mirror) setAnswered(at time.Time) {
+	m.answeredAt = at
+	m.known.Store(&at)
+}
+
+// KnownAt returns the time at which all changes were known to this router; zero before its first
+// list.
+func (m *Mirror) KnownAt() time.Time {
+	if at := m.known.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -120,7 +121,7 @@
 	Guard telemetry.Guard
 }
 
-// Mirror is the local copy of one kind. Offer is safe for concurrent use, also
+// Mirror is the local copy of one kind. Offer and KnownAt are safe for concurrent use, also
 // while Run runs; nothing else is.
 type Mirror struct {
 	Config
@@ -150,6 +151,8 @@
 	// router knows. following is set while the router gets the changes from relays.
 	answeredAt time.Time
 	following  bool
+	// known is the newest answeredAt, for KnownAt.
+	known atomic.Pointer[time.Time]
 }
 
 // New returns an empty mirror.
@@ -228,7 +231,7 @@
 	if err != nil {
 		return err
 	}
-	m.answeredAt = began
+	m.setAnswered(began)
 	if m.listedAt.IsZero() {
 		m.listedAt = time.Now()
 	}
@@ -291,7 +294,7 @@
 		m.behindSince = time.Time{}
 		m.endOutage()
 		if head.AnsweredAt.After(m.answeredAt) {
-			m.answeredAt = head.AnsweredAt
+			m.setAnswered(head.AnsweredAt)
 		}
 		return true
 	}
@@ -362,7 +365,7 @@
 		case r := <-result:
 			err := m.applyWatch(from, r)
 			if err == nil && r.err == nil {
-				m.answeredAt = answeredBy(began, time.Now(), wait, len(r.objects))
+				m.setAnswered(answeredBy(began, time.Now(), wait, len(r.objects)))
 			}
 			if err != nil || len(r.objects) == 0 {
 				return err
--- a/records/report_text.go
+++ b/records/report_text.go
@@ -30,6 +30,7 @@
 	api.RecordKindOrderFailed:         {"order", "failed"},
 	api.RecordKindAnswerBroken:        {"answer", "broken"},
 	api.RecordKindPromptQuarantined:   {"prompt part", "quarantined"},
+	api.RecordKindRolloutEnded:        {"roll-out", "ended"},
 	api.RecordKindOutcomeUnknown:      {"outcome", "unknown"},
 	api.RecordKindRecordsLost:         {"router", "could not keep records"},
 	api.RecordKindIsolated:            {"router", "isolated"},
