--- a/rollout/limiter.go
+++ b/rollout/limiter.go
@@ -1,7 +1,10 @@
 package rollout
 
 import (
+	"cmp"
+	"math"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -86,6 +89,8 @@
 	// maxVersions bounds the barred and the unproven versions that are remembered; the oldest are
 	// forgotten.
 	maxVersions = 64
+	// focusTurn is how long Limiter.Focus names the same single endpoint.
+	focusTurn = time.Second
 	// creditTolerance makes up for rounding when shares are added: 20 times 0.05 is a turn.
 	creditTolerance = 1e-9
 )
@@ -327,3 +332,24 @@
 		l.credit = min(1, l.credit+1)
 	}
 }
+
+// Focus returns those of the target endpoints that attempts should go to now; if none of them can
+// take an attempt, any other may. While the share is between that of the canary stage and 1, these
+// are as many as get about the load of share 1, so that a version that fails under load is found
+// at a small share. If it is a single one, it changes every focusTurn, because one endpoint does
+// not show that the version is bad. All routers that see an endpoint choose it at the same time.
+// Otherwise, and with another choice than TargetFirst, Focus returns all.
+func (l *Limiter) Focus(now time.Time, choice Choice, endpoints []string) []string {
+	share := l.Share(now)
+	if choice != TargetFirst || share < minFocusShare || share >= 1 {
+		return endpoints
+	}
+	focused := int(math.Ceil(share*float64(len(endpoints)) - creditTolerance))
+	turn := ""
+	if focused == 1 {
+		turn = strconv.FormatInt(int64(now.Sub(l.status.Started)/focusTurn), 10)
+	}
+	hash := func(id string) uint64 { return xxhash.Sum64String(l.rollout.ID + turn + "/" + id) }
+	byHash := slices.SortedFunc(slices.Values(endpoints), func(a, b string) int { return cmp.Compare(hash(a), hash(b)) })
+	return byHash[:min(len(byHash), focused)]
+}
