--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -156,8 +156,12 @@
 
 // judgeCounts tests the counts of the whole roll-out, or recent ones if whole is not nil.
 func judgeCounts(c Counts, whole *Counts) finding {
-	t := trial{counts: c, endpoints: slices.Collect(maps.Values(c.Endpoints)), whole: whole}
-	t.endpoints = slices.DeleteFunc(t.endpoints, func(e Tally) bool { return e.Answers == 0 })
+	t := trial{counts: c, whole: whole}
+	for _, key := range slices.Sorted(maps.Keys(c.Endpoints)) {
+		if endpoint := c.Endpoints[key]; endpoint.Answers > 0 {
+			t.endpoints = append(t.endpoints, endpoint)
+		}
+	}
 	result := t.judge(ReasonFailures, minFailures, func(Tally) (measure, bool) { return failures, true })
 	if result.reason != "" {
 		return result
