--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -209,10 +209,7 @@
 
 // decide decides on an order and reports whether the decision is a new one. Callers hold r.mu.
 func (r *rollouts) decide(now time.Time, o *rolloutOrder) bool {
-	base := o.stored
-	if o.isFinal(o.heard) {
-		base = o.heard
-	}
+	base := r.gateway.RolloutStatus(o.rollout.Service) // of the store, or what a relay announced
 	counts := o.collector.Counts(now, r.gateway.RolloutCapacity(now, o.rollout.Service))
 	next, why := o.controller.Step(now, o.rollout, base, counts)
 	if next.State == rollout.None {
@@ -224,10 +221,10 @@
 	if changed {
 		r.logger.Info("rollout decided", zap.String("service", o.rollout.Service), zap.String("target", o.rollout.Target),
 			zap.Stringer("state", next.State), zap.Float64("share", next.Share), zap.String("reason", next.Reason),
-			zap.Uint64("answers", why.Answers), zap.Uint64("failed", why.Failed), zap.Uint64("slow", why.Slow),
-			zap.Uint64("old_answers", why.OldAnswers), zap.Uint64("old_failed", why.OldFailed), zap.Uint64("old_slow", why.OldSlow),
-			zap.String("route", why.Route), zap.Int("old_in_flight", why.OldInFlight), zap.Int("routers", why.Routers),
-			zap.Duration("age", now.Sub(next.Started)))
+			zap.Uint64("answers", why.Answers), zap.Uint64("failed", why.Failed),
+			zap.Uint64("old_answers", why.OldAnswers), zap.Uint64("old_failed", why.OldFailed), zap.String("route", why.Route),
+			zap.Bool("suspect", why.Suspect), zap.Uint64("target_sent", why.TargetSent), zap.Uint64("sent", why.Sent),
+			zap.Int("old_in_flight", why.OldInFlight), zap.Int("routers", why.Routers), zap.Duration("age", now.Sub(next.Started)))
 	}
 	return changed
 }
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
@@ -70,10 +71,13 @@
 		return state, refusal, false
 	}
 	usable := criteria.Usable
-	pick := func(admits func(rollout.Class) bool) {
-		criteria.Usable = func(e *roster.Endpoint) bool { return usable(e) && admits(v.limiter.Class(e.Version)) }
+	pick := func(admits func(*roster.Endpoint) bool) {
+		criteria.Usable = func(e *roster.Endpoint) bool { return usable(e) && admits(e) }
 		state, refusal = x.g.balancer.Pick(now, *criteria)
 	}
+	admitted := func(choice rollout.Choice) func(*roster.Endpoint) bool {
+		return func(e *roster.Endpoint) bool { return choice.Admits(v.limiter.Class(e.Version)) }
+	}
 	if v.limiter.Stale(now) {
 		x.g.metrics.Counter("rollouts.stale_share").Inc(1)
 	}
@@ -82,12 +86,16 @@
 	case rollout.Refuse:
 		return nil, balance.NoEndpoint, true
 	case rollout.TargetFirst:
-		if pick(rollout.TargetOnly.Admits); state == nil {
-			pick(rollout.OldOnly.Admits)
+		for _, admits := range []func(*roster.Endpoint) bool{
+			v.focus(now, choice, criteria), admitted(rollout.TargetOnly), admitted(rollout.OldOnly),
+		} {
+			if pick(admits); state != nil {
+				break
+			}
 		}
 		v.limiter.RecordSent(state != nil && v.isTarget(state.Endpoint))
 	default:
-		pick(choice.Admits)
+		pick(admitted(choice))
 	}
 	if state != nil && v.counter != nil {
 		x.startVersionAttempt(now, v, state)
@@ -95,6 +103,18 @@
 	return state, refusal, false
 }
 
+// focus returns which of the target endpoints the limiter names for an attempt.
+func (v *serviceVersions) focus(now time.Time, choice rollout.Choice, criteria *balance.Criteria) func(*roster.Endpoint) bool {
+	var ids []string
+	for _, e := range criteria.Members {
+		if criteria.Usable(e) && v.isTarget(e) {
+			ids = append(ids, e.ID)
+		}
+	}
+	focused := v.limiter.Focus(now, choice, ids)
+	return func(e *roster.Endpoint) bool { return v.isTarget(e) && slices.Contains(focused, e.ID) }
+}
+
 // versionRequest returns what the limiter has to know of the request. Callers hold g.mu.
 func (x *exchange) versionRequest(v *serviceVersions, criteria *balance.Criteria) rollout.Request {
 	request := rollout.Request{Repeated: len(x.tried) > 0}
