--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -43,6 +43,7 @@
 	runs          map[string]int // by request id
 	problems      []string
 	wishes        *wishes
+	versions      *versionLog
 }
 
 func (h *harness) addProblem(format string, args ...any) {
@@ -122,13 +123,17 @@
 	// leaving and pausing are set while the endpoint says in its answers that it leaves, and
 	// while it refuses requests and asks for a pause.
 	leaving, pausing atomic.Bool
+	version          string
+	fault            versionFault // of the version
+	inFlight         atomic.Int64
+	gone             atomic.Bool // stopped for good
 }
 
 // start identifies the current start of the endpoint.
 func (e *endpoint) start() string { return fmt.Sprint(e.id, "/", e.born.Load()) }
 
 func (h *harness) newEndpoint(id string) *endpoint {
-	e := &endpoint{id: id}
+	e := &endpoint{id: id, version: firstVersion}
 	e.born.Store(1)
 	e.server = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { h.serveEndpoint(e, rw, r) }))
 	proxy, err := standin.NewFaultProxy(e.server.Listener.Addr().String())
@@ -148,7 +153,10 @@
 	if err != nil {
 		return
 	}
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
 	h.wishes.arrived(h, request, e.start())
+	h.versions.arrived(e.version, request)
 	if e.pausing.Load() {
 		h.wishes.askForPause(request, e.start())
 		rw.Header().Set("Not-Run", "1")
@@ -164,6 +172,12 @@
 	h.runs[request]++
 	h.mu.Unlock()
 	rw.Header().Set("Server-Stamp", "s-"+request)
+	if e.fault.applies(request, r.URL.Path) {
+		h.versions.answeredBadly(e.version)
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	time.Sleep(e.fault.delay)
 	if !strings.HasPrefix(r.URL.Path, "/chat/") && !strings.HasPrefix(r.URL.Path, "/report/") {
 		time.Sleep(5 * time.Millisecond)
 		_, _ = rw.Write(append([]byte(request+" "), body...))
@@ -204,7 +218,7 @@
 	h.mu.Unlock()
 	route := func(name, kind string, attempts int, resume bool) map[string]any {
 		return map[string]any{
-			"name": name, "host": "h", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000,
+			"name": name, "host": "h", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000, "goal_ms": 100,
 			"service": "s", "attempts": attempts, "can_resume": resume,
 		}
 	}
@@ -221,8 +235,12 @@
 }
 
 func (h *harness) register(e *endpoint, state string) {
+	if e.gone.Load() {
+		return
+	}
 	h.platform.SetSpec("servers", e.id, map[string]any{
-		"service": "s", "address": e.proxy.Addr(), "zone": "z", "slots": 16, "state": state, "born": e.born.Load(),
+		"service": "s", "address": e.proxy.Addr(), "zone": "z", "version": e.version, "slots": 16, "state": state,
+		"cold_left_ms": 0, "seq": 1, "born": e.born.Load(),
 	})
 }
 
@@ -239,7 +257,7 @@
 
 func newHarness(t *testing.T, binary string) *harness {
 	t.Helper()
-	h := &harness{t: t, platform: standin.NewPlatform(""), runs: map[string]int{}, wishes: newWishes()}
+	h := &harness{t: t, platform: standin.NewPlatform(""), runs: map[string]int{}, wishes: newWishes(), versions: newVersionLog()}
 	h.store = httptest.NewServer(h.platform)
 	h.configure("k0", "spare")
 	for i := range endpointCount {
@@ -306,7 +324,7 @@
 grace_s = 6
 retry_ratio = 0.2
 retry_slack = 50
-`, i, addresses[0], addresses[1], addresses[2], addresses[3], proxy.Addr())
+%s`, i, addresses[0], addresses[1], addresses[2], addresses[3], proxy.Addr(), rolloutSettings())
 	assert.NilError(h.t, os.WriteFile(r.settingsFile, []byte(text), 0o600))
 	return r
 }
--- a/soak/relays_test.go
+++ b/soak/relays_test.go
@@ -23,19 +23,25 @@
 	changeBound = 2 * time.Second
 )
 
-// Guards against a router that reaches the store and yet accepts a key that was taken away, or sends
-// work to an endpoint that is gone, since the relays that it follows are frozen, slow, killed, or cut
-// off from the store before that.
-func TestChangesWhileRelaysAreLost(t *testing.T) {
-	h := newHarness(t, build(t))
+// relayOrder returns the routers in the order in which they become relays. With equal links that is
+// the order of the hashes of their ids.
+func relayOrder() []int {
 	order := make([]int, routerCount)
 	for i := range order {
 		order[i] = i
 	}
-	// Routers with equal links become relays in the order of the hashes of their ids.
 	slices.SortFunc(order, func(a, b int) int {
 		return cmp.Compare(xxhash.Sum64String(fmt.Sprint("r", a)), xxhash.Sum64String(fmt.Sprint("r", b)))
 	})
+	return order
+}
+
+// Guards against a router that reaches the store and yet accepts a key that was taken away, or sends
+// work to an endpoint that is gone, since the relays that it follows are frozen, slow, killed, or cut
+// off from the store before that.
+func TestChangesWhileRelaysAreLost(t *testing.T) {
+	h := newHarness(t, build(t))
+	order := relayOrder()
 	relays, follower := order[:relayCount], h.routers[order[relayCount]]
 	signalAll := func(s syscall.Signal) {
 		for _, i := range relays {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,6 +42,7 @@
 //   - Routers apply the newest configuration and never go back to an older one.
 //   - A router ends within its grace period after SIGTERM.
 //   - An endpoint that says that it leaves, or asks for a pause, gets what it wants.
+//   - A roll-out ends with the right verdict, and a bad version gets no more requests than allowed.
 func TestSoak(t *testing.T) {
 	binary := build(t)
 	for n := range *seeds {
@@ -70,12 +71,13 @@
 	for id := range callerCount {
 		load.Go(func() { h.runCaller(ctx, id) })
 	}
-	f := &faultInjector{harness: h, random: rand.New(rand.NewPCG(seed, 0))}
+	f := &faultInjector{harness: h, random: rand.New(rand.NewPCG(seed, 0)), rolloutRandom: rand.New(rand.NewPCG(seed, 1))}
 	for range steps {
 		f.step()
 		time.Sleep(stepTime)
 	}
 	f.repairAll()
+	f.endRollout()
 	time.Sleep(settleTime)
 	f.checkSettled()
 	cancel()
@@ -90,8 +92,11 @@
 	harness   *harness
 	random    *rand.Rand
 	history   []string
-	newestKey int      // number of the newest API key, "n<newestKey>"
-	repairs   []func() // each ends one of the active faults, oldest fault first
+	newestKey int            // number of the newest API key, "n<newestKey>"
+	repairs   []func()       // each ends one of the active faults, oldest fault first
+	rollout   *playedRollout // the roll-out that is running, or nil
+	// rolloutRandom decides on roll-outs, so that they change no other fault of a seed.
+	rolloutRandom *rand.Rand
 }
 
 func (f *faultInjector) record(format string, args ...any) {
@@ -101,6 +106,10 @@
 // step repairs the oldest active fault with a probability of 1/2 and injects a new
 // one.
 func (f *faultInjector) step() {
+	f.followRollout()
+	if f.rollout == nil && f.rolloutRandom.IntN(rolloutEvery) == 0 {
+		f.orderRollout()
+	}
 	if len(f.repairs) > 0 && f.random.IntN(2) == 0 {
 		f.repairs[0]()
 		f.repairs = f.repairs[1:]
@@ -162,6 +171,7 @@
 	r.signal(syscall.SIGSTOP)
 	f.repairs = append(f.repairs, func() {
 		f.record("continue router %d", router)
+		f.harness.versions.resumed()
 		r.signal(syscall.SIGCONT)
 		f.harness.wishes.disturbRouter(router)
 	})
@@ -265,7 +275,7 @@
 
 func (f *faultInjector) cutWatches(_, _ int) {
 	f.record("watches are cut off")
-	for _, kind := range []string{"config", "servers", "evacuations"} {
+	for _, kind := range []string{"config", "servers", "evacuations", "rollouts"} {
 		f.harness.platform.CutWatches(kind)
 	}
 }
