--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -39,7 +39,9 @@
 	poison  *poison.Detector
 	leaving []uint64 // to tell the others
 	left    []uint64 // told by others
-	stop    context.CancelFunc
+	// rollouts are the staged roll-outs that the router knows, none by default.
+	rollouts rolloutStub
+	stop     context.CancelFunc
 }
 
 func newFleet(t *testing.T, n int) []*router {
@@ -47,7 +49,7 @@
 	fleet := make([]*router, n)
 	addresses := map[string]Peer{}
 	for i := range fleet {
-		r := &router{own: map[string]int{}, loads: map[string]int{}, poison: poison.New()}
+		r := &router{own: map[string]int{}, loads: map[string]int{}, poison: poison.New(), rollouts: rolloutStub{from: map[string]RolloutReport{}}}
 		e, err := Listen(Config{
 			Router: fmt.Sprintf("r%d", i), Peer: Peer{Address: "127.0.0.1:0"}, Logger: zap.NewNop(), Metrics: telemetry.NewMetrics(),
 			Loads: func() Loads {
@@ -97,6 +99,7 @@
 				defer r.mu.Unlock()
 				r.poison.Receive(time.Now(), report, announcement)
 			},
+			Rollouts: &r.rollouts,
 			ReceiveBatch: func(batch mirror.Batch) {
 				r.mu.Lock()
 				defer r.mu.Unlock()
