--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -66,7 +66,9 @@
 	targetEnds, oldEnds uint32 // attempts that ended
 }
 
-// NewCounter returns a counter for the roll-out with an id.
+// NewCounter returns a counter for the roll-out with an id. The caller counts the attempts that are
+// in flight at that time with RecordSent and later with RecordEnd: the old endpoints stop at the end
+// of the roll-out, and a stream that began before it may still run there.
 func NewCounter(id string) *Counter {
 	return &Counter{report: Report{
 		Order: id, Target: map[string]Tally{}, Old: map[string]Tally{}, Endpoints: map[uint32]Tally{},
--- a/rollout/limiter_test.go
+++ b/rollout/limiter_test.go
@@ -240,3 +240,33 @@
 	l.ClearRollout()
 	assert.Equal(t, l.Class("v2"), Old)
 }
+
+// Guards against a second stage whose endpoints get more or less than the load of share 1, against
+// routers that choose different ones, and against the choice of a few when all requests go to the
+// target.
+func TestLimiterFocus(t *testing.T) {
+	names := make([]string, 16)
+	for i := range names {
+		names[i] = fmt.Sprint("e", i)
+	}
+	focused := running(3.0/16).Focus(start, TargetFirst, names)
+	assert.Equal(t, len(focused), 3)
+	other := NewLimiter("r2")
+	other.SetRollout(testRollout())
+	other.SetStatus(start, FromRelay, statusOf(testRollout(), Running, 3.0/16))
+	assert.DeepEqual(t, other.Focus(at(time.Second), TargetFirst, names), focused)
+	assert.Equal(t, len(running(0.05).Focus(start, TargetFirst, names)), 16)
+	assert.Equal(t, len(running(1).Focus(start, TargetFirst, names)), 16)
+	assert.Equal(t, len(running(3.0/16).Focus(start, TargetOnly, names)), 16)
+	assert.Equal(t, len(running(0.25).Focus(at(2*time.Second), TargetFirst, names)), 16, "the share is stale")
+
+	seen, single := map[string]bool{}, running(1.0/3)
+	for i := range 20 {
+		now := at(time.Duration(i) * time.Second)
+		single.Confirm(now)
+		one := single.Focus(now, TargetFirst, names[:3])
+		assert.Equal(t, len(one), 1)
+		seen[one[0]] = true
+	}
+	assert.Equal(t, len(seen), 3, "a single endpoint changes")
+}
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -45,8 +45,8 @@
 	// exceed that of the old version, with slowDeviations standard deviations (p = 0.0005).
 	slowFactor     = 1
 	slowDeviations = 3.29
-	// bucketVariance makes up for the width of a bucket in the variance of the logarithm.
-	bucketVariance = 0.25
+	// minVariance is the least variance of the logarithm, for answers that are all in one bucket.
+	minVariance = 0.25
 	// worstDeviations is the confidence of the lower bound by which the worst endpoint is found.
 	worstDeviations = 1.64
 )
@@ -322,6 +322,6 @@
 		sum += float64(bucket) * float64(count)
 		squares += float64(bucket*bucket) * float64(count)
 	}
-	s.variance = squares/s.n - (sum/s.n)*(sum/s.n) + bucketVariance
+	s.variance = max(minVariance, squares/s.n-(sum/s.n)*(sum/s.n))
 	return s
 }
