--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -28,7 +28,7 @@
 		assert.NilError(t, err, "%s: %s", command, out)
 		found[command] = string(out)
 	}
-	assert.Equal(t, len(found), 8)
+	assert.Equal(t, len(found), 9)
 	for command, out := range found {
 		switch {
 		case strings.HasSuffix(command, "log testdata/router.log"):
@@ -39,6 +39,8 @@
 			assert.Assert(t, strings.Contains(out, `"msg":"response aborted"`) && strings.Contains(out, "unexpected EOF") && strings.Contains(out, `"sends":1`))
 		case strings.Contains(command, "12ca9047f126"):
 			assert.Assert(t, strings.Contains(out, `"msg":"prompt part quarantined"`) && strings.Contains(out, "no answer a1979a9a31e"))
+		case strings.Contains(command, "rollout decided"):
+			assert.Assert(t, strings.Contains(out, `"state":"rolled_back"`) && strings.Contains(out, `"answers":14,"failed":8,"old_answers":262,"old_failed":0`))
 		case strings.Contains(command, "2158c2a1215223f2"):
 			assert.Assert(t, strings.Contains(out, `"status":502`) && strings.Contains(out, "connection reset by peer") && strings.Contains(out, `"may_have_run":true`))
 		}
