edge: a relay writes what the first one can't, and new orders are decided at once

A first relay that is cut off from the store only could not write that a roll-out is running; another relay now writes what the first one has announced for a second. The period counts from the first status, so that the first decision no longer waits for the next tick of 250 ms.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -26,6 +26,8 @@
 	endpoint *httptest.Server
 	calls    atomic.Int64 // requests that reached the endpoint
 	revision int
+	// exposeShare switches staged roll-outs on at the routers that are started.
+	exposeShare float64
 }
 
 func newSite(t *testing.T) *site {
@@ -115,6 +117,7 @@
 	settings.Store.Address = store
 	settings.Store.HeartbeatMS = 1200
 	settings.Bounds.GraceS, settings.Bounds.ColdRateFactor, settings.Bounds.LoadFactor = 8, 1, 2
+	settings.Bounds.ExposeShare = s.exposeShare
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &router{settings: settings, stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- edge.Run(ctx, edge.Options{Settings: settings, Logger: zap.NewNop()}) }()
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -15,7 +15,6 @@
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/rollout"
-	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 const (
@@ -26,7 +25,7 @@
 	rolloutAloneAfter = 2 * time.Second
 	// rolloutWritePause is the time after a write that failed before the next one.
 	rolloutWritePause = 300 * time.Millisecond
-	// rolloutBackupDelay is how long another relay waits for the first one to write a verdict.
+	// rolloutBackupDelay is how long another relay waits for the first one to write a status.
 	rolloutBackupDelay = time.Second
 	// rolloutAnnouncedFor is how long a verdict is announced after it was written.
 	rolloutAnnouncedFor = 5 * time.Second
@@ -55,7 +54,7 @@
 
 const (
 	rolloutFollower rolloutRole = iota
-	rolloutBackup               // a relay that writes verdicts if the first one can't
+	rolloutBackup               // a relay that writes what the first one can't
 	rolloutDecider
 )
 
@@ -70,6 +69,7 @@
 	start    uint64 // identifies the start of this router
 	logger   *zap.Logger
 	failures *reporter
+	ordered  chan struct{} // has a value when an order is new
 
 	mu     sync.Mutex
 	orders map[string]*rolloutOrder // by object name
@@ -90,12 +90,13 @@
 	collector  *rollout.Collector
 	// decided is what this router decided last, zero if it has not decided.
 	decided rollout.Status
-	// heard is a verdict that a relay announced, at heardAt.
-	heard   rollout.Status
-	heardAt time.Time
-	finalAt time.Time // when the store was found to hold a verdict
-	writing bool
-	retryAt time.Time // of a write that failed
+	// heard is the status that a relay announced last, at heardAt, and first at heardSince. A verdict
+	// stays.
+	heard               rollout.Status
+	heardAt, heardSince time.Time
+	finalAt             time.Time // when the store was found to hold a verdict
+	writing             bool
+	retryAt             time.Time // of a write that failed
 }
 
 // isFinal reports whether the status is a verdict on this order.
@@ -115,7 +116,7 @@
 	}
 	p.rollouts = &rollouts{
 		store: p.store, router: p.options.Settings.Router.ID, start: uint64(time.Now().UnixNano()), logger: p.logger,
-		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{},
+		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{}, ordered: make(chan struct{}, 1),
 	}
 }
 
@@ -138,8 +139,20 @@
 	p.rollouts.known = p.mirrors[platform.KindRollouts].KnownAt
 }
 
+// run decides at each rolloutInterval, and at once on a new order: its period counts from the first
+// status.
 func (r *rollouts) run(ctx context.Context) error {
-	return timing.Every(ctx, rolloutInterval, func(now time.Time) { r.tick(ctx, now) })
+	ticker := time.NewTicker(rolloutInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.ordered:
+		case <-ticker.C:
+		}
+		r.tick(ctx, time.Now())
+	}
 }
 
 // tick confirms what is known, and decides if that is the task of this router.
@@ -201,12 +214,30 @@
 		changed := r.decide(now, o)
 		r.startWrite(ctx, now, o, o.decided)
 		return changed
-	case r.role == rolloutBackup && o.isFinal(o.heard) && now.Sub(o.heardAt) >= rolloutBackupDelay && r.storeFresh(now):
+	case r.role == rolloutBackup && o.heardUnwritten(now) && r.storeFresh(now):
 		r.startWrite(ctx, now, o, o.heard)
 	}
 	return false
 }
 
+// heardUnwritten reports whether the first relay has announced a status for some time that it can't
+// write.
+func (o *rolloutOrder) heardUnwritten(now time.Time) bool {
+	announced := o.isFinal(o.heard) || o.heard.State != rollout.None && now.Sub(o.heardAt) < rolloutBackupDelay
+	return announced && now.Sub(o.heardSince) >= rolloutBackupDelay
+}
+
+// hear records a status that a relay has announced.
+func (o *rolloutOrder) hear(now time.Time, status rollout.Status) {
+	if status.Order != o.rollout.ID || o.isFinal(o.heard) {
+		return
+	}
+	if !status.SameContent(o.heard) {
+		o.heard, o.heardSince = status, now
+	}
+	o.heardAt = now
+}
+
 // decide decides on an order and reports whether the decision is a new one. Callers hold r.mu.
 func (r *rollouts) decide(now time.Time, o *rolloutOrder) bool {
 	base := r.gateway.RolloutStatus(o.rollout.Service) // of the store, or what a relay announced
@@ -345,6 +376,10 @@
 		r.gateway.SetRolloutStatus(time.Now(), rollout.FromStore, decoded.Service, status)
 	}
 	r.gateway.SetRollout(decoded)
+	select {
+	case r.ordered <- struct{}{}:
+	default:
+	}
 	r.logger.Info("rollout ordered", zap.String("service", decoded.Service), zap.String("target", decoded.Target),
 		zap.Duration("period", decoded.Period), zap.String("order", decoded.ID), zap.Stringer("state", status.State))
 	return o
@@ -399,7 +434,7 @@
 			}
 		case r.role == rolloutDecider:
 			status = o.decided
-		case r.role == rolloutFollower:
+		case r.role == rolloutFollower || !o.isFinal(status):
 			continue
 		}
 		if status.State != rollout.None && status.Order == o.rollout.ID {
@@ -430,9 +465,7 @@
 		status := s.Status()
 		r.gateway.SetRolloutStatus(now, rollout.FromRelay, s.Service, status)
 		for _, o := range r.orders {
-			if o.isFinal(status) && !o.isFinal(o.heard) {
-				o.heard, o.heardAt = status, now
-			}
+			o.hear(now, status)
 		}
 	}
 }
--- a/edge/rollouts_test.go
+++ b/edge/rollouts_test.go
@@ -100,7 +100,7 @@
 	r := &rolloutRelay{site: s, first: first, heard: 3}
 	r.rollouts = &rollouts{
 		store: store, peers: r, gateway: g, known: time.Now, router: name, start: 1, logger: zap.NewNop(),
-		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{},
+		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{}, ordered: make(chan struct{}, 1),
 	}
 	s.relays = append(s.relays, r)
 	r.read()
@@ -245,6 +245,26 @@
 	s.awaitStored(rollout.RolledBack, backup)
 }
 
+// Guards against a roll-out without a status in the store, by which the platform sees that it has
+// begun, since the first relay can't write it, and against a relay that writes what is announced no
+// longer.
+func TestAnotherRelayWritesTheFirstStatus(t *testing.T) {
+	s := newRolloutSite(t)
+	s.newOrder("v2")
+	first, backup := s.newRelay(true), s.newRelay(false)
+	first.store = brokenStore{}
+	first.tickNow(t.Context())
+	backup.receive(first)
+	time.Sleep(rolloutBackupDelay)
+	backup.tickNow(t.Context())
+	time.Sleep(100 * time.Millisecond)
+	_, status := s.stored()
+	assert.Equal(t, status.State, rollout.None, "announced no longer")
+	backup.receive(first)
+	backup.tickNow(t.Context())
+	s.awaitStored(rollout.Running)
+}
+
 // Guards against a successor of the first relay that knows nothing of the answers before, and
 // against one that decides otherwise than the relay that was lost.
 func TestSuccessorDecidesFromTheSameReports(t *testing.T) {
