rollout: longer canary stage of long periods; half of the failures without the worst endpoint

The test required its 6 failures without the worst endpoint; now 3 of them, with the same probability.

--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -24,7 +24,9 @@
 
 // Times as parts of the period.
 const (
-	canaryLength = 0.62
+	// canaryLength is the longest and minCanary the shortest length of the canary stage.
+	canaryLength = 0.7
+	minCanary    = 0.56
 	focusLength  = 0.16
 	lastLength   = 0.06
 	// waiveAt is when the minimum of answers is waived unless the target is suspect.
@@ -48,7 +50,7 @@
 	minFocus = 1500 * time.Millisecond
 	maxFocus = 2 * time.Second
 	// finalStages is the time before the deadline that the stages after the canary need.
-	finalStages = 3500 * time.Millisecond
+	finalStages = 4500 * time.Millisecond
 	// minAnswers is the minimum of answers of each version before the last stage, or
 	// minEndpointAnswers for each target endpoint if that is less.
 	minAnswers         = 100
@@ -224,7 +226,7 @@
 // canaryEnd returns the time of the period at which the canary stage ends.
 func (d *decision) canaryEnd() time.Duration {
 	period := d.rollout.Period
-	return max(min(part(period, canaryLength), period-finalStages), period/2)
+	return max(min(part(period, canaryLength), period-finalStages), part(period, minCanary))
 }
 
 // lasted reports whether the share has been in force for a time, or for the shortest time of a
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -26,7 +26,8 @@
 	// pairP is the probability, instead of maxP, for the better one of two endpoints, when both
 	// together are over maxP.
 	pairP = 0.01
-	// minFailures and minSlow are the failed and slow answers that a roll-back needs.
+	// minFailures and minSlow are the failed and slow answers that a roll-back needs, half of them
+	// without the worst endpoint.
 	minFailures = 6
 	minSlow     = 12
 	// minOldRecent is the number of recent answers of the old version from which its recent
@@ -235,7 +236,7 @@
 		if others && rest.bad >= 2 && rest.p(null) < pairP && seen.p(null) < limit {
 			result.reason = reason
 		}
-	case others && rest.bad >= float64(minBad) && rest.p(null) < limit:
+	case others && 2*rest.bad >= float64(minBad) && rest.p(null) < limit:
 		result.reason = reason
 	}
 	return result
