exchange, edge: failures of a target are reported and judged at once

A version that turned bad at a share of 1 got about 50 more requests for each 250 ms that its failures waited for the next report and the next decision. Reports with new failures now go out at the next opportunity (125 ms) and the decider judges them on arrival, 50 ms after the last decision at the earliest.

--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -15,11 +15,14 @@
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/rollout"
+	"github.com/hornbeamproxy/hornbeamproxy/timing"
 )
 
 const (
 	// rolloutInterval is the time between two decisions on the roll-outs.
 	rolloutInterval = 250 * time.Millisecond
+	// rolloutMinInterval is the shortest time between two decisions.
+	rolloutMinInterval = 50 * time.Millisecond
 	// rolloutAloneAfter is how long a router must have known that there is no other one before it
 	// decides alone.
 	rolloutAloneAfter = 2 * time.Second
@@ -69,7 +72,7 @@
 	start    uint64 // identifies the start of this router
 	logger   *zap.Logger
 	failures *reporter
-	ordered  chan struct{} // has a value when an order is new
+	wake     chan struct{} // has a value when a decision should not wait for its interval
 
 	mu     sync.Mutex
 	orders map[string]*rolloutOrder // by object name
@@ -88,6 +91,7 @@
 	stored     rollout.Status
 	controller rollout.Controller
 	collector  *rollout.Collector
+	failed     map[string]uint32 // failed answers of the target, by router that reports
 	// decided is what this router decided last, zero if it has not decided.
 	decided rollout.Status
 	// heard is the status that a relay announced last, at heardAt, and first at heardSince. A verdict
@@ -116,7 +120,7 @@
 	}
 	p.rollouts = &rollouts{
 		store: p.store, router: p.options.Settings.Router.ID, start: uint64(time.Now().UnixNano()), logger: p.logger,
-		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{}, ordered: make(chan struct{}, 1),
+		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -139,8 +143,8 @@
 	p.rollouts.known = p.mirrors[platform.KindRollouts].KnownAt
 }
 
-// run decides at each rolloutInterval, and at once on a new order: its period counts from the first
-// status.
+// run decides at each rolloutInterval, and sooner on a new order, whose period counts from the first
+// status, and on new failures of a target.
 func (r *rollouts) run(ctx context.Context) error {
 	ticker := time.NewTicker(rolloutInterval)
 	defer ticker.Stop()
@@ -148,10 +152,21 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-r.ordered:
+		case <-r.wake:
 		case <-ticker.C:
 		}
 		r.tick(ctx, time.Now())
+		if !timing.Pause(ctx, rolloutMinInterval) {
+			return nil
+		}
+	}
+}
+
+// wakeUp makes run decide at once.
+func (r *rollouts) wakeUp() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -366,7 +381,7 @@
 
 // newOrder replaces the order of an object by another one. Callers hold r.mu.
 func (r *rollouts) newOrder(name string, decoded rollout.Rollout, status rollout.Status) *rolloutOrder {
-	o := &rolloutOrder{name: name, rollout: decoded, collector: rollout.NewCollector(decoded.ID)}
+	o := &rolloutOrder{name: name, rollout: decoded, collector: rollout.NewCollector(decoded.ID), failed: map[string]uint32{}}
 	if o.isFinal(status) {
 		o.stored, o.finalAt = status, time.Now()
 	}
@@ -376,10 +391,7 @@
 		r.gateway.SetRolloutStatus(time.Now(), rollout.FromStore, decoded.Service, status)
 	}
 	r.gateway.SetRollout(decoded)
-	select {
-	case r.ordered <- struct{}{}:
-	default:
-	}
+	r.wakeUp()
 	r.logger.Info("rollout ordered", zap.String("service", decoded.Service), zap.String("target", decoded.Target),
 		zap.Duration("period", decoded.Period), zap.String("order", decoded.ID), zap.Stringer("state", status.State))
 	return o
@@ -452,6 +464,10 @@
 		for _, o := range r.orders {
 			if o.rollout.Service == report.Service {
 				o.collector.Add(now, router, report.Start, report.Report)
+				if failed := report.Failed(); failed != o.failed[router] {
+					o.failed[router] = failed
+					r.wakeUp()
+				}
 			}
 		}
 	}
--- a/edge/rollouts_test.go
+++ b/edge/rollouts_test.go
@@ -100,7 +100,7 @@
 	r := &rolloutRelay{site: s, first: first, heard: 3}
 	r.rollouts = &rollouts{
 		store: store, peers: r, gateway: g, known: time.Now, router: name, start: 1, logger: zap.NewNop(),
-		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{}, ordered: make(chan struct{}, 1),
+		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{}, wake: make(chan struct{}, 1),
 	}
 	s.relays = append(s.relays, r)
 	r.read()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -133,6 +133,7 @@
 	surges         surgeDetector          // of the reports to this router
 	heartbeatIndex int                    // index in relayOrder of the peer that got the last heartbeat
 	rolloutsSentAt time.Time              // when this router last sent its rollout reports
+	rolloutsFailed uint32                 // the failed answers of targets in these
 }
 
 // peer is another router.
--- a/exchange/rollouts.go
+++ b/exchange/rollouts.go
@@ -27,6 +27,14 @@
 	Report  rollout.Report `cbor:"3,keyasint"`
 }
 
+// Failed returns the number of failed answers of the target.
+func (r *RolloutReport) Failed() (n uint32) {
+	for _, tally := range r.Report.Target {
+		n += tally.Failed
+	}
+	return n
+}
+
 // RolloutStatus is the status of the roll-out of a service, as a relay has decided or heard it.
 type RolloutStatus struct {
 	Service   string        `cbor:"1,keyasint"`
@@ -72,23 +80,27 @@
 	if e.config.Rollouts == nil {
 		return
 	}
+	reports := e.config.Rollouts.Reports(now)
+	if len(reports) == 0 {
+		return
+	}
+	failed := uint32(0)
+	for i := range reports {
+		failed += reports[i].Failed()
+	}
+	var outgoing []outgoingMessage
 	e.mu.Lock()
 	interval := rollout.ReportInterval
 	if e.sendsDirect() {
 		interval = directRolloutInterval
 	}
-	due := now.Sub(e.rolloutsSentAt) >= interval-reportInterval/2
-	e.mu.Unlock()
-	if !due {
-		return
-	}
-	reports := e.config.Rollouts.Reports(now)
-	if len(reports) == 0 {
+	// New failures of a target are sent at the next opportunity: at a high share each moment
+	// exposes more requests to it.
+	if failed == e.rolloutsFailed && now.Sub(e.rolloutsSentAt) < interval-reportInterval/2 {
+		e.mu.Unlock()
 		return
 	}
-	var outgoing []outgoingMessage
-	e.mu.Lock()
-	e.rolloutsSentAt = now
+	e.rolloutsSentAt, e.rolloutsFailed = now, failed
 	receivers := e.collectors(now)
 	for i := range reports {
 		// One roll-out a message, so that each fits into a datagram.
--- a/soak/rollouts_test.go
+++ b/soak/rollouts_test.go
@@ -55,12 +55,13 @@
 	percent uint32        // of the requests fail
 	path    string        // prefix of the paths that fail; all if it is empty
 	delay   time.Duration // of all answers
+	from    time.Time     // when the faults begin; zero for at once
 }
 
 func (f versionFault) bad() bool { return f != versionFault{} }
 
 func (f versionFault) applies(request, path string) bool {
-	return strings.HasPrefix(path, f.path) && crc32.ChecksumIEEE([]byte(request))%100 < f.percent
+	return time.Now().After(f.from) && strings.HasPrefix(path, f.path) && crc32.ChecksumIEEE([]byte(request))%100 < f.percent
 }
 
 // versionLog records which requests reach the versions.
@@ -379,12 +380,6 @@
 	}
 	binary := build(t)
 	bad := versionFault{percent: 40}
-	rollBack := func(h *harness, p *playedRollout) {
-		status := p.await(p.deadline().Add(verdictGrace))
-		assert.Check(h.t, status.State == "rolled_back", "%+v", status)
-		time.Sleep(time.Until(p.deadline()))
-		p.checkExposure()
-	}
 	for name, test := range map[string]func(h *harness){
 		"good, then bad": func(h *harness) {
 			p := h.order("v2", versionFault{})
@@ -394,23 +389,23 @@
 			assert.Check(h.t, inFlight == 0, "%d requests in flight at old endpoints", inFlight)
 			p.finish(status.State)
 			next := h.order("v3", bad)
-			rollBack(h, next)
+			next.checkRollBack()
 			next.finish("rolled_back")
 		},
-		"one route": func(h *harness) { rollBack(h, h.order("v2", versionFault{percent: 60, path: "/safe/"})) },
-		"slow":      func(h *harness) { rollBack(h, h.order("v2", versionFault{delay: 60 * time.Millisecond})) },
+		"one route": func(h *harness) { h.order("v2", versionFault{percent: 60, path: "/safe/"}).checkRollBack() },
+		"slow":      func(h *harness) { h.order("v2", versionFault{delay: 60 * time.Millisecond}).checkRollBack() },
 		"store down before": func(h *harness) {
 			p := h.order("v2", bad)
 			time.Sleep(700 * time.Millisecond)
 			h.platform.SetFaults(standin.PlatformFaults{Outage: true})
 			time.Sleep(time.Until(p.deadline()) - 2*time.Second)
 			h.platform.SetFaults(standin.PlatformFaults{})
-			rollBack(h, p)
+			p.checkRollBack()
 		},
 		"answers of the store lost": func(h *harness) {
 			h.platform.SetFaults(standin.PlatformFaults{LoseProbability: 0.7})
 			p := h.order("v2", bad)
-			rollBack(h, p)
+			p.checkRollBack()
 		},
 		"store down after": func(h *harness) {
 			p := h.order("v2", bad)
@@ -418,7 +413,7 @@
 			h.platform.SetFaults(standin.PlatformFaults{Outage: true})
 			time.Sleep(3 * time.Second)
 			h.platform.SetFaults(standin.PlatformFaults{})
-			rollBack(h, p)
+			p.checkRollBack()
 			at, _ := h.versions.between("v2", p.deadline(), time.Now().Add(time.Minute))
 			assert.Check(h.t, at == 0, "%d requests after the verdict", at)
 		},
@@ -454,7 +449,7 @@
 				}
 			}
 			h.routers[first].signal(syscall.SIGKILL)
-			rollBack(h, p)
+			p.checkRollBack()
 		},
 	} {
 		t.Run(name, func(t *testing.T) { withRolloutFleet(t, binary, test) })
@@ -466,3 +461,29 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// checkRollBack checks that the version is rolled back by the deadline, and what it got until then.
+func (p *playedRollout) checkRollBack() {
+	status := p.await(p.deadline().Add(verdictGrace))
+	assert.Check(p.h.t, status.State == "rolled_back", "%+v", status)
+	time.Sleep(time.Until(p.deadline()))
+	p.checkExposure()
+}
+
+// Guards against a version that is good at first and gets more requests than allowed when it turns
+// bad in the second or in the last stage.
+func TestVersionTurnsBadLate(t *testing.T) {
+	if *previous != "" {
+		t.Skip("the earlier build knows no roll-outs")
+	}
+	binary := build(t)
+	for name, after := range map[string]time.Duration{
+		"second stage": 6800 * time.Millisecond, "last stage": 7700 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			withRolloutFleet(t, binary, func(h *harness) {
+				h.order("v2", versionFault{percent: 40, from: time.Now().Add(after)}).checkRollBack()
+			})
+		})
+	}
+}
