Bounded memory and connections: one account of bytes, limits of connections

Callers that nobody controls took a router beyond its memory and descriptors (see the tests in crowds).

Package overload has one account of bytes with the transfers to end while more than half of it is used, and the account of connections. Package intake wraps the callers', readiness and metrics listeners: it bounds connections, in all and from one address, the fields of a head, and the time for which a caller reads nothing, by progress and not as a whole, so that a stream in hand is not cut. The gateway charges bodies by their declared length before they are read, and chunked ones as they grow; beyond the account a request is refused as not run with reason memory. A body is held once: the head is written apart from it, and one that can't be sent again is dropped. Connections to endpoints are limited, and a limit that is reached does not count against the endpoint. Settings under [limits] and router.max_fds. The runtime's memory limit is 0.85 of router.memory_mb (0.6 before): the account holds the rest back instead.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -1160,6 +1160,7 @@
 	RefusalIsolated            Refusal = "isolated"
 	RefusalLeaseTakeover       Refusal = "lease_takeover"
 	RefusalLoadMultiple        Refusal = "load_multiple"
+	RefusalMemory              Refusal = "memory"
 	RefusalNoEndpoint          Refusal = "no_endpoint"
 	RefusalNoLease             Refusal = "no_lease"
 	RefusalNotOwner            Refusal = "not_owner"
--- a/cmd/hornbeamproxy/router.go
+++ b/cmd/hornbeamproxy/router.go
@@ -23,8 +23,8 @@
 	settingsPollInterval = time.Second
 	// memoryLimitFraction is the fraction of router.memory_mb that is set as the memory
 	// limit of the Go runtime. Above that limit the garbage collector runs more often.
-	// The rest of router.memory_mb is for stacks and sockets.
-	memoryLimitFraction = 0.6
+	// The rest of router.memory_mb is for the program itself and for what the collector is late.
+	memoryLimitFraction = 0.85
 )
 
 // addRouterCommand adds the command that runs a router which takes its configuration
--- a/config/edge.go
+++ b/config/edge.go
@@ -16,6 +16,9 @@
 		ID       string `toml:"id"`
 		Zone     string `toml:"zone"`
 		MemoryMB int    `toml:"memory_mb"` // memory above which the platform kills the process
+		// MaxFDs is the number of file descriptors that the process may have open, or 0 for its
+		// own limit (RLIMIT_NOFILE).
+		MaxFDs int `toml:"max_fds"`
 		// LinkMbps is the capacity of the instance's network link, or 0 if unknown.
 		LinkMbps float64 `toml:"link_mbps"`
 	} `toml:"router"`
@@ -45,6 +48,57 @@
 		// multiple of the mean of the service's endpoints.
 		LoadFactor float64 `toml:"load_factor"`
 	} `toml:"bounds"`
+	// Limits bound what callers may use of one router. 0 means the default.
+	Limits EdgeLimits `toml:"limits"`
+}
+
+// EdgeLimits are limits of callers' connections.
+type EdgeLimits struct {
+	// Connections and ConnectionsPerAddress are the largest numbers of callers' connections, in all
+	// and from one address. Their defaults follow from router.max_fds.
+	Connections           int `toml:"connections"`
+	ConnectionsPerAddress int `toml:"connections_per_address"`
+	// EndpointConnections is the largest number of connections to endpoints. Its default follows
+	// from router.max_fds.
+	EndpointConnections int `toml:"endpoint_connections"`
+	// OperatorConnections is the largest number of connections at each of the readiness and metrics
+	// listeners.
+	OperatorConnections int `toml:"operator_connections"`
+	HeaderFields        int `toml:"header_fields"` // of a caller's request
+	HeaderKB            int `toml:"header_kb"`     // KiB of the head of a caller's request
+	// UnreadMS is the time in milliseconds after which a connection is ended whose caller reads
+	// nothing of a response.
+	UnreadMS float64 `toml:"unread_ms"`
+	// BodyMS is the time in milliseconds that a caller may take to send a body.
+	BodyMS float64 `toml:"body_ms"`
+}
+
+// Smallest values of settings that bound the process as a whole; with less a router can't serve.
+const (
+	minMemoryMB = 64
+	minMaxFDs   = 64
+)
+
+// limitRange is the range of a limit other than 0.
+type limitRange struct {
+	key             string
+	value, min, max float64
+}
+
+// The platform's own limits are 16 KiB of header and bodies within a few seconds; a limit below them
+// would refuse callers that are within them.
+func (l *EdgeLimits) ranges() []limitRange {
+	const maxConnections = 1 << 20
+	return []limitRange{
+		{"limits.connections", float64(l.Connections), 16, maxConnections},
+		{"limits.connections_per_address", float64(l.ConnectionsPerAddress), 8, maxConnections},
+		{"limits.endpoint_connections", float64(l.EndpointConnections), 8, maxConnections},
+		{"limits.operator_connections", float64(l.OperatorConnections), 4, maxConnections},
+		{"limits.header_fields", float64(l.HeaderFields), 32, 65536},
+		{"limits.header_kb", float64(l.HeaderKB), 16, 1024},
+		{"limits.unread_ms", l.UnreadMS, 1000, 600_000},
+		{"limits.body_ms", l.BodyMS, 1000, 600_000},
+	}
 }
 
 // Defaults for values that the platform does not set.
@@ -125,5 +179,19 @@
 			problems = append(problems, Problem{File: path, Key: p.key, Text: "must be above 0"})
 		}
 	}
+	return append(problems, s.checkLimits(path)...)
+}
+
+// checkLimits checks the settings that are 0 unless they are set.
+func (s *EdgeSettings) checkLimits(path string) []Problem {
+	var problems []Problem
+	ranges := append(s.Limits.ranges(),
+		limitRange{"router.memory_mb", float64(s.Router.MemoryMB), minMemoryMB, 1 << 20},
+		limitRange{"router.max_fds", float64(s.Router.MaxFDs), minMaxFDs, 1 << 24})
+	for _, r := range ranges {
+		if r.value != 0 && (r.value < r.min || r.value > r.max) {
+			problems = append(problems, Problem{File: path, Key: r.key, Text: fmt.Sprintf("must be between %g and %g", r.min, r.max)})
+		}
+	}
 	return problems
 }
--- a/config/edge_test.go
+++ b/config/edge_test.go
@@ -46,22 +46,31 @@
 	assert.Equal(t, settings.Store.HeartbeatMS, float64(defaultHeartbeatMS))
 	assert.Equal(t, settings.Router.MemoryMB, 284)
 	assert.Equal(t, settings.Router.LinkMbps, 1000.0)
+	assert.Equal(t, settings.Limits, EdgeLimits{}, "a limit without a setting has its default")
+	settings, err = loadEdge(t, strings.Replace(edgeText, "[bounds]", "[limits]\nheader_kb = 64\n[bounds]", 1))
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Limits, EdgeLimits{HeaderKB: 64})
 }
 
 // Guards against an invalid file that is accepted, and against a problem that
 // does not name its key.
 func TestLoadEdgeProblems(t *testing.T) {
 	for name, c := range map[string]struct{ from, to, key string }{
-		"unknown key":  {"zone =", "zoen =", "zoen"},
-		"wrong type":   {"memory_mb = 284", `memory_mb = "much"`, "memory_mb"},
-		"no id":        {`id = "edge-1"`, `id = ""`, "router.id"},
-		"no store":     {`address = "127.0.0.1:4"`, ``, "store.address"},
-		"no heartbeat": {`address = "127.0.0.1:4"`, "address = \"127.0.0.1:4\"\nheartbeat_ms = 0", "store.heartbeat_ms"},
-		"no peers":     {`peers = "127.0.0.1:3"`, ``, "listen.peers"},
-		"no grace":     {"grace_s = 8", "grace_s = 0", "bounds.grace_s"},
-		"not TOML":     {"[bounds]", "[bounds", ""},
-		"negative":     {"cold_factor = 1.5", "cold_factor = -1", "bounds.cold_factor"},
-		"empty number": {"grace_s = 8", "grace_s =", ""},
+		"unknown key":       {"zone =", "zoen =", "zoen"},
+		"wrong type":        {"memory_mb = 284", `memory_mb = "much"`, "memory_mb"},
+		"no id":             {`id = "edge-1"`, `id = ""`, "router.id"},
+		"no store":          {`address = "127.0.0.1:4"`, ``, "store.address"},
+		"no heartbeat":      {`address = "127.0.0.1:4"`, "address = \"127.0.0.1:4\"\nheartbeat_ms = 0", "store.heartbeat_ms"},
+		"little memory":     {"memory_mb = 284", "memory_mb = 63", "router.memory_mb"},
+		"few descriptors":   {"memory_mb = 284", "max_fds = 63", "router.max_fds"},
+		"no connections":    {"[bounds]", "[limits]\nconnections = -1\n[bounds]", "limits.connections"},
+		"few header fields": {"[bounds]", "[limits]\nheader_fields = 31\n[bounds]", "limits.header_fields"},
+		"short unread time": {"[bounds]", "[limits]\nunread_ms = 999\n[bounds]", "limits.unread_ms"},
+		"no peers":          {`peers = "127.0.0.1:3"`, ``, "listen.peers"},
+		"no grace":          {"grace_s = 8", "grace_s = 0", "bounds.grace_s"},
+		"not TOML":          {"[bounds]", "[bounds", ""},
+		"negative":          {"cold_factor = 1.5", "cold_factor = -1", "bounds.cold_factor"},
+		"empty number":      {"grace_s = 8", "grace_s =", ""},
 	} {
 		_, err := loadEdge(t, strings.Replace(edgeText, c.from, c.to, 1))
 		var problems *Error
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -34,9 +34,6 @@
 	// idleTimeout is longer than the time for which callers keep an idle connection, so
 	// that the router does not close a connection while a caller sends a request on it.
 	idleTimeout = 3 * time.Minute
-	// maxHeaderBytes bounds the header of a caller's request; the platform's own
-	// limit is 16 KiB.
-	maxHeaderBytes = 64 << 10
 	// rotationDelay is how long the load balancer may send new connections after the
 	// readiness check fails: it checks once a second and needs two failures.
 	rotationDelay = 2500 * time.Millisecond
@@ -80,6 +77,7 @@
 	fleet    *fleet
 	poison   *quarantines
 	failures *reporter
+	intakes  *intakes
 	stopping atomic.Bool
 }
 
@@ -127,10 +125,13 @@
 	p.peers = peers
 	p.failures = newReporter(s.Router.ID, platform.KeyStore{Store: p.store}, peers.Alive, p.metrics, p.logger)
 	heartbeat := time.Duration(s.Store.HeartbeatMS * float64(time.Millisecond))
+	p.intakes = newIntakes(s)
 	p.gateway = gateway.New(gateway.Config{
 		Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
 		Routers: peers.Routers, Reporter: p.failures,
 		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
+		Account:       p.intakes.account, EndpointSlots: p.intakes.slots,
+		BodyTimeout: milliseconds(s.Limits.BodyMS),
 	})
 	access := &mirror.Access{}
 	p.mirrors = map[string]*mirror.Mirror{}
@@ -183,6 +184,7 @@
 	add(p.failures.run)
 	add(p.peers.Send)
 	add(p.reload)
+	add(p.relieve)
 	group.Add(p.peers.Receive, func(error) { p.peers.Close() })
 	if err := p.listen(ctx, &group); err != nil {
 		return err
@@ -222,18 +224,19 @@
 		if address == "" {
 			continue
 		}
-		server := &http.Server{Handler: operators, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-		if err := serve(group, server, address); err != nil {
+		server, listener, err := p.newOperatorServer(operators, address)
+		if err != nil {
 			return err
 		}
+		serve(group, server, listener)
 	}
 	callers := &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(p.logger),
+		ErrorLog: zap.NewStdLog(p.logger),
 	}
-	listener, err := net.Listen("tcp", s.Listen.Callers)
+	listener, err := p.listenForCallers(callers)
 	if err != nil {
-		return fmt.Errorf("listening for callers: %w", err)
+		return err
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- callers.Serve(listener) }()
@@ -252,18 +255,13 @@
 	return nil
 }
 
-func serve(group *run.Group, server *http.Server, address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("opening the readiness or metrics listener: %w", err)
-	}
+func serve(group *run.Group, server *http.Server, listener net.Listener) {
 	group.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serving %s: %w", address, err)
+			return fmt.Errorf("serving %s: %w", listener.Addr(), err)
 		}
 		return nil
 	}, func(error) { server.Close() })
-	return nil
 }
 
 // ready answers the readiness check of the load balancer.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,6 +46,9 @@
 	x.addOwnTime()
 	conn, err := x.connect(pool)
 	x.ownSince = time.Now()
+	if errors.Is(err, upstream.ErrNoSlot) {
+		return x.handleNoSlot(state)
+	}
 	if err != nil {
 		return x.handleNotSent(state, err)
 	}
@@ -65,6 +68,7 @@
 	pool, ok := g.pools[state.Endpoint]
 	if !ok {
 		pool = upstream.NewPool(state.Endpoint.Address, dialTimeout)
+		pool.Slots = g.slots
 		g.pools[state.Endpoint] = pool
 	}
 	return pool
@@ -86,7 +90,11 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.g.metrics.Counter("upstream.dials").Inc(1)
-	return pool.Dial(ctx)
+	conn, err := pool.Dial(ctx)
+	if errors.Is(err, upstream.ErrNoSlot) && x.g.closeIdle() {
+		return pool.Dial(ctx)
+	}
+	return conn, err
 }
 
 // errOrCallerGone returns errCallerGone if the caller has disconnected, and err
@@ -116,8 +124,7 @@
 	}
 	buffer := getBuffer()
 	defer putBuffer(buffer)
-	buffer.b = x.g.config.Codec.AppendRequest(buffer.b[:0], x.request, options)
-	if err := conn.Send(buffer.b); err != nil {
+	if err := x.sendRequest(conn, buffer, options); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
 			conn.Close()
 			return x.handleNotSent(state, err)
@@ -126,6 +133,7 @@
 		return x.handleNoResponse(conn, state, err)
 	}
 	x.sends++
+	x.releaseSentBody()
 	x.addOwnTime()
 	// The connection owns the body, and is itself released or closed after the response.
 	response, head, err := x.receive(conn) //nolint:bodyclose // see above
@@ -209,6 +217,7 @@
 		return x.handleNotRun(conn, pool, state, response, head)
 	}
 	x.mayHaveRun = true
+	x.releaseSentBody()
 	x.g.firstByte.UpdateSince(x.arrived)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if !head.Signed || success && head.Encoded {
--- a/gateway/endpointexit.go
+++ b/gateway/endpointexit.go
@@ -77,7 +77,7 @@
 func (g *Gateway) checkExit(state *balance.State, check *exitCheck) {
 	time.Sleep(exitCollectTime)
 	pool := g.pool(state)
-	conn, err := pool.Dial(context.Background())
+	conn, err := pool.Probe(context.Background())
 	now := time.Now()
 	if err == nil {
 		pool.ReleaseUnused(conn, now)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +10,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/overload"
 	"github.com/hornbeamproxy/hornbeamproxy/retry"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
@@ -54,6 +53,8 @@
 	// retryAfterChange covers the time until the router receives its configuration or
 	// a usable endpoint registers.
 	retryAfterChange = time.Second
+	// retryAfterMemory covers the time until transfers that make no progress are ended.
+	retryAfterMemory = time.Second
 )
 
 // exchange is one caller's request and the state of its attempts.
@@ -69,6 +70,11 @@
 	workspace *routing.Workspace
 	service   string
 	deadline  time.Time
+	// body is the request's body in the account of bytes; nil if there is none.
+	body *overload.Lease
+	// bodyRead is set when the body has been read, and bodyGone when it has been dropped although
+	// the request is not answered yet, so that it can't be sent again.
+	bodyRead, bodyGone bool
 
 	// ownTime is the time that this router itself has spent on the request: it excludes
 	// waiting for the caller or an endpoint. ownSince is when the router last stopped
@@ -116,6 +122,7 @@
 // serve answers the request. Each path ends with exactly one final response, or
 // closes the caller's connection before a response is complete.
 func (x *exchange) serve() {
+	defer x.releaseBody()
 	if !x.admit() {
 		return
 	}
@@ -187,53 +194,6 @@
 	return true
 }
 
-// readBody reads the caller's body within the limits of size and time. It returns
-// false if the request has been refused.
-func (x *exchange) readBody() bool {
-	limit := x.table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		x.refuse(http.StatusRequestEntityTooLarge, api.RefusalBodyTooLarge, 0)
-		return false
-	}
-	if x.r.ContentLength == 0 {
-		return true
-	}
-	var body []byte
-	control := http.NewResponseController(x.w)
-	err := control.SetReadDeadline(x.arrived.Add(x.g.bodyTimeout))
-	defer x.g.onEnd(func() { _ = control.SetReadDeadline(time.Now()) })()
-	switch {
-	case err != nil:
-	case x.r.ContentLength > 0:
-		body = make([]byte, x.r.ContentLength)
-		_, err = io.ReadFull(x.r.Body, body)
-	default:
-		body, err = io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	}
-	if err == nil {
-		err = control.SetReadDeadline(time.Time{})
-	}
-	switch {
-	case err != nil && x.g.ended():
-		x.refuse(http.StatusServiceUnavailable, api.RefusalShuttingDown, retryAfterElsewhere)
-		return false
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.refuse(http.StatusRequestTimeout, api.RefusalBadRequest, 0)
-		return false
-	case err != nil:
-		x.refuse(http.StatusBadRequest, api.RefusalBadRequest, 0)
-		return false
-	case int64(len(body)) > limit:
-		x.refuse(http.StatusRequestEntityTooLarge, api.RefusalBodyTooLarge, 0)
-		return false
-	}
-	x.request.Body = body
-	return true
-}
-
 // result is the outcome of one attempt.
 type result struct {
 	// done is set when the caller has received a final response.
@@ -252,9 +212,9 @@
 
 // shouldRetry decides whether to attempt the request once more. A stream of which the
 // caller has a part is retried only if it can be resumed, and a prompt only if none of its parts
-// is suspected of crashing endpoints.
+// is suspected of crashing endpoints. A request without its body is not.
 func (x *exchange) shouldRetry(r result) bool {
-	if r.retry == "" || x.stream.started && !x.stream.resumable || x.suspected() {
+	if r.retry == "" || x.stream.started && !x.stream.resumable || x.bodyGone || x.suspected() {
 		return false
 	}
 	failed := retry.FailedAttempt{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/overload"
 	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/retry"
@@ -69,6 +70,13 @@
 	// EntryLifetime is the shortest outage of the store after which entries of endpoints may have
 	// expired because they could not be renewed.
 	EntryLifetime time.Duration
+	// Account holds the bytes of bodies and responses; nil means one without a limit.
+	Account *overload.Account
+	// EndpointSlots counts the connections to endpoints; nil means a count without a limit.
+	EndpointSlots *overload.Slots
+	// BodyTimeout bounds the time from the arrival of a request to the end of its body; 0 means
+	// the default of 10 s.
+	BodyTimeout time.Duration
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
@@ -80,6 +88,8 @@
 	table   atomic.Pointer[routing.Table]
 	// draining is set when callers' connections are to be closed after the response.
 	draining atomic.Bool
+	account  *overload.Account
+	slots    *overload.Slots
 	// plan is nil unless the router stops. ending ends at its endsAt.
 	plan        atomic.Pointer[drainPlan]
 	ending      context.Context
@@ -122,6 +132,15 @@
 		firstByte:   metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
 		own:         metrics.GetOrRegisterTimer("requests.own_seconds", config.Metrics.Registry),
 	}
+	if config.BodyTimeout > 0 {
+		g.bodyTimeout = config.BodyTimeout
+	}
+	if g.account = config.Account; g.account == nil {
+		g.account = overload.New(0)
+	}
+	if g.slots = config.EndpointSlots; g.slots == nil {
+		g.slots = overload.NewSlots(0)
+	}
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapsedEntryGrace: lapsedEntryGrace, EntryLifetime: config.EntryLifetime})
 	g.retries.Budget = retry.NewBudget(retry.BudgetConfig{
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/hornbeamproxy/hornbeamproxy/gateway"
+	"github.com/hornbeamproxy/hornbeamproxy/overload"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
@@ -42,7 +43,7 @@
 // false.
 type script func(r *http.Request, w io.Writer) bool
 
-func newEndpoint(t *testing.T, id string, scripts ...script) *endpoint {
+func newEndpoint(t testing.TB, id string, scripts ...script) *endpoint {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -195,10 +196,18 @@
 func (r *recorder) PromptQuarantined(part string, _ time.Time) { r.add("quarantined %s", part) }
 func (r *recorder) EndpointRecovered(id string)                { r.add("recovered %s", id) }
 
-func newTestGateway(t *testing.T, endpoints ...*endpoint) testGateway {
+func newTestGateway(t testing.TB, endpoints ...*endpoint) testGateway {
+	t.Helper()
+	return newLimitedGateway(t, nil, nil, endpoints...)
+}
+
+// newLimitedGateway returns a gateway with accounts of bytes and of connections to endpoints; nil means
+// no limit.
+func newLimitedGateway(t testing.TB, account *overload.Account, slots *overload.Slots, endpoints ...*endpoint) testGateway {
 	t.Helper()
 	metrics, reporter := telemetry.NewMetrics(), &recorder{}
 	g := gateway.New(gateway.Config{
+		Account: account, EndpointSlots: slots,
 		Zone: "z", Codec: platform.Codec{}, Logger: zap.NewNop(), Metrics: metrics,
 		Bounds:   gateway.Bounds{RetryRatio: 0.2, RetrySlack: 20, ColdRateFactor: 1.5, ColdRateSlack: 5, LoadFactor: 2},
 		Reporter: reporter,
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -62,7 +62,7 @@
 
 func (g *Gateway) verifyEndpoint(ctx context.Context, state *balance.State) {
 	pool := g.pool(state)
-	conn, err := pool.Dial(ctx)
+	conn, err := pool.Probe(ctx)
 	now := time.Now()
 	if err == nil {
 		pool.ReleaseUnused(conn, now)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -23,7 +23,7 @@
 	// Path is the path without the query. The route is matched by it.
 	Path   string
 	Header http.Header // only what is forwarded
-	Body   []byte
+	Body   Body
 	APIKey string // of the workspace
 	// Timeout is how long the caller waits, from the arrival of the request; 0 if it
 	// sets no limit.
@@ -119,9 +119,9 @@
 	// Parse parses a caller's request without its body. It returns an error if the
 	// request is malformed.
 	Parse(r *http.Request) (*Request, error)
-	// AppendRequest appends the complete request, head and body, as it is sent to an
-	// endpoint.
-	AppendRequest(dst []byte, request *Request, options SendOptions) []byte
+	// AppendHead appends the request as it is sent to an endpoint, up to the beginning of its
+	// body.
+	AppendHead(dst []byte, request *Request, options SendOptions) []byte
 	// ParseResponse parses the head of an endpoint's response.
 	ParseResponse(response *http.Response) ResponseHead
 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -12,6 +12,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/overload"
 	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
 
@@ -20,6 +21,10 @@
 	// any of it is forwarded. If it is cut off, the request can be retried or the
 	// caller gets a refusal with the reason.
 	maxBufferedBytes = 256 << 10
+	// firstResponseBytes is the buffer for a response of unknown length; it grows by
+	// responseGrowth as needed.
+	firstResponseBytes = 4 << 10
+	responseGrowth     = 8
 	// maxDiscardedBytes is the size up to which the body of a response that is not
 	// forwarded is read, so that its connection can be used again. Above it, the
 	// connection is closed.
@@ -115,9 +120,11 @@
 // forwardBuffered reads a response to its end before forwarding it. Responses
 // larger than maxBufferedBytes are forwarded as they arrive.
 func (x *exchange) forwardBuffered(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response) result {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	lease := x.g.account.Track(overload.Responses, 0)
+	defer lease.Release()
+	body, whole, err := readResponse(response, lease)
 	x.ownSince = time.Now()
-	if err == nil && len(body) > maxBufferedBytes {
+	if err == nil && !whole {
 		return x.forwardOversized(conn, pool, state, response, body)
 	}
 	if err != nil {
@@ -137,15 +144,50 @@
 	if response.StatusCode < http.StatusMultipleChoices {
 		x.recordAnswer()
 	}
+	x.releaseBody()
 	buffered.write(x.w)
 	x.recordOwnTime()
 	x.g.metrics.Counter("answers.whole").Inc(1)
 	return result{done: true}
 }
 
+// readResponse reads a body of up to maxBufferedBytes. It returns false if the body is larger, or if
+// the account has no room for it, with the part that has been read.
+func readResponse(response *http.Response, lease *overload.Lease) (body []byte, whole bool, err error) {
+	size := int64(firstResponseBytes)
+	if response.ContentLength >= 0 {
+		// One byte more lets the end of the body be read without growing.
+		size = min(response.ContentLength, maxBufferedBytes) + 1
+	}
+	for {
+		if !lease.Grow(size) {
+			return body, false, nil
+		}
+		grown := make([]byte, len(body), size)
+		copy(grown, body)
+		lease.Shrink(int64(cap(body)))
+		body = grown
+		for len(body) < cap(body) {
+			n, err := response.Body.Read(body[len(body):cap(body)])
+			body = body[:len(body)+n]
+			if err == io.EOF {
+				return body, true, nil
+			}
+			if err != nil {
+				return body, false, err
+			}
+		}
+		if len(body) > maxBufferedBytes {
+			return body, false, nil
+		}
+		size = min(responseGrowth*size, maxBufferedBytes+1)
+	}
+}
+
 // forwardOversized forwards a response that is too large to buffer; head holds the
 // part of the body that has been read already.
 func (x *exchange) forwardOversized(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response, head []byte) result {
+	x.releaseBody()
 	copyHeaders(x.w, response)
 	if response.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
@@ -177,6 +219,7 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
+	x.boundUnreadBody()
 	body := "{\"refused\":\"" + string(reason) + "\"}\n"
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/overload"
 	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
@@ -95,12 +96,17 @@
 	defer putBuffer(b)
 	pending := b.b[:0]
 	defer func() { b.b = pending }()
+	// Events are forwarded whole, so that their memory is charged also if there is no room.
+	held := x.g.account.Track(overload.Responses, int64(cap(pending)))
+	defer held.Release()
 	for {
 		if len(pending) >= maxEventBytes {
 			return errEventTooLarge
 		}
 		if len(pending) == cap(pending) {
+			before := cap(pending)
 			pending = append(pending, 0)[:len(pending)]
+			held.Charge(int64(cap(pending) - before))
 		}
 		n, err := response.Body.Read(pending[len(pending):cap(pending)])
 		pending = pending[:len(pending)+n]
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -20,6 +20,9 @@
 var (
 	// ErrNotSent means that no byte of the request left this process.
 	ErrNotSent = errors.New("upstream: request not sent")
+	// ErrNoSlot means that the process has as many connections to endpoints as it may have. It
+	// comes together with ErrNotSent.
+	ErrNoSlot = errors.New("upstream: too many connections to endpoints")
 	// ErrBroken means that the connection failed after a byte of the request may have
 	// been sent.
 	ErrBroken = errors.New("upstream: connection broken")
@@ -74,6 +77,8 @@
 	lastRead atomic.Int64
 	// heard is set when bytes have arrived since the connection was taken for a request.
 	heard atomic.Bool
+	// closed is set by Close, so that the pool's slot is returned once.
+	closed atomic.Bool
 }
 
 func newConn(conn net.Conn, pool *Pool) *Conn {
@@ -117,11 +122,26 @@
 func (c *Conn) Close() {
 	c.pool.unmarkBusy(c)
 	_ = c.net.Close()
+	if c.closed.CompareAndSwap(false, true) && c.pool.Slots != nil {
+		c.pool.Slots.Release()
+	}
 }
 
 // Send writes a complete request. Errors: ErrNotSent, ErrBroken.
 func (c *Conn) Send(request []byte) error {
 	n, err := c.net.Write(request)
+	return sendError(int64(n), err)
+}
+
+// SendParts writes a complete request that is held in several parts, without a copy of them. It
+// consumes parts. Errors: ErrNotSent, ErrBroken.
+func (c *Conn) SendParts(parts net.Buffers) error {
+	n, err := parts.WriteTo(c.net)
+	return sendError(n, err)
+}
+
+// sendError classifies the error of a write of which n bytes have left.
+func sendError(n int64, err error) error {
 	switch {
 	case err == nil:
 		return nil
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -26,6 +26,9 @@
 type Pool struct {
 	address string
 	dialer  net.Dialer
+	// Slots bounds the connections of all pools that share it; nil means no bound. It must be set
+	// before the first use of the pool.
+	Slots Slots
 
 	mu     sync.Mutex
 	idle   []*Conn // newest last
@@ -33,6 +36,15 @@
 	closed bool
 }
 
+// Slots counts connections up to a limit. Implementations are safe for concurrent use.
+type Slots interface {
+	// Acquire takes a slot, and returns false if there is none.
+	Acquire() bool
+	// Take takes a slot also if there is none.
+	Take()
+	Release()
+}
+
 // NewPool returns an empty pool for the address (IP:PORT). dialTimeout bounds the
 // opening of a connection.
 func NewPool(address string, dialTimeout time.Duration) *Pool {
@@ -81,10 +93,30 @@
 	return conn
 }
 
-// Dial opens a connection and marks it busy. Errors: ErrNotSent.
+// Dial opens a connection and marks it busy. Errors: ErrNotSent, and also ErrNoSlot if no
+// connection may be opened.
 func (p *Pool) Dial(ctx context.Context) (*Conn, error) {
+	if p.Slots != nil && !p.Slots.Acquire() {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrNoSlot)
+	}
+	return p.dial(ctx)
+}
+
+// Probe opens a connection as Dial does, also if there is no slot: the state of an endpoint must not
+// depend on how many connections this process has. Errors: ErrNotSent.
+func (p *Pool) Probe(ctx context.Context) (*Conn, error) {
+	if p.Slots != nil {
+		p.Slots.Take()
+	}
+	return p.dial(ctx)
+}
+
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
+		if p.Slots != nil {
+			p.Slots.Release()
+		}
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	c := newConn(conn, p)
@@ -141,6 +173,21 @@
 	}
 }
 
+// CloseOldestIdle closes the connection that has been idle the longest, and returns false if there is
+// none.
+func (p *Pool) CloseOldestIdle() bool {
+	p.mu.Lock()
+	if len(p.idle) == 0 {
+		p.mu.Unlock()
+		return false
+	}
+	conn := p.idle[0]
+	p.idle = append(p.idle[:0], p.idle[1:]...)
+	p.mu.Unlock()
+	conn.Close()
+	return true
+}
+
 // CloseStalled is called when the endpoint has stopped answering. It closes the idle
 // connections, so that no request is lost on one of them. It also closes the busy
 // connections whose request is retryable and has received no byte since the given time.
