--- a/edge/overload.go
+++ b/edge/overload.go
@@ -93,7 +93,7 @@
 		Limits: overload.Limits{
 			Total: limits.Connections, PerAddress: limits.ConnectionsPerAddress, StallAge: headStallAge,
 		},
-		Account: p.intakes.account, Metrics: p.metrics, MaxHeaderFields: limits.HeaderFields,
+		Account: p.intakes.account, Metrics: p.metrics, Logger: p.logger, MaxHeaderFields: limits.HeaderFields,
 		WriteTimeout: milliseconds(limits.UnreadMS),
 	})
 	if err != nil {
@@ -111,7 +111,7 @@
 	listener, err := intake.Listen(address, intake.Config{
 		Limits: overload.Limits{Total: p.intakes.limits.OperatorConnections},
 		// Checks and metrics are answered also when callers have used up the account.
-		Account: overload.New(0), Metrics: p.metrics, MaxHeaderFields: p.intakes.limits.HeaderFields,
+		Account: overload.New(0), Metrics: p.metrics, Logger: p.logger, MaxHeaderFields: p.intakes.limits.HeaderFields,
 	})
 	if err != nil {
 		return nil, nil, fmt.Errorf("opening the readiness or metrics listener: %w", err)
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -129,7 +129,15 @@
 		return Body{segment}, nil
 	}
 	var body Body
-	for size, next := int64(0), int64(firstSegmentBytes); ; next = bodySegmentBytes {
+	for size := int64(0); ; {
+		next := int64(bodySegmentBytes)
+		switch size {
+		case 0:
+			next = firstSegmentBytes
+		case firstSegmentBytes:
+			// Both together are still a small body.
+			next = overload.SmallBytes - firstSegmentBytes
+		}
 		if !x.body.Grow(next) {
 			return nil, errOverBudget
 		}
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -44,9 +44,10 @@
 	bodyBytes int  // bytes of the body since the last recorded progress
 	receiving bool // whether the connection waits for a body
 
-	mu     sync.Mutex
-	closed bool
-	head   *overload.Lease // of the current head; nil if there is none
+	mu        sync.Mutex
+	closed    bool
+	inRequest bool            // whether a request is served
+	head      *overload.Lease // of the current head; nil if there is none
 }
 
 // expectHead begins the count of the next head. Up to 4 KiB of a request that was sent ahead may be in
@@ -55,14 +56,26 @@
 	c.mu.Lock()
 	c.head.Release()
 	c.head = nil
+	if c.inRequest && !c.closed {
+		c.cost.Shrink(requestBytes)
+	}
+	c.inRequest = false
 	c.mu.Unlock()
 	c.lines, c.lineBegun, c.bodyBytes, c.receiving = 0, false, 0, false
 	c.inHead.Store(true)
 }
 
-// endHead is called when a head has been read. Its bytes stay in the account until the response has
-// been sent.
-func (c *Conn) endHead() { c.inHead.Store(false) }
+// beginRequest is called when a head has been read. Its bytes stay in the account until the response
+// has been sent.
+func (c *Conn) beginRequest() {
+	c.inHead.Store(false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inRequest && !c.closed {
+		c.inRequest = true
+		c.cost.Charge(requestBytes)
+	}
+}
 
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
@@ -106,14 +119,14 @@
 	before := c.lines
 	read := c.countLines(b)
 	if config.MaxHeaderFields > 0 && c.lines > config.MaxHeaderFields+1 {
-		config.Metrics.Counter("overload.header_fields").Inc(1)
+		c.listener.record("header_fields", c)
 		_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 		_, _ = c.Conn.Write([]byte(tooManyFields))
 		return false
 	}
 	ok := c.charge(int64(read + (c.lines-before)*fieldBytes))
 	if !ok {
-		config.Metrics.Counter("overload.header_memory").Inc(1)
+		c.listener.record("header_memory", c)
 	}
 	return ok
 }
@@ -180,7 +193,7 @@
 			stalled = 0
 		}
 		if stalled >= config.WriteTimeout || stalled > 0 && config.Account.Pressed() {
-			config.Metrics.Counter("overload.unread").Inc(1)
+			c.listener.record("unread", c)
 			_ = c.Close()
 			return written, errUnread
 		}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/hornbeamproxy/hornbeamproxy/overload"
@@ -21,7 +22,7 @@
 // serve starts a server behind a listener with the limits, and returns the listener.
 func serve(t *testing.T, config Config, handler http.HandlerFunc) *Listener {
 	t.Helper()
-	config.Metrics, config.MaxHeaderFields = telemetry.NewMetrics(), maxFields
+	config.Metrics, config.Logger, config.MaxHeaderFields = telemetry.NewMetrics(), zap.NewNop(), maxFields
 	if config.Account == nil {
 		config.Account = overload.New(1 << 20)
 	}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/hornbeamproxy/hornbeamproxy/overload"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
@@ -20,11 +22,16 @@
 // (8 KiB) and the stack of its goroutine.
 const connectionBytes = 16 << 10
 
+// requestBytes is what a request in flight costs beyond that: the buffer of its head and the stacks and
+// buffers of its connection to the endpoint.
+const requestBytes = 32 << 10
+
 // Config configures a Listener.
 type Config struct {
 	Limits  overload.Limits
 	Account *overload.Account
 	Metrics *telemetry.Metrics
+	Logger  *zap.Logger
 	// MaxHeaderFields bounds the fields of a request's head; 0 means no limit.
 	MaxHeaderFields int
 	// WriteTimeout ends a connection of which the caller reads nothing for that long while the
@@ -64,7 +71,7 @@
 		if conn := l.admit(accepted); conn != nil {
 			return conn, nil
 		}
-		l.config.Metrics.Counter("overload.connections_refused").Inc(1)
+		l.record("connections_refused", accepted)
 		_ = accepted.Close()
 	}
 }
@@ -113,11 +120,18 @@
 	conn := l.conns[id]
 	l.mu.Unlock()
 	if conn != nil {
-		l.config.Metrics.Counter("overload.connections_closed").Inc(1)
+		l.record("connections_closed", conn)
 		_ = conn.Close()
 	}
 }
 
+// record counts and logs a connection that is closed for the reason.
+func (l *Listener) record(reason string, conn net.Conn) {
+	l.config.Metrics.Counter("overload." + reason).Inc(1)
+	l.config.Logger.Info("connection closed by limit", zap.String("reason", reason), zap.Stringer("caller", conn.RemoteAddr()),
+		zap.Int("connections", l.table.Count()), zap.Int64("used", l.config.Account.Used()))
+}
+
 // Count returns the number of open connections.
 func (l *Listener) Count() int { return l.table.Count() }
 
@@ -129,7 +143,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		conn.endHead()
+		conn.beginRequest()
 		l.table.SetState(time.Now(), conn.id, overload.Busy)
 	case http.StateIdle:
 		conn.expectHead()
