gateway: a caller that leaves while it reads breaks no other request

The connection to the endpoint is closed when its caller disconnects. It was returned to the pool before the response was written to the caller, while that closing was still armed, so that a slow reader that left closed a connection which served another request by then. The connection is now returned only after the closing has been stopped.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -109,8 +109,8 @@
 
 // exchangeOn sends the request on a connection and handles the response.
 func (x *exchange) exchangeOn(conn *upstream.Conn, pool *upstream.Pool, state *balance.State) result {
-	stop := context.AfterFunc(x.r.Context(), func() { conn.Close() })
-	defer stop()
+	x.unwatch = context.AfterFunc(x.r.Context(), func() { conn.Close() })
+	defer x.unwatch()
 	conn.SetDeadline(x.deadline)
 	defer x.g.onEnd(func() { conn.SetDeadline(time.Now()) })()
 	conn.SetRequestRetryable(x.route.Repeatable())
@@ -144,6 +144,16 @@
 	return x.handleResponse(conn, pool, state, response, head)
 }
 
+// returnConn makes a connection idle after a complete response. If the caller has disconnected, its
+// connection is being closed and must not be used for another request.
+func (x *exchange) returnConn(conn *upstream.Conn, pool *upstream.Pool, response *http.Response) {
+	if !x.unwatch() {
+		conn.Close()
+		return
+	}
+	pool.Release(conn, response, time.Now())
+}
+
 // receive reads the head of the response to this request. It discards up to
 // maxSkippedResponses responses that carry the id of another request.
 func (x *exchange) receive(conn *upstream.Conn) (*http.Response, ResponseHead, error) {
@@ -240,7 +250,7 @@
 // part: nothing of it may reach the caller.
 func (x *exchange) handleNotResumed(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response) result {
 	if err := discardBody(response); err == nil {
-		pool.Release(conn, response, time.Now())
+		x.returnConn(conn, pool, response)
 	} else {
 		conn.Close()
 	}
@@ -276,7 +286,7 @@
 // refused it, or another endpoint answered at the address.
 func (x *exchange) handleNotRun(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response, head ResponseHead) result {
 	if err := discardBody(response); err == nil {
-		pool.Release(conn, response, time.Now())
+		x.returnConn(conn, pool, response)
 	} else {
 		x.log("connection closed", string(api.RefusalUpstreamMismatch), zap.Error(err))
 		conn.Close()
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -157,3 +157,57 @@
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
+
+// Guards against a caller that leaves while it reads its response and closes the endpoint's connection,
+// which by then serves another request.
+func TestReaderThatLeavesBreaksNoOtherRequest(t *testing.T) {
+	const sentAhead, size = 40, 250 << 10
+	release := make(chan bool)
+	e := newEndpoint(t, "i", func(r *http.Request, w io.Writer) bool {
+		if r.Header.Get("Request-Id") == "other" {
+			<-release
+			return answer(200, "", "ok")(r, w)
+		}
+		return answer(200, "", strings.Repeat("b", size))(r, w)
+	})
+	f := newTestGateway(t, e).configure()
+	head := "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nApi-Key: key\r\nContent-Length: 0\r\n\r\n"
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+	_, err = io.WriteString(conn, strings.Repeat(head, sentAhead))
+	assert.NilError(t, err)
+	// The caller blocks the router when no further request reaches the endpoint.
+	for seen := -1; seen != len(e.received()); time.Sleep(200 * time.Millisecond) {
+		seen = len(e.received())
+	}
+	blocked := len(e.received())
+	assert.Assert(t, blocked < sentAhead)
+	status := make(chan int)
+	go func() {
+		response, _, _ := f.do(t, "/unsafe/x", "Request-Id", "other")
+		status <- response.StatusCode
+	}()
+	eventually(t, func() bool { return len(e.received()) == blocked+1 })
+	assert.NilError(t, conn.Close())
+	time.Sleep(100 * time.Millisecond)
+	close(release)
+	assert.Equal(t, <-status, http.StatusOK)
+}
+
+// Guards against a caller that leaves in the middle of a large response and counts as a failure of the
+// endpoint or as a broken response of the service.
+func TestReaderThatLeavesIsNoFailure(t *testing.T) {
+	e := newEndpoint(t, "i", func(r *http.Request, w io.Writer) bool {
+		return answer(200, "", strings.Repeat("b", 32<<20))(r, w)
+	})
+	f := newTestGateway(t, e).configure()
+	conn := openBody(t, f, "/unsafe/x", "Content-Length: 4", "body")
+	_, err := io.CopyN(io.Discard, conn, 1<<20)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Close())
+	eventually(t, func() bool { return f.metrics.Counter("requests.abandoned").Count() == 1 })
+	assert.Equal(t, f.metrics.Counter("refusals.upstream_incomplete").Count(), int64(0))
+	assert.Equal(t, len(f.reporter.take()), 0)
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -82,6 +82,10 @@
 	ownTime  time.Duration
 	ownSince time.Time
 
+	// unwatch ends the closing of the endpoint's connection when the caller disconnects. It returns
+	// false if the connection is being closed.
+	unwatch func() bool
+
 	// tried are the endpoints that the request was sent to or that could not be
 	// reached for it.
 	tried []*roster.Endpoint
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return x.handleBroken(conn, state, err, nil, result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonResponseCut})
 	}
-	pool.Release(conn, response, time.Now())
+	x.returnConn(conn, pool, response)
 	var outcome error
 	if response.StatusCode >= http.StatusInternalServerError {
 		outcome = errEndpointFailed
@@ -184,6 +184,19 @@
 	}
 }
 
+// callerWriter tells the errors of writing to the caller, which do not count against the endpoint, from
+// those of reading the endpoint's response.
+type callerWriter struct {
+	w      io.Writer
+	failed bool // whether a write has failed
+}
+
+func (c *callerWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	c.failed = c.failed || err != nil
+	return n, err
+}
+
 // forwardOversized forwards a response that is too large to buffer; head holds the
 // part of the body that has been read already.
 func (x *exchange) forwardOversized(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response, head []byte) result {
@@ -193,16 +206,22 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	x.w.WriteHeader(response.StatusCode)
-	_, err := x.w.Write(head)
+	caller := &callerWriter{w: x.w}
+	_, err := caller.Write(head)
 	if err == nil {
-		_, err = io.Copy(x.w, response.Body)
+		_, err = io.Copy(caller, response.Body)
+	}
+	if caller.failed {
+		conn.Close()
+		x.release(state, errCallerGone)
+		x.abandon()
 	}
 	if err != nil {
 		conn.Close()
 		x.release(state, x.errOrCallerGone(err))
 		x.abortResponse(zap.Error(err))
 	}
-	pool.Release(conn, response, time.Now())
+	x.returnConn(conn, pool, response)
 	x.release(state, nil)
 	return result{done: true}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -56,7 +56,7 @@
 	err := x.copyEvents(response, framed, x.stream.started)
 	switch {
 	case err == nil:
-		pool.Release(conn, response, time.Now())
+		x.returnConn(conn, pool, response)
 		x.release(state, nil)
 		x.recordAnswer()
 		x.g.metrics.Counter("answers.streams").Inc(1)
