--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -46,6 +46,9 @@
 	x.addOwnTime()
 	conn, err := x.connect(pool)
 	x.ownSince = time.Now()
+	if errors.Is(err, upstream.ErrNoSlot) {
+		return x.handleNoSlot(state)
+	}
 	if err != nil {
 		return x.handleNotSent(state, err)
 	}
@@ -66,6 +69,7 @@
 	pool, ok := g.pools[state.Endpoint]
 	if !ok {
 		pool = upstream.NewPool(state.Endpoint.Address, dialTimeout)
+		pool.Slots = g.slots
 		g.pools[state.Endpoint] = pool
 	}
 	return pool
@@ -87,7 +91,11 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	x.g.metrics.Counter("upstream.dials").Inc(1)
-	return pool.Dial(ctx)
+	conn, err := pool.Dial(ctx)
+	if errors.Is(err, upstream.ErrNoSlot) && x.g.closeIdle() {
+		return pool.Dial(ctx)
+	}
+	return conn, err
 }
 
 // errOrCallerGone returns errCallerGone if the caller has disconnected, and err
@@ -102,8 +110,8 @@
 
 // exchangeOn sends the request on a connection and handles the response.
 func (x *exchange) exchangeOn(conn *upstream.Conn, pool *upstream.Pool, state *balance.State) result {
-	stop := context.AfterFunc(x.r.Context(), func() { conn.Close() })
-	defer stop()
+	x.unwatch = context.AfterFunc(x.r.Context(), func() { conn.Close() })
+	defer x.unwatch()
 	conn.SetDeadline(x.deadline)
 	defer x.g.onEnd(func() { conn.SetDeadline(time.Now()) })()
 	conn.SetRequestRetryable(x.route.Repeatable())
@@ -117,8 +125,7 @@
 	}
 	buffer := getBuffer()
 	defer putBuffer(buffer)
-	buffer.b = x.g.config.Codec.AppendRequest(buffer.b[:0], x.request, options)
-	if err := conn.Send(buffer.b); err != nil {
+	if err := x.sendRequest(conn, buffer, options); err != nil {
 		if errors.Is(err, upstream.ErrNotSent) {
 			conn.Close()
 			return x.handleNotSent(state, err)
@@ -127,6 +134,7 @@
 		return x.handleNoResponse(conn, state, err)
 	}
 	x.sends++
+	x.releaseSentBody()
 	x.addOwnTime()
 	// The connection owns the body, and is itself released or closed after the response.
 	response, head, err := x.receive(conn) //nolint:bodyclose // see above
@@ -137,6 +145,16 @@
 	return x.handleResponse(conn, pool, state, response, head)
 }
 
+// returnConn makes a connection idle after a complete response. If the caller has disconnected, its
+// connection is being closed and must not be used for another request.
+func (x *exchange) returnConn(conn *upstream.Conn, pool *upstream.Pool, response *http.Response) {
+	if !x.unwatch() {
+		conn.Close()
+		return
+	}
+	pool.Release(conn, response, time.Now())
+}
+
 // receive reads the head of the response to this request. It discards up to
 // maxSkippedResponses responses that carry the id of another request.
 func (x *exchange) receive(conn *upstream.Conn) (*http.Response, ResponseHead, error) {
@@ -212,6 +230,7 @@
 		return x.handleNotRun(conn, pool, state, response, head)
 	}
 	x.mayHaveRun = true
+	x.releaseSentBody()
 	x.g.firstByte.UpdateSince(x.arrived)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if !head.Signed || success && head.Encoded {
@@ -235,7 +254,7 @@
 // part: nothing of it may reach the caller.
 func (x *exchange) handleNotResumed(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response) result {
 	if err := discardBody(response); err == nil {
-		pool.Release(conn, response, time.Now())
+		x.returnConn(conn, pool, response)
 	} else {
 		conn.Close()
 	}
@@ -272,7 +291,7 @@
 // refused it, or another endpoint answered at the address.
 func (x *exchange) handleNotRun(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response, head ResponseHead) result {
 	if err := discardBody(response); err == nil {
-		pool.Release(conn, response, time.Now())
+		x.returnConn(conn, pool, response)
 	} else {
 		x.log("connection closed", string(api.RefusalUpstreamMismatch), zap.Error(err))
 		conn.Close()
