--- a/edge/edge.go
+++ b/edge/edge.go
@@ -137,7 +137,7 @@
 	for kind, receiver := range map[string]mirror.Receiver{
 		platform.KindConfig:      outageReceiver{platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger}, p.failures},
 		platform.KindEndpoints:   platform.EndpointReceiver{Gateway: p.gateway, Logger: p.logger},
-		platform.KindEvacuations: platform.EvacuationReceiver{Gateway: p.gateway},
+		platform.KindEvacuations: platform.EvacuationReceiver{Gateway: p.gateway, Logger: p.logger},
 	} {
 		p.mirrors[kind] = mirror.New(mirror.Config{
 			// A watch that is cut off must not look like an outage of EntryLifetime.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -88,6 +88,7 @@
 func (s *site) register(state string) {
 	s.platform.SetSpec("servers", "i-1", map[string]any{
 		"service": "s", "address": s.endpoint.Listener.Addr().String(), "zone": "z", "slots": 8, "state": state,
+		"version": "1", "cold_left_ms": 0, "seq": 1,
 	})
 }
 
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -37,6 +37,7 @@
 	for i, start := range endlessStarts {
 		h.platform.SetSpec("servers", fmt.Sprintf("bad-%d", i), map[string]any{
 			"service": "bad", "address": listenEndless(t, start), "zone": "z", "slots": faulty, "state": "ready", "born": 1,
+			"version": "1", "cold_left_ms": 0, "seq": 1,
 		})
 	}
 	h.platform.SetSpec("config", "main", map[string]any{
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -223,6 +223,7 @@
 func (h *harness) register(e *endpoint, state string) {
 	h.platform.SetSpec("servers", e.id, map[string]any{
 		"service": "s", "address": e.proxy.Addr(), "zone": "z", "slots": 16, "state": state, "born": e.born.Load(),
+		"version": "1", "cold_left_ms": 0, "seq": e.born.Load(),
 	})
 }
 
