gateway: a request whose deadline has passed is refused before an endpoint is chosen

A request whose body arrived after its deadline was still given to an endpoint. The dial failed at once, since its deadline had passed, and counted as a failure to reach the endpoint, which was ejected for all callers.

Such a request now gets status 408 with reason deadline_exceeded before an endpoint is chosen, and also before each retry. Status 408 is kept for requests of which no endpoint has a byte: one that was sent and refused as not run gets 503, and one that may have run 504.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,6 +36,9 @@
 
 // attempt sends the request to one endpoint and forwards the response.
 func (x *exchange) attempt() result {
+	if x.expired() {
+		return result{refusal: api.RefusalDeadlineExceeded, notSent: true}
+	}
 	state, refused := x.pick()
 	if state == nil {
 		return refused
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -119,6 +119,10 @@
 	if !x.admit() {
 		return
 	}
+	if x.expired() {
+		x.refuse(http.StatusRequestTimeout, api.RefusalDeadlineExceeded, 0)
+		return
+	}
 	if !x.g.plan.Load().admits(time.Now(), x.deadline) {
 		x.refuse(http.StatusServiceUnavailable, api.RefusalShuttingDown, retryAfterElsewhere)
 		return
@@ -290,7 +294,7 @@
 		return
 	}
 	if !x.mayHaveRun {
-		x.refuse(http.StatusServiceUnavailable, r.refusal, r.retryAfter)
+		x.refuse(x.notRunStatus(r.refusal == api.RefusalDeadlineExceeded), r.refusal, r.retryAfter)
 		return
 	}
 	x.report(r.refusal)
