gateway: errors of the caller or the router do not count against an endpoint

Errors were sorted at each place that recorded one, and several that the caller or the router itself had caused ejected endpoints: a dial or send that ended at the caller's deadline (two of them made the whole zone doubted), the router's own planned stop, EMFILE and its kin, connections that the router had closed, and responses that the endpoint cut because the caller did not read them.

The router records for how long its writes to a caller were blocked. A request that ends at its deadline before the endpoint had the time of the route's goal no longer raises the endpoint's failure rate, and one that ends within a response counts as neither a success nor a failure; it counted as a success. A probe that fails for a cause of the router is repeated.

--- a/balance/reachability.go
+++ b/balance/reachability.go
@@ -47,10 +47,7 @@
 // RecordProbe records whether a new connection to an endpoint returned by StartProbes
 // could be opened.
 func (s *State) RecordProbe(now time.Time, reached bool) {
-	s.probing = false
-	if s.zone.doubted {
-		s.zone.activeProbes = max(0, s.zone.activeProbes-1)
-	}
+	s.AbandonProbe()
 	if reached {
 		s.unverified, s.zone.doubted = false, false
 		return
@@ -58,6 +55,15 @@
 	s.RecordFailure(now)
 }
 
+// AbandonProbe ends a probe that says nothing of the endpoint, since this router could not open
+// a connection to any. The endpoint is probed again.
+func (s *State) AbandonProbe() {
+	s.probing = false
+	if s.zone.doubted {
+		s.zone.activeProbes = max(0, s.zone.activeProbes-1)
+	}
+}
+
 // StartProbes returns the endpoints to which the caller must open a connection now: the
 // unverified ones, and up to maxZoneProbes at a time of each doubted zone. Ejected
 // and paused endpoints are left out. The caller reports the result with RecordProbe; until then the
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,8 +17,7 @@
 // errCallerGone means that an attempt ended because the caller disconnected.
 var errCallerGone = errors.New("gateway: caller disconnected")
 
-// errEndpointFailed means that the endpoint answered with a 5xx status, or did not
-// answer before the request's deadline.
+// errEndpointFailed means that the endpoint answered with a 5xx status.
 var errEndpointFailed = errors.New("gateway: endpoint failed the request")
 
 // maxSkippedResponses bounds the number of responses to other requests that are discarded
@@ -45,6 +43,7 @@
 	}
 	x.tried = append(x.tried, state.Endpoint)
 	x.answerBegan, x.answerRecorded = time.Time{}, false
+	x.sentAt, x.answered, x.reader = time.Now(), false, readerPace{}
 	pool := x.g.pool(state)
 	x.addOwnTime()
 	conn, err := x.connect(pool)
@@ -57,7 +56,12 @@
 
 // handleNotSent handles a failure before any byte of the request was sent.
 func (x *exchange) handleNotSent(state *balance.State, err error) result {
-	x.release(state, x.errOrCallerGone(err))
+	switch x.release(state, err) {
+	case causeDeadline:
+		return result{refusal: api.RefusalDeadlineExceeded, notSent: true}
+	case causeShutdown:
+		return result{refusal: api.RefusalShuttingDown, notSent: true, retryAfter: retryAfterElsewhere}
+	}
 	return result{refusal: api.RefusalEndpointDown, retry: api.RetryReasonConnectFailed, notSent: true, retryAfter: retryAfterShort}
 }
 
@@ -92,16 +96,6 @@
 	return pool.Dial(ctx)
 }
 
-// errOrCallerGone returns errCallerGone if the caller has disconnected, and err
-// otherwise. The router closes the endpoint's connection when the caller disconnects; the
-// error that this causes must not count as a failure of the endpoint.
-func (x *exchange) errOrCallerGone(err error) error {
-	if x.r.Context().Err() != nil {
-		return errCallerGone
-	}
-	return err
-}
-
 // exchangeOn sends the request on a connection and handles the response.
 func (x *exchange) exchangeOn(conn *upstream.Conn, pool *upstream.Pool, state *balance.State) result {
 	stop := context.AfterFunc(x.r.Context(), func() { conn.Close() })
@@ -129,6 +123,7 @@
 		return x.handleNoResponse(conn, state, err)
 	}
 	x.sends++
+	x.sentAt = time.Now()
 	x.addOwnTime()
 	// The connection owns the body, and is itself released or closed after the response.
 	response, head, err := x.receive(conn) //nolint:bodyclose // see above
@@ -170,29 +165,23 @@
 		x.g.metrics.Counter("upstream.no_response").Inc(1)
 		failure = result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
-	return x.handleBroken(conn, state, err, errEndpointFailed, failure)
+	return x.handleBroken(conn, state, err, failure)
 }
 
-// handleBroken handles a connection that failed while the endpoint worked on the request.
-// It closes the connection and passes an error to release. If err shows that the request's
-// deadline has passed, this error is timeoutErr, and handleBroken returns a result that
-// refuses the request as RefusalDeadlineExceeded. Otherwise the error is err, or
-// errCallerGone if the caller has disconnected, and handleBroken returns failure.
-func (x *exchange) handleBroken(conn *upstream.Conn, state *balance.State, err, timeoutErr error, failure result) result {
+// handleBroken handles a connection that failed while the endpoint worked on the request. It closes
+// the connection and returns failure, unless the router stops or the request's deadline has passed.
+func (x *exchange) handleBroken(conn *upstream.Conn, state *balance.State, err error, failure result) result {
 	conn.Close()
-	if x.g.ended() {
-		x.release(state, errCallerGone)
+	why := x.release(state, err)
+	switch why {
+	case causeShutdown:
 		return result{refusal: api.RefusalShuttingDown}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		x.release(state, timeoutErr)
+	case causeDeadline, causeNoAnswer:
 		return result{refusal: api.RefusalDeadlineExceeded}
 	}
-	err = x.errOrCallerGone(err)
-	if !errors.Is(err, errCallerGone) {
+	if why.counts() {
 		x.recordBroken(state)
 	}
-	x.release(state, err)
 	return failure
 }
 
@@ -212,6 +201,7 @@
 		return x.handleNotRun(conn, pool, state, response, head)
 	}
 	x.mayHaveRun = true
+	x.answered = true
 	x.g.firstByte.UpdateSince(x.arrived)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if !head.Signed || success && head.Encoded {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -15,7 +15,6 @@
 	"github.com/hornbeamproxy/hornbeamproxy/retry"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
-	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
 
 // defaultMaxBodyBytes bounds a request body when the configuration sets no limit.
@@ -94,6 +93,11 @@
 	// answerBegan is when the first event of the answer arrived in the current attempt; zero
 	// before that.
 	answerBegan time.Time
+	// sentAt is when the request was sent in the current attempt, and answered is set when the
+	// head of its response has arrived. reader is the pace of the caller in this attempt.
+	sentAt   time.Time
+	answered bool
+	reader   readerPace
 	// answerRecorded is set when the current attempt has shown that its endpoint bears the
 	// request.
 	answerRecorded bool
@@ -361,33 +365,31 @@
 	return digest.Sum64()
 }
 
-// release ends the request's use of the endpoint and records the outcome. A nil failure
-// counts as a success, and errCallerGone as neither a success nor a failure. An endpoint
-// that is ejected because of the failure is marked cold.
-func (x *exchange) release(state *balance.State, failure error) {
+// release ends the request's use of the endpoint and records the outcome; a nil failure is a
+// success. It returns the cause of the failure. An endpoint that is ejected because of it is marked
+// cold.
+func (x *exchange) release(state *balance.State, failure error) cause {
+	why := x.cause(failure)
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	state.RecordEnd()
 	x.g.balancer.RecordPromptEnd(x.promptKey)
-	switch {
-	case failure == nil:
-		state.RecordSuccess()
-		return
-	case errors.Is(failure, errCallerGone):
-		return
-	case errors.Is(failure, errEndpointFailed):
-		state.RecordError()
-		return
-	}
 	now := time.Now()
 	ejected := false
-	if errors.Is(failure, upstream.ErrNotSent) || upstream.IsNetworkTimeout(failure) {
-		ejected = x.g.unreachable(now, state, failure)
-	} else {
+	switch effects[why] {
+	case effectNothing:
+	case effectSuccess:
+		state.RecordSuccess()
+	case effectRate:
+		state.RecordError()
+	case effectEject:
 		ejected = state.RecordFailure(now)
+	case effectUnreachable, effectSilence:
+		ejected = x.g.unreachable(now, state, failure, effects[why] == effectSilence)
 	}
 	if ejected {
 		x.g.roster.MarkCold(now, state.Endpoint)
 		x.g.logger.Warn("endpoint ejected", zap.String("endpoint", state.Endpoint.ID), zap.String("request", x.request.ID), zap.Error(failure))
 	}
+	return why
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -224,7 +224,16 @@
 
 func (f testGateway) configure() testGateway { return f.configureRevision(1) }
 
+// configureTimeout configures routes with a time-out other than timeout.
+func (f testGateway) configureTimeout(timeout time.Duration) testGateway {
+	return f.configureRoutes(1, timeout)
+}
+
 func (f testGateway) configureRevision(revision uint64) testGateway {
+	return f.configureRoutes(revision, timeout)
+}
+
+func (f testGateway) configureRoutes(revision uint64, timeout time.Duration) testGateway {
 	target := []routing.Target{{Service: "s", Weight: 1}}
 	f.SetConfig(routing.Config{
 		Revision: revision,
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
-	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
 
 const (
@@ -19,13 +18,13 @@
 	silenceThreshold = 300 * time.Millisecond
 )
 
-// unreachable handles an endpoint that could not be reached or stopped answering. If
-// several endpoints of its zone stopped answering together, it also closes the stalled
+// unreachable handles an endpoint that could not be reached or stopped answering; silent is set
+// if its host did not acknowledge anything. If several endpoints of its zone stopped answering together, it also closes the stalled
 // connections to the whole zone. It reports whether the endpoint was ejected. Callers hold
 // g.mu.
-func (g *Gateway) unreachable(now time.Time, state *balance.State, cause error) bool {
+func (g *Gateway) unreachable(now time.Time, state *balance.State, cause error, silent bool) bool {
 	ejected := state.MarkUnreachable(now)
-	if !upstream.IsNetworkTimeout(cause) {
+	if !silent {
 		return ejected
 	}
 	if pool, ok := g.pools[state.Endpoint]; ok {
@@ -70,6 +69,10 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if err != nil && !classify(err, circumstances{ending: g.ended()}).counts() {
+		state.AbandonProbe()
+		return
+	}
 	state.RecordProbe(now, err == nil)
 	switch {
 	case err == nil:
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -121,7 +121,7 @@
 		return x.forwardOversized(conn, pool, state, response, body)
 	}
 	if err != nil {
-		return x.handleBroken(conn, state, err, nil, result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonResponseCut})
+		return x.handleBroken(conn, state, err, result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonResponseCut})
 	}
 	pool.Release(conn, response, time.Now())
 	var outcome error
@@ -151,13 +151,13 @@
 		x.w.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	x.w.WriteHeader(response.StatusCode)
-	_, err := x.w.Write(head)
+	_, err := callerWriter{x}.Write(head)
 	if err == nil {
-		_, err = io.Copy(x.w, response.Body)
+		_, err = io.Copy(callerWriter{x}, response.Body)
 	}
 	if err != nil {
 		conn.Close()
-		x.release(state, x.errOrCallerGone(err))
+		x.release(state, err)
 		x.abortResponse(zap.Error(err))
 	}
 	pool.Release(conn, response, time.Now())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -65,7 +65,7 @@
 		x.release(state, errCallerGone)
 		panic(http.ErrAbortHandler)
 	}
-	return x.handleBroken(conn, state, err, nil, result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonStreamCut})
+	return x.handleBroken(conn, state, err, result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonStreamCut})
 }
 
 // startStream writes the response head if the caller has none yet.
@@ -119,10 +119,12 @@
 			if len(out) > 0 {
 				x.startStream(response)
 				x.stream.recordLastID(out)
+				began := time.Now()
 				if _, werr := x.w.Write(out); werr != nil {
 					return errCallerGone
 				}
 				flusher.Flush()
+				x.reader.record(began, time.Now())
 				if !forwarded {
 					x.recordOwnTime()
 				}
