edge: connections get an answer during a planned stop instead of being closed

Shutdown of net/http closed connections that were idle or had not sent anything, and the listener, 2.5 s into a planned stop; the time-out for headers closed silent connections after 5 s. A request that came on such a connection got no answer, so that its caller could not know whether it had run.

The router now keeps its listener and open connections until shortly before the end of the grace period. From the time at which the load balancer sends nothing more (2.5 s), a first request on a connection is refused at once with 503, shutting_down and Connection: close, before its body is read; requests on kept connections go by their deadlines as before. The time-out for headers of a silent connection starts with its first byte during a stop. A router without open connections still exits after 2.5 s; one with a grace period that is shorter no longer exceeds it.

The tests close the idle connections of their client, for which a router now waits.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -229,9 +229,9 @@
 	}
 	callers := &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(p.logger),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(p.logger), ConnContext: p.gateway.ConnContext,
 	}
-	listener, err := net.Listen("tcp", s.Listen.Callers)
+	listener, err := listenCallers(s.Listen.Callers)
 	if err != nil {
 		return fmt.Errorf("listening for callers: %w", err)
 	}
@@ -243,7 +243,7 @@
 		case err := <-failed:
 			return fmt.Errorf("serving callers: %w", err)
 		case <-ctx.Done():
-			p.shutDown(callers)
+			p.shutDown(callers, listener)
 		case <-cancel:
 			callers.Close()
 		}
@@ -284,17 +284,23 @@
 
 // shutDown fails the readiness check, serves the requests that still arrive until the
 // load balancer has taken the router out of rotation, and completes the requests in
-// flight. Requests that would run beyond the grace period are ended shortly before its end.
-func (p *process) shutDown(callers *http.Server) {
+// flight. Requests that would run beyond the grace period are ended shortly before its end. Until
+// then, new requests on open connections are answered; the router stops earlier if there are none.
+func (p *process) shutDown(callers *http.Server, listener *callerListener) {
 	p.logger.Info("shutting down")
 	started := time.Now()
 	p.stopping.Store(true)
 	grace := time.Duration(p.options.Settings.Bounds.GraceS*float64(time.Second)) - exitMargin
-	p.gateway.Drain(started.Add(rotationDelay), started.Add(grace-endingMargin))
-	time.Sleep(rotationDelay)
+	endsAt := started.Add(grace - endingMargin)
+	lateAt := started.Add(min(rotationDelay, grace-endingMargin))
+	p.gateway.Drain(lateAt, endsAt)
+	listener.holdSilent(endsAt)
+	time.Sleep(time.Until(lateAt))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace))
 	defer cancel()
 	go p.failures.flush()
+	listener.awaitClosed(endsAt)
+	listener.closeSilent()
 	if err := callers.Shutdown(ctx); err != nil {
 		p.logger.Warn("requests aborted at the end of the grace period", zap.Error(err))
 		callers.Close()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -106,6 +106,17 @@
 
 // startAt starts a router that reaches the store at the address.
 func (s *site) startAt(t *testing.T, id, store string) *router {
+	t.Helper()
+	return s.startRouter(t, id, store, 8)
+}
+
+// startWithGrace starts a router with a grace period in seconds.
+func (s *site) startWithGrace(t *testing.T, id string, graceS float64) *router {
+	t.Helper()
+	return s.startRouter(t, id, s.store.Listener.Addr().String(), graceS)
+}
+
+func (s *site) startRouter(t *testing.T, id, store string, graceS float64) *router {
 	t.Helper()
 	addresses, err := standin.FreeAddresses(4)
 	assert.NilError(t, err)
@@ -115,12 +126,13 @@
 	settings.Listen.Metrics, settings.Listen.Peers = addresses[2], addresses[3]
 	settings.Store.Address = store
 	settings.Store.HeartbeatMS = 1200
-	settings.Bounds.GraceS, settings.Bounds.ColdRateFactor, settings.Bounds.LoadFactor = 8, 1, 2
+	settings.Bounds.GraceS, settings.Bounds.ColdRateFactor, settings.Bounds.LoadFactor = graceS, 1, 2
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &router{settings: settings, stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- edge.Run(ctx, edge.Options{Settings: settings, Logger: zap.NewNop()}) }()
 	t.Cleanup(func() {
 		cancel()
+		http.DefaultClient.CloseIdleConnections() // the router waits for requests on them
 		select {
 		case err := <-r.done:
 			assert.Check(t, err)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -35,3 +37,28 @@
 
 // ended reports whether the requests in flight are being ended.
 func (g *Gateway) ended() bool { return g.ending.Err() != nil }
+
+// callerConn is what the gateway knows of a caller's connection.
+type callerConn struct {
+	spoken atomic.Bool // set by the first request
+}
+
+type callerConnKey struct{}
+
+// ConnContext is for the field of this name of the http.Server that serves the gateway. Without it, a
+// first request is treated as any other.
+func (g *Gateway) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, &callerConn{})
+}
+
+// refusesFirst reports whether the request is the first one on its connection and comes when the load
+// balancer sends this router nothing more. Its caller opened the connection in advance; it gets its
+// answer before the body is read, so that it has the most time for another router.
+func (g *Gateway) refusesFirst(ctx context.Context, now time.Time) bool {
+	conn, known := ctx.Value(callerConnKey{}).(*callerConn)
+	if !known || conn.spoken.Swap(true) {
+		return false
+	}
+	plan := g.plan.Load()
+	return plan != nil && !now.Before(plan.lateAt)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
 	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
@@ -242,5 +243,10 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	(&exchange{g: g, w: w, r: r, arrived: arrived, ownSince: arrived}).serve()
+	x := &exchange{g: g, w: w, r: r, arrived: arrived, ownSince: arrived}
+	if g.refusesFirst(r.Context(), arrived) {
+		x.refuse(http.StatusServiceUnavailable, api.RefusalShuttingDown, retryAfterElsewhere)
+		return
+	}
+	x.serve()
 }
