records: the morning report has the pauses that endpoints asked for

Pauses were in the logs and a counter only, so that a night in which a service asked for thousands of them looked quiet.

The report adds them up to one line a service.

--- a/api/api.gen.go
+++ b/api/api.gen.go
@@ -1062,7 +1062,8 @@
 	// What the system did.
 	Action string `json:"action,omitempty,omitzero" toml:"action,omitempty" cbor:"action,omitempty"`
 
-	// Numbers of refusals, retries or lost records, by reason.
+	// Numbers of refusals, retries or lost records, by reason. For pauses: their
+	// number (count) and the longest in ms (longest_ms).
 	Counts ReasonCounts `json:"counts,omitempty,omitzero" toml:"counts,omitempty" cbor:"counts,omitempty"`
 
 	// Effect on callers.
@@ -1131,6 +1132,7 @@
 	RecordKindNoteRejected        RecordKind = "note_rejected"
 	RecordKindOrderFailed         RecordKind = "order_failed"
 	RecordKindOutcomeUnknown      RecordKind = "outcome_unknown"
+	RecordKindPauses              RecordKind = "pauses"
 	RecordKindPlatformRecovered   RecordKind = "platform_recovered"
 	RecordKindPlatformUnavailable RecordKind = "platform_unavailable"
 	RecordKindPromptQuarantined   RecordKind = "prompt_quarantined"
--- a/edge/failures.go
+++ b/edge/failures.go
@@ -142,6 +142,10 @@
 // were removed, which need no further action.
 func (f *reporter) EndpointRecovered(id string) { f.rec.CloseIfOpen(api.RecordKindEndpointDown, id) }
 
+// EndpointPaused implements gateway.Reporter. Each router counts its own pauses, since they concern only
+// the router that was answered.
+func (f *reporter) EndpointPaused(service string, d time.Duration) { f.rec.RecordPause(service, d) }
+
 // PromptQuarantined implements gateway.Reporter.
 func (f *reporter) PromptQuarantined(part string, until time.Time) {
 	if f.rank(part) > 0 {
--- a/edge/quarantines_test.go
+++ b/edge/quarantines_test.go
@@ -23,6 +23,7 @@
 func (noReporter) OutcomeUnknown(gateway.FailedRequest) {}
 func (noReporter) ResponseBroken(gateway.FailedRequest) {}
 func (noReporter) EndpointUnreachable(roster.Entry)     {}
+func (noReporter) EndpointPaused(string, time.Duration) {}
 func (noReporter) EndpointRecovered(string)             {}
 func (noReporter) PromptQuarantined(string, time.Time)  {}
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -243,6 +243,7 @@
 	d = state.Pause(time.Now(), d)
 	x.g.mu.Unlock()
 	x.g.metrics.Counter("endpoints.paused").Inc(1)
+	x.g.config.Reporter.EndpointPaused(x.service, d)
 	x.log("endpoint asks for a pause", string(api.RefusalEndpointPaused), zap.Duration("pause", d))
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -190,10 +190,12 @@
 	r.add("unknown %s %s %s", f.ID, f.Workspace, f.Reason)
 }
 
-func (r *recorder) ResponseBroken(f gateway.FailedRequest)     { r.add("broken %s %s", f.Route, f.Reason) }
-func (r *recorder) EndpointUnreachable(entry roster.Entry)     { r.add("unreachable %s", entry.ID) }
-func (r *recorder) PromptQuarantined(part string, _ time.Time) { r.add("quarantined %s", part) }
-func (r *recorder) EndpointRecovered(id string)                { r.add("recovered %s", id) }
+func (r *recorder) ResponseBroken(f gateway.FailedRequest) { r.add("broken %s %s", f.Route, f.Reason) }
+
+func (r *recorder) EndpointUnreachable(entry roster.Entry)         { r.add("unreachable %s", entry.ID) }
+func (r *recorder) PromptQuarantined(part string, _ time.Time)     { r.add("quarantined %s", part) }
+func (r *recorder) EndpointPaused(service string, d time.Duration) { r.add("paused %s %s", service, d) }
+func (r *recorder) EndpointRecovered(id string)                    { r.add("recovered %s", id) }
 
 func newTestGateway(t *testing.T, endpoints ...*endpoint) testGateway {
 	t.Helper()
--- a/gateway/pause_test.go
+++ b/gateway/pause_test.go
@@ -28,6 +28,7 @@
 	for i := 0; len(busy.received()) == 0; i++ {
 		_, _, _ = f.do(t, "/safe/1", "Request-Id", fmt.Sprint("first", i))
 	}
+	assert.DeepEqual(t, f.reporter.take(), []string{"paused s 600ms"})
 	f.configureRevision(2)
 	f.register(busy)
 	for i := range 30 {
--- a/gateway/reporter.go
+++ b/gateway/reporter.go
@@ -29,6 +29,8 @@
 	// reached, and EndpointRecovered for one that is reachable again or has been removed.
 	EndpointUnreachable(entry roster.Entry)
 	EndpointRecovered(id string)
+	// EndpointPaused is called when an endpoint of the service has asked this router for a pause.
+	EndpointPaused(service string, d time.Duration)
 	// PromptQuarantined is called when requests with a part of a prompt (its id in hex) are
 	// refused from now until the given time, since they crash endpoints.
 	PromptQuarantined(part string, until time.Time)
--- a/records/local_records.go
+++ b/records/local_records.go
@@ -49,6 +49,8 @@
 	byID     map[string]*localRecord
 	// latest holds the id of the newest record of each kind and subject.
 	latest map[failureKey]string
+	// pauses are those since the last count, by service.
+	pauses map[string]pauses
 	// lossRecordID is the id of the newest record of kind records_lost.
 	lossRecordID string
 	// lastCounters are the telemetry counters that the last RecordCounts got, and
@@ -315,6 +317,7 @@
 	}
 	l.lastCounters = maps.Clone(counters)
 	l.countedAt = now
+	l.createPauseRecords(since, now)
 	if first {
 		return
 	}
--- a/records/report.go
+++ b/records/report.go
@@ -38,6 +38,9 @@
 	Entries  []Entry       `json:"entries"`
 	Refusals []ReasonTotal `json:"refusals"`
 	Retries  []ReasonTotal `json:"retries"`
+	// Pauses are those that endpoints asked for, the service with the most first. It is left out
+	// of the JSON form if there are none.
+	Pauses []PauseTotal `json:"pauses,omitempty"`
 	// Lost counts records that could not be kept.
 	Lost int `json:"lost"`
 	// CopiesDropped counts copies that peers dropped for lack of space.
@@ -89,6 +92,7 @@
 	report := Report{Since: since.UTC(), Until: until.UTC(), Now: now.UTC(), Unread: []string{}}
 	refusals := api.ReasonCounts{}
 	retries := api.ReasonCounts{}
+	pauses := map[string]PauseTotal{}
 	merged := Merge(records, nil)
 	losses := routerLossesOf(merged)
 	var list []observation
@@ -104,6 +108,9 @@
 		case api.RecordKindRetries:
 			addCounts(retries, record.Counts)
 			continue
+		case api.RecordKindPauses:
+			addPauses(pauses, record)
+			continue
 		case api.RecordKindRecordsLost:
 			report.Lost += sumLost(record.Counts)
 			report.CopiesDropped += record.Counts[LostCopies]
@@ -112,6 +119,7 @@
 	}
 	report.Refusals = totals(refusals)
 	report.Retries = totals(retries)
+	report.Pauses = pauseTotals(pauses)
 	report.Entries = []Entry{}
 	for _, group := range groupCauses(groupFailures(list)) {
 		entry := newEntry(group, now)
--- a/records/report_text.go
+++ b/records/report_text.go
@@ -258,6 +258,7 @@
 	}
 	writeTotals(&b, "Refusals", r.Refusals)
 	writeTotals(&b, "Retries", r.Retries)
+	writePauses(&b, r.Pauses)
 	fmt.Fprintf(&b, "\nRecords that could not be kept: %d. Copies that peers could not hold: %d.\n", r.Lost, r.CopiesDropped)
 	if len(r.Unread) > 0 {
 		b.WriteString("Records that could not be read: " + strings.Join(r.Unread, ", ") + ".\n")
@@ -294,6 +295,17 @@
 	}
 }
 
+// writePauses writes one line a service, and nothing if no endpoint asked for a pause.
+func writePauses(b *strings.Builder, list []PauseTotal) {
+	if len(list) == 0 {
+		return
+	}
+	b.WriteString("\nPauses that endpoints asked for:\n")
+	for _, p := range list {
+		fmt.Fprintf(b, "   service %s: %d, the longest %.1f s\n", p.Service, p.Count, float64(p.LongestMS)/1000)
+	}
+}
+
 // WriteJSON writes the report as indented JSON.
 func (r Report) WriteJSON(w io.Writer) error {
 	encoder := json.NewEncoder(w)
