balance: proven endpoints are preferred while many ask for pauses

Each router learns of a pause only by being refused. When a third of a service asked each router for 2 s again and again, most requests were refused once, more than the retry budget allows.

While at least two endpoints, and a tenth of those asked in the last 10 s, have refused with a pause, a router prefers endpoints that accepted its requests since then. All of this is a preference among the endpoints within their load bound; only a pause excludes one.

The simulation now takes the first byte of a response 300 ms after the arrival, and its test requires that refusals stay under 0.2 of the requests.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -88,6 +88,11 @@
 	failures     int       // consecutive failures to connect or to get a whole response
 	ejectedUntil time.Time
 	pausedUntil  time.Time // until when the endpoint wants nothing from this router
+	// pauseAskedAt and pauseLength are those of the newest pause, and pauses is the number of
+	// pauses since a request was last accepted, at acceptedAt.
+	pauseAskedAt, acceptedAt time.Time
+	pauseLength              time.Duration
+	pauses                   int
 	// unverified is set from the time at which the endpoint could not be reached until
 	// a new connection to it has been opened; the endpoint gets no work meanwhile.
 	// probing is set while such a connection is being opened.
@@ -109,8 +114,10 @@
 	// PromptID. remotePrompts are those of others, by router.
 	localPrompts  map[uint32]int
 	remotePrompts map[string]promptLoads
-	// scratch holds the candidates of one Pick, to reuse the memory.
+	// scratch holds the candidates of one Pick, to reuse the memory, and pauses the tally of its
+	// endpoints.
 	scratch []candidate
+	pauses  pauseTally
 }
 
 type candidate struct {
@@ -195,7 +202,7 @@
 // Pick chooses an endpoint. An ejected endpoint is chosen only if no other is left.
 // The state is nil if and only if the refusal is not None.
 func (b *Balancer) Pick(now time.Time, criteria Criteria) (*State, Refusal) {
-	b.scratch = b.scratch[:0]
+	b.scratch, b.pauses = b.scratch[:0], pauseTally{}
 	total, unusable, failureRates := 0.0, 0.0, 0.0
 	for _, endpoint := range criteria.Members {
 		state := b.State(endpoint)
@@ -205,6 +212,7 @@
 			continue
 		}
 		total += load
+		b.pauses.add(now, state)
 		failureRates += state.failureRate
 		b.scratch = append(b.scratch, candidate{state: state, load: load})
 	}
@@ -222,7 +230,7 @@
 		}
 		return b.pickHome(now, criteria, total, bound), None
 	}
-	return b.pickInZone(criteria.Draw), None
+	return b.pickInZone(now, criteria.Draw), None
 }
 
 // filterCandidates removes the candidates that may not get the request. mean is the mean
@@ -272,28 +280,20 @@
 // pickInZone chooses among the candidates for a request without a prompt. It leaves out those
 // that have more than the mean load for their slots + zoneSlack, and draws among the others in
 // the router's own availability zone, or among all others if there are none.
-func (b *Balancer) pickInZone(draw uint64) *State {
+func (b *Balancer) pickInZone(now time.Time, draw uint64) *State {
 	total, slots := 0.0, 0.0
 	for i := range b.scratch {
 		total += b.scratch[i].load
 		slots += b.scratch[i].slots()
 	}
 	inBound := b.scratch[:0]
-	own := 0 // number of candidates of the own zone, which are moved to the front
 	for _, c := range b.scratch {
-		if c.load > total/slots*c.slots()+zoneSlack {
-			continue
-		}
-		inBound = append(inBound, c)
-		if c.state.Endpoint.Zone == b.zone {
-			last := len(inBound) - 1
-			inBound[own], inBound[last] = inBound[last], inBound[own]
-			own++
+		if c.load <= total/slots*c.slots()+zoneSlack {
+			inBound = append(inBound, c)
 		}
 	}
-	if own > 0 {
-		inBound = inBound[:own]
-	}
+	inBound = b.preferProven(now, inBound)
+	inBound = prefer(inBound, func(s *State) bool { return s.Endpoint.Zone == b.zone })
 	return drawLessLoaded(inBound, draw)
 }
 
--- a/balance/hotprompt.go
+++ b/balance/hotprompt.go
@@ -134,6 +134,7 @@
 	if len(inBound) == 0 {
 		return drawLessLoaded(b.scratch, criteria.Draw)
 	}
+	inBound = b.preferProven(now, inBound)
 	return drawLessLoaded(highestScores(inBound, width), criteria.Draw)
 }
 
--- a/balance/hotprompt_sim_test.go
+++ b/balance/hotprompt_sim_test.go
@@ -85,7 +85,8 @@
 	surgeRequests = 8
 	surgeFactor   = 2
 	surgeInterval = 60 * time.Millisecond
-	meanLoad      = 4.4 // requests in flight at an endpoint
+	meanLoad      = 4.4                    // requests in flight at an endpoint
+	acceptTime    = 300 * time.Millisecond // until the first byte of a response
 	meanService   = 1100 * time.Millisecond
 	simPrompts    = 1300
 	churnAt       = 7 * time.Second
@@ -107,6 +108,7 @@
 	reports     []simLoads      // the newest of each router
 	phase       []time.Duration // of the reports of each router
 	ends        map[time.Duration][]simRequest
+	accepts     map[time.Duration][]*State
 	over        []arrival
 	asked       map[string]time.Time // end of the pause, by router and endpoint
 	refused     int                  // requests that were refused with a pause
@@ -139,6 +141,7 @@
 	s := &simulation{
 		simConfig: config, random: rand.New(rand.NewPCG(config.seed, 1)),
 		load: map[string]int{}, sums: map[uint32]int{}, asked: map[string]time.Time{}, ends: map[time.Duration][]simRequest{},
+		accepts: map[time.Duration][]*State{},
 	}
 	for i := range config.endpoints {
 		s.members = append(s.members, simEndpoint(i))
@@ -163,6 +166,10 @@
 			s.end(request)
 		}
 		delete(s.ends, at)
+		for _, state := range s.accepts[at] {
+			state.RecordAccepted(start.Add(at))
+		}
+		delete(s.accepts, at)
 		surge := false
 		for router := range s.balancers {
 			if (at+s.phase[router])%(s.viewInterval/2) == 0 {
@@ -282,6 +289,7 @@
 	service := time.Duration(float64(meanService) * s.random.ExpFloat64()).Round(simStep)
 	end := at + max(simStep, service)
 	s.ends[end] = append(s.ends[end], request)
+	s.accepts[at+acceptTime] = append(s.accepts[at+acceptTime], state)
 }
 
 // refuses plays the answer of an endpoint when each third one asks for a pause of 2 s.
--- a/balance/pause.go
+++ b/balance/pause.go
@@ -15,6 +15,7 @@
 // endpoint, and it concerns this router only.
 func (s *State) Pause(now time.Time, d time.Duration) time.Duration {
 	d = min(d, maxPause)
+	s.recordPause(now, d)
 	if until := now.Add(d); until.After(s.pausedUntil) {
 		s.pausedUntil = until
 	}
--- a/balance/pause_test.go
+++ b/balance/pause_test.go
@@ -56,13 +56,15 @@
 	assert.Equal(t, picked.Endpoint, restarted[0])
 }
 
-// Guards against a mass of pauses that pushes the other endpoints over the load limit: a third of
+// Guards against a mass of pauses that pushes the other endpoints over the load limit, or uses up the
+// retry budget because each router learns of each pause by a request that is refused: a third of
 // the service asks each router that comes for 2 s, again and again, while one prompt is hot.
 func TestPausesKeepLoadLimit(t *testing.T) {
 	for _, config := range []simConfig{
 		{routers: 6, endpoints: 18, hotShare: 0.1, viewInterval: 250 * time.Millisecond},
 		{routers: 91, endpoints: 90, hotShare: 0.1, viewInterval: 250 * time.Millisecond},
 		{routers: 195, endpoints: 93, hotShare: 0.1, viewInterval: 250 * time.Millisecond},
+		{routers: 350, endpoints: 200, hotShare: 0.1, viewInterval: 250 * time.Millisecond},
 	} {
 		config.pauses, config.lost, config.seed = true, 0.05, 1
 		t.Run(fmt.Sprintf("%d routers", config.routers), func(t *testing.T) {
@@ -70,6 +72,15 @@
 			s := newSimulation(config)
 			assert.Equal(t, s.run(), 0.0, "fraction over the limit in 5 s")
 			assert.Assert(t, s.refused > 0)
+			const retryRatio = 0.2
+			arrived := 0 // requests since the pauses began
+			for _, request := range s.over {
+				if request.at >= hotFrom {
+					arrived++
+				}
+			}
+			t.Logf("%d refusals of %d requests", s.refused, arrived)
+			assert.Assert(t, float64(s.refused) < retryRatio*float64(arrived), "%d refusals of %d requests", s.refused, arrived)
 			assert.Equal(t, s.pressed, 0, "requests reached an endpoint within its pause")
 		})
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -209,6 +209,7 @@
 		x.release(state, nil)
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
+	x.recordAccepted(state)
 	continues := success && x.stream.continuedBy(response)
 	if x.stream.started && !continues {
 		return x.handleNotResumed(conn, pool, state, response)
@@ -237,6 +238,13 @@
 	return result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonEndpointError}
 }
 
+// recordAccepted records that an endpoint has not refused the request.
+func (x *exchange) recordAccepted(state *balance.State) {
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	state.RecordAccepted(time.Now())
+}
+
 // pause keeps the requests of this router away from an endpoint that has asked for it.
 func (x *exchange) pause(state *balance.State, d time.Duration) {
 	x.g.mu.Lock()
