--- a/balance/reachability_test.go
+++ b/balance/reachability_test.go
@@ -81,3 +81,21 @@
 	}
 	return names
 }
+
+// Guards against a probe that fails because of this router itself and that counts as a failure of the
+// endpoint, keeps it from being probed again, or uses up the probes of its zone.
+func TestAbandonedProbe(t *testing.T) {
+	b, endpoints := New("z0"), members(2)
+	state := b.State(endpoints[0])
+	state.MarkUnreachable(start)
+	now := start.Add(baseEjectionTime)
+	for range 3 * maxZoneProbes {
+		state.zone.doubted = true
+		due := b.StartProbes(now)
+		assert.Equal(t, len(due), 1)
+		assert.Equal(t, len(b.StartProbes(now)), 0)
+		due[0].AbandonProbe()
+	}
+	assert.Equal(t, state.Failures(), 1)
+	assert.Assert(t, state.unverified)
+}
--- a/gateway/cause_test.go
+++ b/gateway/cause_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"testing"
@@ -94,3 +95,12 @@
 	p.record(at(12_000), at(12_001))
 	assert.Assert(t, !p.slow(at(12_002)))
 }
+
+// Guards against status 408, which says that no endpoint has a byte of the request, after a send that did
+// not run or reached another endpoint.
+func TestNotRunStatus(t *testing.T) {
+	assert.Equal(t, (&exchange{}).notRunStatus(true), http.StatusRequestTimeout)
+	assert.Equal(t, (&exchange{}).notRunStatus(false), http.StatusServiceUnavailable)
+	assert.Equal(t, (&exchange{sends: 1}).notRunStatus(true), http.StatusServiceUnavailable)
+	assert.Equal(t, (&exchange{misdirected: 1}).notRunStatus(true), http.StatusServiceUnavailable)
+}
