--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -45,7 +45,8 @@
 	return s
 }
 
-// serveEndpoint responds as an endpoint. It aborts the response to /call/cut. For paths
+// serveEndpoint responds as an endpoint. It aborts the response to /call/cut, and refuses /call/pause
+// with a pause. For paths
 // under /stream/ it sends an event every 100 ms for 3 s. It does not answer paths that end in
 // silent, and all other requests at once with the workspace of the request.
 func serveEndpoint(w http.ResponseWriter, r *http.Request) {
@@ -54,6 +55,12 @@
 	if r.URL.Path == "/call/cut" {
 		panic(http.ErrAbortHandler)
 	}
+	if r.URL.Path == "/call/pause" {
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Retry-After", "0.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if strings.HasSuffix(r.URL.Path, "/silent") {
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
--- a/edge/failures_test.go
+++ b/edge/failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -49,6 +50,31 @@
 	}
 }
 
+// Guards against pauses that endpoints asked for and that are missing from the morning report.
+func TestPausesAreReported(t *testing.T) {
+	s := newSite(t)
+	s.configure("key")
+	s.register("ready")
+	r := s.start(t, "r1")
+	eventually(t, 2*time.Second, "ready", r.ready)
+	started := time.Now()
+	for range 2 {
+		status, _ := r.call("/call/pause", "key")
+		assert.Equal(t, status, 503)
+		time.Sleep(600 * time.Millisecond)
+	}
+	r.stop()
+	http.DefaultClient.CloseIdleConnections()
+	assert.NilError(t, <-r.done)
+	r.done <- nil // for the cleanup
+	store := platform.KeyStore{Store: platform.NewStore(s.store.URL, "", telemetry.NewMetrics())}
+	found, err := records.Read(context.Background(), store, started.Add(-time.Minute))
+	assert.NilError(t, err)
+	now := time.Now()
+	report := records.BuildReport(found.Records, started.Add(-time.Minute), now, now)
+	assert.DeepEqual(t, report.Pauses, []records.PauseTotal{{Service: "s", Count: 2, LongestMS: 500}})
+}
+
 // Guards against a morning report that lists an outage of the store for each watch that was cut
 // off, or that misses a real outage.
 func TestCutWatchIsNotReported(t *testing.T) {
