--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -47,7 +47,8 @@
 	return s
 }
 
-// serveEndpoint responds as an endpoint. It aborts the response to /call/cut. For paths
+// serveEndpoint responds as an endpoint. It aborts the response to /call/cut, and refuses /call/pause
+// with a pause. For paths
 // under /stream/ it sends an event every 100 ms for 3 s. It does not answer paths that end in
 // silent, and all other requests at once with the workspace of the request.
 func serveEndpoint(w http.ResponseWriter, r *http.Request) {
@@ -56,6 +57,12 @@
 	if r.URL.Path == "/call/cut" {
 		panic(http.ErrAbortHandler)
 	}
+	if r.URL.Path == "/call/pause" {
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Retry-After", "0.5")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if strings.HasSuffix(r.URL.Path, "/silent") {
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
@@ -90,6 +97,7 @@
 func (s *site) register(state string) {
 	s.platform.SetSpec("servers", "i-1", map[string]any{
 		"service": "s", "address": s.endpoint.Listener.Addr().String(), "zone": "z", "slots": 8, "state": state,
+		"version": "1", "cold_left_ms": 0, "seq": 1,
 	})
 }
 
@@ -107,6 +115,17 @@
 
 // startAt starts a router that reaches the store at the address.
 func (s *site) startAt(t *testing.T, id, store string) *router {
+	t.Helper()
+	return s.startRouter(t, id, store, 8)
+}
+
+// startWithGrace starts a router with a grace period in seconds.
+func (s *site) startWithGrace(t *testing.T, id string, graceS float64) *router {
+	t.Helper()
+	return s.startRouter(t, id, s.store.Listener.Addr().String(), graceS)
+}
+
+func (s *site) startRouter(t *testing.T, id, store string, graceS float64) *router {
 	t.Helper()
 	addresses, err := standin.FreeAddresses(4)
 	assert.NilError(t, err)
@@ -116,13 +135,14 @@
 	settings.Listen.Metrics, settings.Listen.Peers = addresses[2], addresses[3]
 	settings.Store.Address = store
 	settings.Store.HeartbeatMS = 1200
-	settings.Bounds.GraceS, settings.Bounds.ColdRateFactor, settings.Bounds.LoadFactor = 8, 1, 2
+	settings.Bounds.GraceS, settings.Bounds.ColdRateFactor, settings.Bounds.LoadFactor = graceS, 1, 2
 	settings.Bounds.ExposeShare = s.exposeShare
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &router{settings: settings, stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- edge.Run(ctx, edge.Options{Settings: settings, Logger: zap.NewNop()}) }()
 	t.Cleanup(func() {
 		cancel()
+		http.DefaultClient.CloseIdleConnections() // the router waits for requests on them
 		select {
 		case err := <-r.done:
 			assert.Check(t, err)
--- a/edge/overload.go
+++ b/edge/overload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -87,7 +88,7 @@
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // listenForCallers opens the callers' listener and binds it to the server.
-func (p *process) listenForCallers(server *http.Server) (*intake.Listener, error) {
+func (p *process) listenForCallers(server *http.Server) (*callerListener, error) {
 	limits := &p.intakes.limits
 	listener, err := intake.Listen(p.options.Settings.Listen.Callers, intake.Config{
 		Limits: overload.Limits{
@@ -100,10 +101,10 @@
 		return nil, fmt.Errorf("listening for callers: %w", err)
 	}
 	p.intakes.callers = listener
-	server.ConnState = listener.ConnState
+	server.ConnState = func(c net.Conn, state http.ConnState) { listener.ConnState(c.(*callerConn).Conn, state) }
 	server.MaxHeaderBytes = limits.HeaderKB << 10
 	p.registerGauges()
-	return listener, nil
+	return newCallerListener(listener), nil
 }
 
 // newOperatorServer returns the server of the readiness or metrics listener with its listener.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,8 +17,7 @@
 // errCallerGone means that an attempt ended because the caller disconnected.
 var errCallerGone = errors.New("gateway: caller disconnected")
 
-// errEndpointFailed means that the endpoint answered with a 5xx status, or did not
-// answer before the request's deadline.
+// errEndpointFailed means that the endpoint answered with a 5xx status.
 var errEndpointFailed = errors.New("gateway: endpoint failed the request")
 
 // maxSkippedResponses bounds the number of responses to other requests that are discarded
@@ -36,12 +34,16 @@
 
 // attempt sends the request to one endpoint and forwards the response.
 func (x *exchange) attempt() result {
+	if x.expired() {
+		return result{refusal: api.RefusalDeadlineExceeded, notSent: true}
+	}
 	state, refused := x.pick()
 	if state == nil {
 		return refused
 	}
 	x.tried = append(x.tried, state.Endpoint)
 	x.answerBegan, x.answerRecorded = time.Time{}, false
+	x.sentAt, x.answered, x.reader = time.Now(), false, readerPace{}
 	pool := x.g.pool(state)
 	x.addOwnTime()
 	conn, err := x.connect(pool)
@@ -58,7 +60,12 @@
 // handleNotSent handles a failure before any byte of the request was sent.
 func (x *exchange) handleNotSent(state *balance.State, err error) result {
 	x.version.class = answerShowsNothing
-	x.release(state, x.errOrCallerGone(err))
+	switch x.release(state, err) {
+	case causeDeadline:
+		return result{refusal: api.RefusalDeadlineExceeded, notSent: true}
+	case causeShutdown:
+		return result{refusal: api.RefusalShuttingDown, notSent: true, retryAfter: retryAfterElsewhere}
+	}
 	return result{refusal: api.RefusalEndpointDown, retry: api.RetryReasonConnectFailed, notSent: true, retryAfter: retryAfterShort}
 }
 
@@ -98,16 +105,6 @@
 	return conn, err
 }
 
-// errOrCallerGone returns errCallerGone if the caller has disconnected, and err
-// otherwise. The router closes the endpoint's connection when the caller disconnects; the
-// error that this causes must not count as a failure of the endpoint.
-func (x *exchange) errOrCallerGone(err error) error {
-	if x.r.Context().Err() != nil {
-		return errCallerGone
-	}
-	return err
-}
-
 // exchangeOn sends the request on a connection and handles the response.
 func (x *exchange) exchangeOn(conn *upstream.Conn, pool *upstream.Pool, state *balance.State) result {
 	x.unwatch = context.AfterFunc(x.r.Context(), func() { conn.Close() })
@@ -135,6 +132,7 @@
 	}
 	x.sends++
 	x.releaseSentBody()
+	x.sentAt = time.Now()
 	x.addOwnTime()
 	// The connection owns the body, and is itself released or closed after the response.
 	response, head, err := x.receive(conn) //nolint:bodyclose // see above
@@ -186,30 +184,23 @@
 		x.g.metrics.Counter("upstream.no_response").Inc(1)
 		failure = result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
-	return x.handleBroken(conn, state, err, errEndpointFailed, failure)
+	return x.handleBroken(conn, state, err, failure)
 }
 
-// handleBroken handles a connection that failed while the endpoint worked on the request.
-// It closes the connection and passes an error to release. If err shows that the request's
-// deadline has passed, this error is timeoutErr, and handleBroken returns a result that
-// refuses the request as RefusalDeadlineExceeded. Otherwise the error is err, or
-// errCallerGone if the caller has disconnected, and handleBroken returns failure.
-func (x *exchange) handleBroken(conn *upstream.Conn, state *balance.State, err, timeoutErr error, failure result) result {
+// handleBroken handles a connection that failed while the endpoint worked on the request. It closes
+// the connection and returns failure, unless the router stops or the request's deadline has passed.
+func (x *exchange) handleBroken(conn *upstream.Conn, state *balance.State, err error, failure result) result {
 	conn.Close()
-	if x.g.ended() {
-		x.release(state, errCallerGone)
+	why := x.release(state, err)
+	switch why {
+	case causeShutdown:
 		return result{refusal: api.RefusalShuttingDown}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		x.version.class = answerLate
-		x.release(state, timeoutErr)
+	case causeDeadline, causeNoAnswer:
 		return result{refusal: api.RefusalDeadlineExceeded}
 	}
-	err = x.errOrCallerGone(err)
-	if !errors.Is(err, errCallerGone) {
+	if why.counts() {
 		x.recordBroken(state)
 	}
-	x.release(state, err)
 	return failure
 }
 
@@ -231,6 +222,7 @@
 	}
 	x.mayHaveRun = true
 	x.releaseSentBody()
+	x.answered = true
 	x.g.firstByte.UpdateSince(x.arrived)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if !head.Signed || success && head.Encoded {
@@ -239,6 +231,7 @@
 		x.release(state, nil)
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
+	x.recordAccepted(state)
 	continues := success && x.stream.continuedBy(response)
 	if x.stream.started && !continues {
 		return x.handleNotResumed(conn, pool, state, response)
@@ -268,12 +261,20 @@
 	return result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonEndpointError}
 }
 
+// recordAccepted records that an endpoint has not refused the request.
+func (x *exchange) recordAccepted(state *balance.State) {
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	state.RecordAccepted(time.Now())
+}
+
 // pause keeps the requests of this router away from an endpoint that has asked for it.
 func (x *exchange) pause(state *balance.State, d time.Duration) {
 	x.g.mu.Lock()
 	d = state.Pause(time.Now(), d)
 	x.g.mu.Unlock()
 	x.g.metrics.Counter("endpoints.paused").Inc(1)
+	x.g.config.Reporter.EndpointPaused(x.service, d)
 	x.log("endpoint asks for a pause", string(api.RefusalEndpointPaused), zap.Duration("pause", d))
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"net/http"
 	"time"
 
@@ -14,7 +13,6 @@
 	"github.com/hornbeamproxy/hornbeamproxy/retry"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
-	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
 
 // defaultMaxBodyBytes bounds a request body when the configuration sets no limit.
@@ -104,6 +102,11 @@
 	// answerBegan is when the first event of the answer arrived in the current attempt; zero
 	// before that.
 	answerBegan time.Time
+	// sentAt is when the request was sent in the current attempt, and answered is set when the
+	// head of its response has arrived. reader is the pace of the caller in this attempt.
+	sentAt   time.Time
+	answered bool
+	reader   readerPace
 	// answerRecorded is set when the current attempt has shown that its endpoint bears the
 	// request.
 	answerRecorded bool
@@ -132,6 +135,10 @@
 	if !x.admit() {
 		return
 	}
+	if x.expired() {
+		x.refuse(http.StatusRequestTimeout, api.RefusalDeadlineExceeded, 0)
+		return
+	}
 	if !x.g.plan.Load().admits(time.Now(), x.deadline) {
 		x.refuse(http.StatusServiceUnavailable, api.RefusalShuttingDown, retryAfterElsewhere)
 		return
@@ -256,7 +263,7 @@
 		return
 	}
 	if !x.mayHaveRun {
-		x.refuse(http.StatusServiceUnavailable, r.refusal, r.retryAfter)
+		x.refuse(x.notRunStatus(r.refusal == api.RefusalDeadlineExceeded), r.refusal, r.retryAfter)
 		return
 	}
 	x.report(r.refusal)
@@ -326,34 +333,32 @@
 	return digest.Sum64()
 }
 
-// release ends the request's use of the endpoint and records the outcome. A nil failure
-// counts as a success, and errCallerGone as neither a success nor a failure. An endpoint
-// that is ejected because of the failure is marked cold.
-func (x *exchange) release(state *balance.State, failure error) {
+// release ends the request's use of the endpoint and records the outcome; a nil failure is a
+// success. It returns the cause of the failure. An endpoint that is ejected because of it is marked
+// cold.
+func (x *exchange) release(state *balance.State, failure error) cause {
+	why := x.cause(failure)
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	state.RecordEnd()
-	x.recordVersionEnd(time.Now(), state, failure)
+	x.recordVersionEnd(time.Now(), state, why)
 	x.g.balancer.RecordPromptEnd(x.promptKey)
-	switch {
-	case failure == nil:
-		state.RecordSuccess()
-		return
-	case errors.Is(failure, errCallerGone):
-		return
-	case errors.Is(failure, errEndpointFailed):
-		state.RecordError()
-		return
-	}
 	now := time.Now()
 	ejected := false
-	if errors.Is(failure, upstream.ErrNotSent) || upstream.IsNetworkTimeout(failure) {
-		ejected = x.g.unreachable(now, state, failure)
-	} else {
+	switch effects[why] {
+	case effectNothing:
+	case effectSuccess:
+		state.RecordSuccess()
+	case effectRate:
+		state.RecordError()
+	case effectEject:
 		ejected = state.RecordFailure(now)
+	case effectUnreachable, effectSilence:
+		ejected = x.g.unreachable(now, state, failure, effects[why] == effectSilence)
 	}
 	if ejected {
 		x.g.roster.MarkCold(now, state.Endpoint)
 		x.g.logger.Warn("endpoint ejected", zap.String("endpoint", state.Endpoint.ID), zap.String("request", x.request.ID), zap.Error(failure))
 	}
+	return why
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -191,10 +191,12 @@
 	r.add("unknown %s %s %s", f.ID, f.Workspace, f.Reason)
 }
 
-func (r *recorder) ResponseBroken(f gateway.FailedRequest)     { r.add("broken %s %s", f.Route, f.Reason) }
-func (r *recorder) EndpointUnreachable(entry roster.Entry)     { r.add("unreachable %s", entry.ID) }
-func (r *recorder) PromptQuarantined(part string, _ time.Time) { r.add("quarantined %s", part) }
-func (r *recorder) EndpointRecovered(id string)                { r.add("recovered %s", id) }
+func (r *recorder) ResponseBroken(f gateway.FailedRequest) { r.add("broken %s %s", f.Route, f.Reason) }
+
+func (r *recorder) EndpointUnreachable(entry roster.Entry)         { r.add("unreachable %s", entry.ID) }
+func (r *recorder) PromptQuarantined(part string, _ time.Time)     { r.add("quarantined %s", part) }
+func (r *recorder) EndpointPaused(service string, d time.Duration) { r.add("paused %s %s", service, d) }
+func (r *recorder) EndpointRecovered(id string)                    { r.add("recovered %s", id) }
 
 func newTestGateway(t testing.TB, endpoints ...*endpoint) testGateway {
 	t.Helper()
@@ -233,7 +235,16 @@
 
 func (f testGateway) configure() testGateway { return f.configureRevision(1) }
 
+// configureTimeout configures routes with a time-out other than timeout.
+func (f testGateway) configureTimeout(timeout time.Duration) testGateway {
+	return f.configureRoutes(1, timeout)
+}
+
 func (f testGateway) configureRevision(revision uint64) testGateway {
+	return f.configureRoutes(revision, timeout)
+}
+
+func (f testGateway) configureRoutes(revision uint64, timeout time.Duration) testGateway {
 	target := []routing.Target{{Service: "s", Weight: 1}}
 	f.SetConfig(routing.Config{
 		Revision: revision,
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -128,7 +129,7 @@
 		return x.forwardOversized(conn, pool, state, response, body)
 	}
 	if err != nil {
-		return x.handleBroken(conn, state, err, nil, result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonResponseCut})
+		return x.handleBroken(conn, state, err, result{refusal: api.RefusalUpstreamIncomplete, retry: api.RetryReasonResponseCut})
 	}
 	x.returnConn(conn, pool, response)
 	var outcome error
@@ -184,19 +185,6 @@
 	}
 }
 
-// callerWriter tells the errors of writing to the caller, which do not count against the endpoint, from
-// those of reading the endpoint's response.
-type callerWriter struct {
-	w      io.Writer
-	failed bool // whether a write has failed
-}
-
-func (c *callerWriter) Write(b []byte) (int, error) {
-	n, err := c.w.Write(b)
-	c.failed = c.failed || err != nil
-	return n, err
-}
-
 // forwardOversized forwards a response that is too large to buffer; head holds the
 // part of the body that has been read already.
 func (x *exchange) forwardOversized(conn *upstream.Conn, pool *upstream.Pool, state *balance.State, response *http.Response, head []byte) result {
@@ -207,19 +195,18 @@
 	}
 	x.answerBegan = time.Now()
 	x.w.WriteHeader(response.StatusCode)
-	caller := &callerWriter{w: x.w}
-	_, err := caller.Write(head)
+	_, err := callerWriter{x}.Write(head)
 	if err == nil {
-		_, err = io.Copy(caller, response.Body)
+		_, err = io.Copy(callerWriter{x}, response.Body)
 	}
-	if caller.failed {
+	if errors.Is(err, errCallerGone) {
 		conn.Close()
 		x.release(state, errCallerGone)
 		x.abandon()
 	}
 	if err != nil {
 		conn.Close()
-		x.release(state, x.errOrCallerGone(err))
+		x.release(state, err)
 		x.abortResponse(zap.Error(err))
 	}
 	x.returnConn(conn, pool, response)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -1,14 +1,12 @@
 package gateway
 
 import (
-	"errors"
 	"slices"
 	"time"
 
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
 	"github.com/hornbeamproxy/hornbeamproxy/rollout"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
-	"github.com/hornbeamproxy/hornbeamproxy/upstream"
 )
 
 // This file keeps requests away from versions of a service that may not serve them during a staged
@@ -33,10 +31,9 @@
 type answerClass int
 
 const (
-	answerByError      answerClass = iota // what the error given to release shows
+	answerByCause      answerClass = iota // what the cause of its end shows
 	answerShowsNothing                    // the attempt did not run
 	answerWrong                           // the bytes are not an answer to the request
-	answerLate                            // the request's deadline passed
 )
 
 // versionAttempt is one attempt as the roll-out of its service sees it. The zero value is an
@@ -139,14 +136,14 @@
 	x.g.metrics.Counter("rollouts.old_requests").Inc(1)
 }
 
-// recordVersionEnd counts the answer of an attempt that ends with failure. Callers hold g.mu.
-func (x *exchange) recordVersionEnd(now time.Time, state *balance.State, failure error) {
+// recordVersionEnd counts the answer of an attempt that ends for the given cause. Callers hold g.mu.
+func (x *exchange) recordVersionEnd(now time.Time, state *balance.State, why cause) {
 	v := &x.version
 	if v.counter == nil {
 		return
 	}
 	v.counter.RecordEnd(v.target)
-	failed, counts := x.versionFailed(now, failure)
+	failed, counts := x.versionFailed(now, why)
 	if !counts {
 		return
 	}
@@ -168,23 +165,23 @@
 
 // versionFailed reports whether the attempt failed by a fault of the version, and whether it shows
 // anything of the version at all.
-func (x *exchange) versionFailed(now time.Time, failure error) (failed, counts bool) {
+func (x *exchange) versionFailed(now time.Time, why cause) (failed, counts bool) {
 	switch x.version.class {
 	case answerShowsNothing:
 		return false, false
 	case answerWrong:
 		return true, true
-	case answerLate:
-		return x.versionLate(now)
 	}
-	switch {
-	case failure == nil:
+	switch why {
+	case causeNone:
 		return false, true
-	case errors.Is(failure, errCallerGone), errors.Is(failure, upstream.ErrNotSent), upstream.IsNetworkTimeout(failure):
+	case causeDeadline, causeNoAnswer:
+		return x.versionLate(now)
+	case causeNotReached, causeSilent:
 		// A link that passes nothing on says nothing of the version behind it.
 		return false, false
 	}
-	return true, true
+	return why.counts(), why.counts()
 }
 
 // versionLate returns the results of versionFailed for an attempt whose deadline has passed. A
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -227,3 +227,12 @@
 	}
 	return err
 }
+
+// CloseWrite closes the side of the connection to the caller. net/http's server needs it to end a
+// connection whose request it has not read to the end without a reset that would drop the response.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -240,7 +240,7 @@
 	}
 	h.platform.SetSpec("servers", e.id, map[string]any{
 		"service": "s", "address": e.proxy.Addr(), "zone": "z", "version": e.version, "slots": 16, "state": state,
-		"cold_left_ms": 0, "seq": 1, "born": e.born.Load(),
+		"cold_left_ms": 0, "seq": e.born.Load(), "born": e.born.Load(),
 	})
 }
 
