intake: a head may have 4,096 fields, as many as the platform's limit of 16 KiB can hold

With 256, a request within the platform's limits was refused also in calm. The two crowds of many fields hold with it: peak 65 MB of 96 (go test -run HeaderFields ./crowds).

--- a/edge/overload.go
+++ b/edge/overload.go
@@ -20,8 +20,8 @@
 // Defaults of the settings under [limits]. Callers within the platform's limits stay below them.
 const (
 	defaultOperatorConnections = 64
-	defaultHeaderFields        = 256
-	defaultHeaderKB            = 32 // KiB; the platform's own limit is 16 KiB
+	defaultHeaderFields        = 4096 // the platform's limit of 16 KiB has room for so many fields of four bytes
+	defaultHeaderKB            = 32   // KiB; the platform's own limit is 16 KiB
 	defaultUnreadMS            = 10_000
 )
 
