config: switches for placement by work and shared room, features of the deployment

The features of docs/design/hard-load.md sections 3 and 4 are off unless the settings ask for them. router.features takes the platform's contracts from the template; demand.placement_by_work and demand.shared_room take auto, always or never, and any other value is a problem that names its key.

--- a/config/edge.go
+++ b/config/edge.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -18,6 +19,8 @@
 		MemoryMB int    `toml:"memory_mb"` // memory above which the platform kills the process
 		// LinkMbps is the capacity of the instance's network link, or 0 if unknown.
 		LinkMbps float64 `toml:"link_mbps"`
+		// Features are the names of the platform's contracts that the deployment has.
+		Features []string `toml:"features"`
 	} `toml:"router"`
 	Listen struct { // address and port of each listener
 		Callers   string `toml:"callers"`
@@ -45,8 +48,30 @@
 		// multiple of the mean of the service's endpoints.
 		LoadFactor float64 `toml:"load_factor"`
 	} `toml:"bounds"`
+	Demand struct { // features that depend on the demand
+		// PlacementByWork: requests are placed by expected work and speed instead of by number.
+		PlacementByWork Switch `toml:"placement_by_work"`
+		// SharedRoom: requests beyond the room of a service wait at the router.
+		SharedRoom Switch `toml:"shared_room"`
+	} `toml:"demand"`
 }
 
+// Switch says when a feature is in use.
+type Switch string
+
+// Values of a Switch.
+const (
+	Auto   Switch = "auto" // depends on the deployment
+	Always Switch = "always"
+	Never  Switch = "never"
+)
+
+// FeaturePressure is the contract of deployments that are offered more than they can serve.
+const FeaturePressure = "pressure"
+
+// HasFeature reports whether the deployment has the contract.
+func (s *EdgeSettings) HasFeature(name string) bool { return slices.Contains(s.Router.Features, name) }
+
 // Defaults for values that the platform does not set.
 const (
 	defaultHeartbeatMS    = 1200
@@ -69,6 +94,7 @@
 	settings.Bounds.RetryRatio = defaultRetryRatio
 	settings.Bounds.ColdRateFactor = defaultColdRateFactor
 	settings.Bounds.LoadFactor = defaultLoadFactor
+	settings.Demand.PlacementByWork, settings.Demand.SharedRoom = Auto, Auto
 	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 	if err := decoder.Decode(settings); err != nil {
 		return nil, &Error{Problems: decodeProblems(path, err)}
@@ -125,5 +151,13 @@
 			problems = append(problems, Problem{File: path, Key: p.key, Text: "must be above 0"})
 		}
 	}
+	for key, value := range map[string]Switch{
+		"demand.placement_by_work": s.Demand.PlacementByWork,
+		"demand.shared_room":       s.Demand.SharedRoom,
+	} {
+		if value != Auto && value != Always && value != Never {
+			problems = append(problems, Problem{File: path, Key: key, Text: `must be "auto", "always" or "never"`})
+		}
+	}
 	return problems
 }
--- a/config/edge_test.go
+++ b/config/edge_test.go
@@ -48,20 +48,38 @@
 	assert.Equal(t, settings.Router.LinkMbps, 1000.0)
 }
 
+// Guards against a feature that is on, or whose switch has another value, when the file does not
+// name it, and against a contract that is not found.
+func TestFeatures(t *testing.T) {
+	settings, err := loadEdge(t, edgeText)
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Demand.PlacementByWork, Auto)
+	assert.Equal(t, settings.Demand.SharedRoom, Auto)
+	assert.Assert(t, !settings.HasFeature(FeaturePressure))
+	text := strings.Replace(edgeText, "memory_mb", "features = [\"a\",\"pressure\"]\nmemory_mb", 1)
+	settings, err = loadEdge(t, text+"\n[demand]\nplacement_by_work = \"never\"\nshared_room = \"always\"\n")
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Demand.PlacementByWork, Never)
+	assert.Equal(t, settings.Demand.SharedRoom, Always)
+	assert.Assert(t, settings.HasFeature(FeaturePressure))
+}
+
 // Guards against an invalid file that is accepted, and against a problem that
 // does not name its key.
 func TestLoadEdgeProblems(t *testing.T) {
 	for name, c := range map[string]struct{ from, to, key string }{
-		"unknown key":  {"zone =", "zoen =", "zoen"},
-		"wrong type":   {"memory_mb = 284", `memory_mb = "much"`, "memory_mb"},
-		"no id":        {`id = "edge-1"`, `id = ""`, "router.id"},
-		"no store":     {`address = "127.0.0.1:4"`, ``, "store.address"},
-		"no heartbeat": {`address = "127.0.0.1:4"`, "address = \"127.0.0.1:4\"\nheartbeat_ms = 0", "store.heartbeat_ms"},
-		"no peers":     {`peers = "127.0.0.1:3"`, ``, "listen.peers"},
-		"no grace":     {"grace_s = 8", "grace_s = 0", "bounds.grace_s"},
-		"not TOML":     {"[bounds]", "[bounds", ""},
-		"negative":     {"cold_factor = 1.5", "cold_factor = -1", "bounds.cold_factor"},
-		"empty number": {"grace_s = 8", "grace_s =", ""},
+		"unknown key":   {"zone =", "zoen =", "zoen"},
+		"wrong type":    {"memory_mb = 284", `memory_mb = "much"`, "memory_mb"},
+		"no id":         {`id = "edge-1"`, `id = ""`, "router.id"},
+		"no store":      {`address = "127.0.0.1:4"`, ``, "store.address"},
+		"odd switch":    {"[bounds]", "[demand]\nshared_room = \"sometimes\"\n[bounds]", "demand.shared_room"},
+		"odd placement": {"[bounds]", "[demand]\nplacement_by_work = \"\"\n[bounds]", "demand.placement_by_work"},
+		"no heartbeat":  {`address = "127.0.0.1:4"`, "address = \"127.0.0.1:4\"\nheartbeat_ms = 0", "store.heartbeat_ms"},
+		"no peers":      {`peers = "127.0.0.1:3"`, ``, "listen.peers"},
+		"no grace":      {"grace_s = 8", "grace_s = 0", "bounds.grace_s"},
+		"not TOML":      {"[bounds]", "[bounds", ""},
+		"negative":      {"cold_factor = 1.5", "cold_factor = -1", "bounds.cold_factor"},
+		"empty number":  {"grace_s = 8", "grace_s =", ""},
 	} {
 		_, err := loadEdge(t, strings.Replace(edgeText, c.from, c.to, 1))
 		var problems *Error
