exchange, balance, gateway, edge: requests wait in front of a full service

Wires package room into the gateway: a request that is beyond the room of its service waits, is refused as overloaded at once or goes on, and one that an endpoint refused as full returns to the queue once. Nothing changes unless demand.shared_room asks for it.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -102,6 +102,7 @@
 	p.store = platform.NewStore("http://"+s.Store.Address, "", p.metrics)
 	self := exchange.Peer{Address: s.Listen.Peers, LinkMbps: s.Router.LinkMbps}
 	guard := telemetry.Guard{Logger: p.logger, Metrics: p.metrics}
+	demands, receiveDemands := p.roomDemands()
 	peers, err := exchange.Listen(exchange.Config{
 		Router: s.Router.ID, Peer: self, Logger: p.logger, Metrics: p.metrics, Guard: guard,
 		Loads: func() exchange.Loads {
@@ -119,6 +120,8 @@
 		},
 		TakeLeaving:    func() []uint64 { return p.gateway.TakeLeaving() },
 		ReceiveLeaving: func(starts []uint64) { p.gateway.ReceiveLeaving(starts) },
+		Demands:        demands,
+		ReceiveDemands: receiveDemands,
 		ReceiveBatch:   p.receiveBatch,
 	})
 	if err != nil {
@@ -131,6 +134,7 @@
 		Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
 		Routers: peers.Routers, Reporter: p.failures,
 		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
+		SharedRoom:    s.SharesRoom(),
 	})
 	access := &mirror.Access{}
 	p.mirrors = map[string]*mirror.Mirror{}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -64,6 +64,10 @@
 	// Leaving are the starts of endpoints that have told the sender that they leave. Earlier
 	// versions ignore them.
 	Leaving []uint64 `cbor:"13,keyasint,omitempty"`
+	// Demand is a router's report of the demand for services whose room is full, and FleetDemand the
+	// sum of all reports from the first relay. Earlier versions ignore both.
+	Demand      []byte `cbor:"20,keyasint,omitempty"`
+	FleetDemand []byte `cbor:"21,keyasint,omitempty"`
 }
 
 // Peer is the registration of a router.
@@ -102,6 +106,10 @@
 	// ReceiveLeaving is called with those that told another router.
 	TakeLeaving    func() []uint64
 	ReceiveLeaving func(starts []uint64)
+	// Demands returns the demand for the services whose room is full. ReceiveDemands is called with
+	// the sums of all routers. Both are nil if the room of services is not shared.
+	Demands        func() Demands
+	ReceiveDemands func(sums Demands)
 	// ReceiveBatch is called with the changes that a relay forwards.
 	ReceiveBatch func(batch mirror.Batch)
 }
@@ -125,6 +133,7 @@
 	relaySince     time.Time              // when this router became a relay; zero if it is none
 	viewSentAt     time.Time              // when this router last sent a view
 	surges         surgeDetector          // of the reports to this router
+	demandSentAt   time.Time              // when sendDemand last sent; used by Send only
 	heartbeatIndex int                    // index in relayOrder of the peer that got the last heartbeat
 }
 
@@ -145,6 +154,9 @@
 	prompts map[uint32]int
 	loadsAt time.Time
 	viewAt  time.Time // when the peer's last view arrived
+	// demands are those of the peer's newest report, at demandsAt.
+	demands   Demands
+	demandsAt time.Time
 	// assemblies are the batches of which fragments have arrived, by kind.
 	assemblies map[string]*assembly
 }
@@ -212,6 +224,7 @@
 	return timing.Every(ctx, reportInterval, func(now time.Time) {
 		e.sendPoisonReport(now)
 		e.announcePoison()
+		e.sendDemand(now)
 		if leaving := e.config.TakeLeaving(); len(leaving) > 0 {
 			e.broadcast(&message{Router: e.config.Router, Leaving: leaving})
 		}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -39,7 +39,9 @@
 	poison  *poison.Detector
 	leaving []uint64 // to tell the others
 	left    []uint64 // told by others
-	stop    context.CancelFunc
+	// ownDemands are reported, fleetDemands received.
+	ownDemands, fleetDemands Demands
+	stop                     context.CancelFunc
 }
 
 func newFleet(t *testing.T, n int) []*router {
@@ -97,6 +99,16 @@
 				defer r.mu.Unlock()
 				r.poison.Receive(time.Now(), report, announcement)
 			},
+			Demands: func() Demands {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return maps.Clone(r.ownDemands)
+			},
+			ReceiveDemands: func(sums Demands) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.fleetDemands = sums
+			},
 			ReceiveBatch: func(batch mirror.Batch) {
 				r.mu.Lock()
 				defer r.mu.Unlock()
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -66,6 +66,9 @@
 	if r.known && len(m.Leaving) > 0 {
 		e.config.ReceiveLeaving(m.Leaving)
 	}
+	if r.known {
+		e.receiveDemand(now, m)
+	}
 	if r.known && m.PoisonReport != nil {
 		e.config.ReceivePoison(m.PoisonReport, false)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -275,6 +275,7 @@
 	if head.Pause > 0 && head.ID == x.request.ID {
 		x.pause(state, head.Pause)
 	}
+	x.leaveRoom(false)
 	x.release(state, nil)
 	if head.Misdirected {
 		if x.misdirected < maxMisdirected {
@@ -286,5 +287,6 @@
 		x.g.markMisdirected(state, x.request.ID)
 		return result{refusal: api.RefusalEndpointWithdrawn, retry: api.RetryReasonRefusedByEndpoint, retryAfter: retryAfterMove}
 	}
+	x.recordFull()
 	return result{refusal: api.RefusalEndpointFull, retry: api.RetryReasonRefusedByEndpoint, retryAfter: retryAfterFull}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -100,6 +100,8 @@
 	// failure is the latest 5xx response of an endpoint to a repeatable request. It
 	// is forwarded if no later attempt succeeds.
 	failure *bufferedResponse
+	// room is the request's use of the room of its service.
+	room roomUse
 }
 
 // addOwnTime adds the time since ownSince to ownTime. It is called before the router
@@ -123,6 +125,10 @@
 		x.refuse(http.StatusServiceUnavailable, api.RefusalShuttingDown, retryAfterElsewhere)
 		return
 	}
+	defer x.leaveRoom(false)
+	if !x.enterRoom() {
+		return
+	}
 	x.g.mu.Lock()
 	x.g.retries.Budget.RecordFirstTry(x.arrived, x.service)
 	x.g.mu.Unlock()
@@ -131,11 +137,12 @@
 		if result.done {
 			return
 		}
+		x.leaveRoom(false)
 		if x.r.Context().Err() != nil {
 			x.abandon()
 			return
 		}
-		if !x.shouldRetry(result) {
+		if !x.shouldRetry(result) || !x.reenterRoom(&result) {
 			x.respondFailure(result)
 			return
 		}
@@ -365,6 +372,7 @@
 	defer x.g.mu.Unlock()
 	state.RecordEnd()
 	x.g.balancer.RecordPromptEnd(x.promptKey)
+	x.endRoom(!errors.Is(failure, upstream.ErrNotSent) && !errors.Is(failure, errCallerGone))
 	switch {
 	case failure == nil:
 		state.RecordSuccess()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,8 @@
 	// EntryLifetime is the shortest outage of the store after which entries of endpoints may have
 	// expired because they could not be renewed.
 	EntryLifetime time.Duration
+	// SharedRoom makes requests beyond the room of a service wait at the router (see package room).
+	SharedRoom bool
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
@@ -105,6 +107,7 @@
 	// leavingStarts are the starts of endpoints that leave and of which the other routers have
 	// not been told yet.
 	leavingStarts []uint64
+	rooms         rooms
 }
 
 // New returns a gateway without a configuration and without endpoints. It refuses all
@@ -117,6 +120,7 @@
 		bodyTimeout: bodyTimeout,
 		pools:       map[*roster.Endpoint]*upstream.Pool{},
 		exitChecks:  map[*roster.Endpoint]*exitCheck{},
+		rooms:       rooms{services: map[string]*serviceRoom{}},
 		poison:      poison.New(),
 		latency:     metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
 		firstByte:   metrics.GetOrRegisterTimer("requests.first_byte_seconds", config.Metrics.Registry),
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -196,14 +196,22 @@
 func (r *recorder) EndpointRecovered(id string)                { r.add("recovered %s", id) }
 
 func newTestGateway(t *testing.T, endpoints ...*endpoint) testGateway {
+	t.Helper()
+	return newTestGatewayWith(t, func(*gateway.Config) {}, endpoints...)
+}
+
+// newTestGatewayWith is newTestGateway with a configuration that change has changed.
+func newTestGatewayWith(t *testing.T, change func(*gateway.Config), endpoints ...*endpoint) testGateway {
 	t.Helper()
 	metrics, reporter := telemetry.NewMetrics(), &recorder{}
-	g := gateway.New(gateway.Config{
+	config := gateway.Config{
 		Zone: "z", Codec: platform.Codec{}, Logger: zap.NewNop(), Metrics: metrics,
 		Bounds:   gateway.Bounds{RetryRatio: 0.2, RetrySlack: 20, ColdRateFactor: 1.5, ColdRateSlack: 5, LoadFactor: 2},
 		Reporter: reporter,
 		Routers:  func() *quota.Routers { return quota.NewRouters("r", nil) },
-	})
+	}
+	change(&config)
+	g := gateway.New(config)
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
 	f := testGateway{Gateway: g, url: server.URL, metrics: metrics, reporter: reporter}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -201,6 +201,7 @@
 	}
 	fields = append(fields, zap.String("reason", reason), zap.Int("sends", x.sends),
 		zap.Bool("may_have_run", x.mayHaveRun), zap.Duration("age", time.Since(x.arrived)))
+	fields = append(fields, x.room.fields...)
 	if x.table != nil {
 		fields = append(fields, zap.Uint64("revision", x.table.Revision))
 	}
--- a/room/account.go
+++ b/room/account.go
@@ -115,6 +115,7 @@
 	s.balance -= s.work
 	s.charged += s.work
 	s.inFlight++
+	s.fleetInFlight++
 	s.startSum += now.Sub(s.epoch).Seconds()
 }
 
@@ -125,6 +126,7 @@
 	took := max(0, now.Sub(started).Seconds())
 	mean := s.charged / float64(max(1, s.inFlight))
 	s.inFlight--
+	s.fleetInFlight = max(0, s.fleetInFlight-1)
 	s.charged -= mean
 	s.startSum -= started.Sub(s.epoch).Seconds()
 	if s.inFlight <= 0 {
--- a/room/demand.go
+++ b/room/demand.go
@@ -47,6 +47,9 @@
 // WorkspaceHash returns the hash of a workspace in a Demand.
 func WorkspaceHash(workspace string) uint16 { return uint16(xxhash.Sum64String(workspace)) }
 
+// ServiceKey returns the key by which routers tell each other the demand for a service.
+func ServiceKey(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
+
 // Add adds the demand of another router.
 func (d *Demand) Add(other Demand) {
 	d.Routers += other.Routers
@@ -83,7 +86,7 @@
 }
 
 func (s *Service) ownDemand(now time.Time) Demand {
-	return Demand{Routers: 1, Total: s.own.total(now) / demandUnit, Workspaces: s.own.sums()}
+	return Demand{Routers: 1, Total: (s.own.total(now) + demandUnit - 1) / demandUnit, Workspaces: s.own.sums()}
 }
 
 // SetDemand records the demand of the fleet, including this router.
--- a/room/load.go
+++ b/room/load.go
@@ -60,9 +60,6 @@
 	s.advance(now)
 	s.slots, s.fleetInFlight, s.routers = max(0, slots), fleetInFlight, max(1, routers)
 	s.known, s.knowsRoom = known, true
-	if known && float64(fleetInFlight+s.waiting.len()) >= pressureFraction*float64(slots) {
-		s.pressureAt = now
-	}
 	if now.Sub(s.correctedAt) >= correctionInterval {
 		s.correctedAt = now
 		s.correct(now)
@@ -74,6 +71,13 @@
 	s.computeFair(now)
 }
 
+// notePressure records whether the requests in flight and waiting reach the room.
+func (s *Service) notePressure(now time.Time) {
+	if s.known && float64(s.fleetInFlight+s.waiting.len()) >= pressureFraction*float64(s.slots) {
+		s.pressureAt = now
+	}
+}
+
 // Pressed reports whether the room is full, so that shares hold.
 func (s *Service) Pressed(now time.Time) bool {
 	if !s.knowsRoom || s.slots == 0 {
--- a/room/room.go
+++ b/room/room.go
@@ -156,6 +156,7 @@
 func (s *Service) offer(now time.Time, r Request) Decision {
 	s.advance(now)
 	w := s.newWaiter(now, r)
+	s.notePressure(now)
 	pressed := s.Pressed(now)
 	if pressed && !s.wasPressed {
 		s.begin(now)
@@ -239,6 +240,22 @@
 	return max(0, min(wait, longest))
 }
 
+// Expire removes a waiter whose wait is over and refuses it. It returns false if the request is no
+// longer waiting.
+func (s *Service) Expire(now time.Time, r Request) (Decision, bool) {
+	if !s.waiting.cancel(r.ID) {
+		return Decision{}, false
+	}
+	return s.Refuse(now, r), true
+}
+
+// Refuse returns the refusal of a request that can't be sent.
+func (s *Service) Refuse(now time.Time, r Request) Decision {
+	s.advance(now)
+	w := &waiter{over: s.overShare(now, r)}
+	return s.refuse(now, r, w, s.expected(now, w), ReasonNoTime)
+}
+
 // refuse returns a refusal. Its time to return covers the requests that wait and those that were
 // refused lately, since these return as well.
 func (s *Service) refuse(now time.Time, r Request, w *waiter, expected time.Duration, reason string) Decision {
@@ -271,7 +288,7 @@
 	return admitted
 }
 
-// Cancel removes a waiter, and reports whether it was waiting.
+// Cancel removes a waiter that has left, and reports whether it was waiting.
 func (s *Service) Cancel(id uint64) bool { return s.waiting.cancel(id) }
 
 // Waiting returns the number of waiters.
