--- a/config/room_test.go
+++ b/config/room_test.go
@@ -24,3 +24,12 @@
 		assert.Equal(t, s.SharesRoom(), c.want, "%v", c)
 	}
 }
+
+// Guards against a queue that takes the memory of a small router.
+func TestQueueBytes(t *testing.T) {
+	for memory, want := range map[int]int64{0: 0, 20: minQueueBytes, 148: 6 << 20} {
+		var s EdgeSettings
+		s.Router.MemoryMB = memory
+		assert.Equal(t, s.QueueBytes(), want, memory)
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -134,7 +134,7 @@
 		Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
 		Routers: peers.Routers, Reporter: p.failures,
 		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
-		SharedRoom:    s.SharesRoom(),
+		SharedRoom:    s.SharesRoom(), QueueBytes: s.QueueBytes(),
 	})
 	access := &mirror.Access{}
 	p.mirrors = map[string]*mirror.Mirror{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,8 @@
 	EntryLifetime time.Duration
 	// SharedRoom makes requests beyond the room of a service wait at the router (see package room).
 	SharedRoom bool
+	// QueueBytes bounds the bytes of the requests that wait; 0 means no limit.
+	QueueBytes int64
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -19,6 +19,9 @@
 	admitInterval = 5 * time.Millisecond
 	// maxQueued bounds the requests that wait at the router, of all services.
 	maxQueued = 512
+	// queuedRequestBytes is what a waiting request holds beside its body: its header, its
+	// connection's buffers and its goroutine.
+	queuedRequestBytes = 32 << 10
 	// waiterStep makes the ids of waiters differ that have the same request id.
 	waiterStep = 0x9E3779B97F4A7C15
 )
@@ -27,6 +30,7 @@
 type rooms struct {
 	services map[string]*serviceRoom
 	queued   int    // requests that wait
+	bytes    int64  // of the requests that wait
 	offered  uint64 // requests that have asked for room
 }
 
@@ -57,13 +61,18 @@
 		g.rooms.offered++
 		phase := float64(xxhash.Sum64String(service)^uint64(now.UnixNano())*waiterStep) / (1 << 64)
 		r = &serviceRoom{name: service, waiters: map[uint64]chan struct{}{}}
-		r.Service = room.New(room.Config{Plain: plain, Random: phase, Full: func() bool { return g.rooms.queued >= maxQueued }})
+		r.Service = room.New(room.Config{Plain: plain, Random: phase, Full: g.queueFull})
 		g.rooms.services[service] = r
 	}
 	g.refreshRoom(now, r)
 	return r
 }
 
+// queueFull reports whether no more requests may wait. Callers hold g.mu.
+func (g *Gateway) queueFull() bool {
+	return g.rooms.queued >= maxQueued || g.config.QueueBytes > 0 && g.rooms.bytes >= g.config.QueueBytes
+}
+
 // pruneRooms drops the rooms of services that are no longer configured. Callers hold g.mu.
 func (g *Gateway) pruneRooms() {
 	table := g.table.Load()
@@ -173,6 +182,7 @@
 	admitted := make(chan struct{})
 	service.waiters[request.ID] = admitted
 	x.g.rooms.queued++
+	x.g.rooms.bytes += x.queuedBytes()
 	x.g.scheduleAdmit(service)
 	x.g.mu.Unlock()
 	x.g.metrics.Counter("room.waited").Inc(1)
@@ -208,16 +218,20 @@
 	return nil
 }
 
+// queuedBytes returns the memory that the request holds while it waits.
+func (x *exchange) queuedBytes() int64 { return int64(len(x.request.Body)) + queuedRequestBytes }
+
 // endWait removes the request from the queue. If it was still there, its wait is over, and endWait
 // returns the refusal. If it was not, the request holds room from then on.
 func (x *exchange) endWait(service *serviceRoom, request room.Request) (refusal room.Decision, over bool) {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	now := time.Now()
+	x.g.rooms.queued--
+	x.g.rooms.bytes -= x.queuedBytes()
 	refusal, over = service.Expire(now, request)
 	if over {
 		delete(service.waiters, request.ID)
-		x.g.rooms.queued--
 		return refusal, true
 	}
 	x.holdStarted(now, service)
@@ -248,7 +262,6 @@
 	for _, id := range service.Next(now) {
 		close(service.waiters[id])
 		delete(service.waiters, id)
-		g.rooms.queued--
 	}
 	if len(service.waiters) > 0 {
 		g.scheduleAdmit(service)
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -167,6 +167,16 @@
 	assert.Assert(t, ended > 0)
 }
 
+// Guards against waiting requests that take more memory than they may.
+func TestQueueBytes(t *testing.T) {
+	e, _ := busyEndpoint(t, "e1", 60*time.Millisecond)
+	f := newTestGatewayWith(t, func(c *gateway.Config) { c.SharedRoom, c.QueueBytes = true, 100<<10 }, e).configure()
+	_ = f.crowd(t, 4, "/safe/1")
+	_ = f.crowd(t, 30, "/safe/1")
+	assert.Assert(t, f.count("room.waited") > 0)
+	assert.Assert(t, f.count("room.refused") >= 10, "4 of 32 KiB each may wait at a time")
+}
+
 // Guards against a request that an endpoint refused as full and that is lost, or that is sent
 // without end.
 func TestRefusedAsFullReturnsToQueue(t *testing.T) {
