--- a/config/edge_test.go
+++ b/config/edge_test.go
@@ -54,6 +54,22 @@
 	assert.Equal(t, settings.Limits, EdgeLimits{HeaderKB: 64})
 }
 
+// Guards against a feature that is on, or whose switch has another value, when the file does not
+// name it, and against a contract that is not found.
+func TestFeatures(t *testing.T) {
+	settings, err := loadEdge(t, edgeText)
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Demand.PlacementByWork, Auto)
+	assert.Equal(t, settings.Demand.SharedRoom, Auto)
+	assert.Assert(t, !settings.HasFeature(FeaturePressure))
+	text := strings.Replace(edgeText, "memory_mb", "features = [\"a\",\"pressure\"]\nmemory_mb", 1)
+	settings, err = loadEdge(t, text+"\n[demand]\nplacement_by_work = \"never\"\nshared_room = \"always\"\n")
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Demand.PlacementByWork, Never)
+	assert.Equal(t, settings.Demand.SharedRoom, Always)
+	assert.Assert(t, settings.HasFeature(FeaturePressure))
+}
+
 // Guards against an invalid file that is accepted, and against a problem that
 // does not name its key.
 func TestLoadEdgeProblems(t *testing.T) {
@@ -77,6 +93,8 @@
 		"no connections":    {"[bounds]", "[limits]\nconnections = -1\n[bounds]", "limits.connections"},
 		"few header fields": {"[bounds]", "[limits]\nheader_fields = 31\n[bounds]", "limits.header_fields"},
 		"short unread time": {"[bounds]", "[limits]\nunread_ms = 999\n[bounds]", "limits.unread_ms"},
+		"odd switch":        {"[bounds]", "[demand]\nshared_room = \"sometimes\"\n[bounds]", "demand.shared_room"},
+		"odd placement":     {"[bounds]", "[demand]\nplacement_by_work = \"\"\n[bounds]", "demand.placement_by_work"},
 	} {
 		_, err := loadEdge(t, strings.Replace(edgeText, c.from, c.to, 1))
 		var problems *Error
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -102,6 +102,7 @@
 	self := exchange.Peer{Address: s.Listen.Peers, LinkMbps: s.Router.LinkMbps}
 	guard := telemetry.Guard{Logger: p.logger, Metrics: p.metrics}
 	p.newRollouts()
+	demands, receiveDemands := p.roomDemands()
 	peers, err := exchange.Listen(exchange.Config{
 		Router: s.Router.ID, Peer: self, Logger: p.logger, Metrics: p.metrics, Guard: guard,
 		Loads: func() exchange.Loads {
@@ -119,6 +120,8 @@
 		},
 		TakeLeaving:    func() []uint64 { return p.gateway.TakeLeaving() },
 		ReceiveLeaving: func(starts []uint64) { p.gateway.ReceiveLeaving(starts) },
+		Demands:        demands,
+		ReceiveDemands: receiveDemands,
 		ReceiveBatch:   p.receiveBatch,
 		Rollouts:       p.exchangedRollouts(),
 	})
@@ -135,6 +138,7 @@
 		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
 		Account:       p.intakes.account, EndpointSlots: p.intakes.slots,
 		BodyTimeout: milliseconds(s.Limits.BodyMS),
+		SharedRoom:  s.SharesRoom(), QueueBytes: s.QueueBytes(),
 	})
 	access := &mirror.Access{}
 	p.mirrors = map[string]*mirror.Mirror{}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -68,6 +68,10 @@
 	// roll-out is running. Earlier versions ignore both.
 	RolloutReports  []RolloutReport `cbor:"14,keyasint,omitempty"`
 	RolloutStatuses []RolloutStatus `cbor:"15,keyasint,omitempty"`
+	// Demand is a router's report of the demand for services whose room is full, and FleetDemand the
+	// sum of all reports from the first relay. Earlier versions ignore both.
+	Demand      []byte `cbor:"20,keyasint,omitempty"`
+	FleetDemand []byte `cbor:"21,keyasint,omitempty"`
 }
 
 // Peer is the registration of a router.
@@ -108,6 +112,10 @@
 	ReceiveLeaving func(starts []uint64)
 	// Rollouts connects the staged roll-outs; nil if they are off.
 	Rollouts Rollouts
+	// Demands returns the demand for the services whose room is full. ReceiveDemands is called with
+	// the sums of all routers. Both are nil if the room of services is not shared.
+	Demands        func() Demands
+	ReceiveDemands func(sums Demands)
 	// ReceiveBatch is called with the changes that a relay forwards.
 	ReceiveBatch func(batch mirror.Batch)
 }
@@ -131,6 +139,7 @@
 	relaySince     time.Time              // when this router became a relay; zero if it is none
 	viewSentAt     time.Time              // when this router last sent a view
 	surges         surgeDetector          // of the reports to this router
+	demandSentAt   time.Time              // when sendDemand last sent; used by Send only
 	heartbeatIndex int                    // index in relayOrder of the peer that got the last heartbeat
 	rolloutsSentAt time.Time              // when this router last sent its rollout reports
 	rolloutsFailed uint32                 // the failed answers of targets in these
@@ -153,6 +162,9 @@
 	prompts map[uint32]int
 	loadsAt time.Time
 	viewAt  time.Time // when the peer's last view arrived
+	// demands are those of the peer's newest report, at demandsAt.
+	demands   Demands
+	demandsAt time.Time
 	// assemblies are the batches of which fragments have arrived, by kind.
 	assemblies map[string]*assembly
 }
@@ -221,6 +233,7 @@
 		e.sendPoisonReport(now)
 		e.announcePoison()
 		e.sendRolloutReports(now)
+		e.sendDemand(now)
 		if leaving := e.config.TakeLeaving(); len(leaving) > 0 {
 			e.broadcast(&message{Router: e.config.Router, Leaving: leaving})
 		}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -41,7 +41,9 @@
 	left    []uint64 // told by others
 	// rollouts are the staged roll-outs that the router knows, none by default.
 	rollouts rolloutStub
-	stop     context.CancelFunc
+	// ownDemands are reported, fleetDemands received.
+	ownDemands, fleetDemands Demands
+	stop                     context.CancelFunc
 }
 
 func newFleet(t *testing.T, n int) []*router {
@@ -100,6 +102,16 @@
 				r.poison.Receive(time.Now(), report, announcement)
 			},
 			Rollouts: &r.rollouts,
+			Demands: func() Demands {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return maps.Clone(r.ownDemands)
+			},
+			ReceiveDemands: func(sums Demands) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.fleetDemands = sums
+			},
 			ReceiveBatch: func(batch mirror.Batch) {
 				r.mu.Lock()
 				defer r.mu.Unlock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -301,6 +301,7 @@
 		x.pause(state, head.Pause)
 	}
 	x.version.class = answerShowsNothing
+	x.leaveRoom(false)
 	x.release(state, nil)
 	if head.Misdirected {
 		if x.misdirected < maxMisdirected {
@@ -312,5 +313,6 @@
 		x.g.markMisdirected(state, x.request.ID)
 		return result{refusal: api.RefusalEndpointWithdrawn, retry: api.RetryReasonRefusedByEndpoint, retryAfter: retryAfterMove}
 	}
+	x.recordFull()
 	return result{refusal: api.RefusalEndpointFull, retry: api.RetryReasonRefusedByEndpoint, retryAfter: retryAfterFull}
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -115,6 +115,8 @@
 	// failure is the latest 5xx response of an endpoint to a repeatable request. It
 	// is forwarded if no later attempt succeeds.
 	failure *bufferedResponse
+	// room is the request's use of the room of its service.
+	room roomUse
 }
 
 // addOwnTime adds the time since ownSince to ownTime. It is called before the router
@@ -143,6 +145,10 @@
 		x.refuse(http.StatusServiceUnavailable, api.RefusalShuttingDown, retryAfterElsewhere)
 		return
 	}
+	defer x.leaveRoom(false)
+	if !x.enterRoom() {
+		return
+	}
 	x.g.mu.Lock()
 	x.g.retries.Budget.RecordFirstTry(x.arrived, x.service)
 	x.g.mu.Unlock()
@@ -151,11 +157,12 @@
 		if result.done {
 			return
 		}
+		x.leaveRoom(false)
 		if x.r.Context().Err() != nil {
 			x.abandon()
 			return
 		}
-		if !x.shouldRetry(result) {
+		if !x.shouldRetry(result) || !x.reenterRoom(&result) {
 			x.respondFailure(result)
 			return
 		}
@@ -343,6 +350,7 @@
 	state.RecordEnd()
 	x.recordVersionEnd(time.Now(), state, why)
 	x.g.balancer.RecordPromptEnd(x.promptKey)
+	x.endRoom(why != causeNotReached && why != causeCallerGone)
 	now := time.Now()
 	ejected := false
 	switch effects[why] {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,6 +79,10 @@
 	// BodyTimeout bounds the time from the arrival of a request to the end of its body; 0 means
 	// the default of 10 s.
 	BodyTimeout time.Duration
+	// SharedRoom makes requests beyond the room of a service wait at the router (see package room).
+	SharedRoom bool
+	// QueueBytes bounds the bytes of the requests that wait; 0 means no limit.
+	QueueBytes int64
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
@@ -119,6 +123,7 @@
 	leavingStarts []uint64
 	// versions are what is known of the versions of services that have or had a roll-out.
 	versions map[string]*serviceVersions
+	rooms    rooms
 }
 
 // New returns a gateway without a configuration and without endpoints. It refuses all
@@ -131,6 +136,7 @@
 		bodyTimeout: bodyTimeout,
 		pools:       map[*roster.Endpoint]*upstream.Pool{},
 		exitChecks:  map[*roster.Endpoint]*exitCheck{},
+		rooms:       rooms{services: map[string]*serviceRoom{}},
 		poison:      poison.New(),
 		versions:    map[string]*serviceVersions{},
 		latency:     metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -200,21 +200,28 @@
 
 func newTestGateway(t testing.TB, endpoints ...*endpoint) testGateway {
 	t.Helper()
-	return newLimitedGateway(t, nil, nil, endpoints...)
+	return newTestGatewayWith(t, func(*gateway.Config) {}, endpoints...)
 }
 
 // newLimitedGateway returns a gateway with accounts of bytes and of connections to endpoints; nil means
 // no limit.
 func newLimitedGateway(t testing.TB, account *overload.Account, slots *overload.Slots, endpoints ...*endpoint) testGateway {
+	t.Helper()
+	return newTestGatewayWith(t, func(c *gateway.Config) { c.Account, c.EndpointSlots = account, slots }, endpoints...)
+}
+
+// newTestGatewayWith is newTestGateway with a configuration that change has changed.
+func newTestGatewayWith(t testing.TB, change func(*gateway.Config), endpoints ...*endpoint) testGateway {
 	t.Helper()
 	metrics, reporter := telemetry.NewMetrics(), &recorder{}
-	g := gateway.New(gateway.Config{
-		Account: account, EndpointSlots: slots,
+	config := gateway.Config{
 		Zone: "z", Codec: platform.Codec{}, Logger: zap.NewNop(), Metrics: metrics,
 		Bounds:   gateway.Bounds{RetryRatio: 0.2, RetrySlack: 20, ColdRateFactor: 1.5, ColdRateSlack: 5, LoadFactor: 2},
 		Reporter: reporter,
 		Routers:  func() *quota.Routers { return quota.NewRouters("r", nil) },
-	})
+	}
+	change(&config)
+	g := gateway.New(config)
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
 	f := testGateway{Gateway: g, url: server.URL, metrics: metrics, reporter: reporter}
