room, gateway: with the automatic switch only some plain requests wait

Now requests of workspaces within their share are sent at once, and only those over it, and those refused as full, wait, up to a quarter of the time left. "always" keeps the former behaviour.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -138,7 +138,7 @@
 		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
 		Account:       p.intakes.account, EndpointSlots: p.intakes.slots,
 		BodyTimeout: milliseconds(s.Limits.BodyMS),
-		SharedRoom:  s.SharesRoom(), QueueBytes: s.QueueBytes(),
+		SharedRoom:  sharedRoomOf(s), QueueBytes: s.QueueBytes(),
 	})
 	access := &mirror.Access{}
 	p.mirrors = map[string]*mirror.Mirror{}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,8 +79,8 @@
 	// BodyTimeout bounds the time from the arrival of a request to the end of its body; 0 means
 	// the default of 10 s.
 	BodyTimeout time.Duration
-	// SharedRoom makes requests beyond the room of a service wait at the router (see package room).
-	SharedRoom bool
+	// SharedRoom says which requests wait at the router when the room of their service is full.
+	SharedRoom SharedRoom
 	// QueueBytes bounds the bytes of the requests that wait; 0 means no limit.
 	QueueBytes int64
 }
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -26,6 +26,16 @@
 	waiterStep = 0x9E3779B97F4A7C15
 )
 
+// SharedRoom says which requests share the room of their service (see package room).
+type SharedRoom int
+
+// Values of SharedRoom.
+const (
+	RoomForNone  SharedRoom = iota
+	RoomForPlain            // requests that are not streams; of these, only some wait (room.Config.SendFirst)
+	RoomForAll
+)
+
 // rooms are the rooms of the services, by name. They are empty unless Config.SharedRoom is set.
 type rooms struct {
 	services map[string]*serviceRoom
@@ -61,7 +71,7 @@
 		g.rooms.offered++
 		phase := float64(xxhash.Sum64String(service)^uint64(now.UnixNano())*waiterStep) / (1 << 64)
 		r = &serviceRoom{name: service, waiters: map[uint64]chan struct{}{}}
-		r.Service = room.New(room.Config{Plain: plain, Random: phase, Full: g.queueFull})
+		r.Service = room.New(room.Config{Plain: plain, SendFirst: g.config.SharedRoom == RoomForPlain, Random: phase, Full: g.queueFull})
 		g.rooms.services[service] = r
 	}
 	g.refreshRoom(now, r)
@@ -110,10 +120,23 @@
 	return request
 }
 
+// sharesRoom reports whether the request needs room of its service. With SendFirst streams don't:
+// engines admit the requests that wait there by priority, and a wait in front of them leaves their
+// slots idle.
+func (x *exchange) sharesRoom() bool {
+	switch x.g.config.SharedRoom {
+	case RoomForAll:
+		return true
+	case RoomForPlain:
+		return x.route.Kind != routing.Stream
+	}
+	return false
+}
+
 // enterRoom waits until the request may be sent to its service. It returns false if the request
 // has been refused.
 func (x *exchange) enterRoom() bool {
-	if !x.g.config.SharedRoom {
+	if !x.sharesRoom() {
 		return true
 	}
 	refused := x.awaitRoom(false)
@@ -126,7 +149,7 @@
 // reenterRoom prepares another attempt. A request that an endpoint refused as full returns to the
 // queue, once. It returns false, and the refusal in r, if there is no room for it.
 func (x *exchange) reenterRoom(r *result) bool {
-	if !x.g.config.SharedRoom {
+	if !x.sharesRoom() {
 		return true
 	}
 	if r.refusal != api.RefusalEndpointFull {
@@ -302,7 +325,7 @@
 
 // recordFull tells the room that an endpoint refused the request as full.
 func (x *exchange) recordFull() {
-	if !x.g.config.SharedRoom {
+	if !x.sharesRoom() {
 		return
 	}
 	x.g.mu.Lock()
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -18,7 +18,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/room"
 )
 
-func sharedRoom(c *gateway.Config) { c.SharedRoom = true }
+func sharedRoom(c *gateway.Config) { c.SharedRoom = gateway.RoomForAll }
 
 func (f testGateway) count(name string) int64 { return f.metrics.Counter(name).Count() }
 
@@ -170,7 +170,7 @@
 // Guards against waiting requests that take more memory than they may.
 func TestQueueBytes(t *testing.T) {
 	e, _ := busyEndpoint(t, "e1", 60*time.Millisecond)
-	f := newTestGatewayWith(t, func(c *gateway.Config) { c.SharedRoom, c.QueueBytes = true, 100<<10 }, e).configure()
+	f := newTestGatewayWith(t, func(c *gateway.Config) { c.SharedRoom, c.QueueBytes = gateway.RoomForAll, 100<<10 }, e).configure()
 	_ = f.crowd(t, 4, "/safe/1")
 	_ = f.crowd(t, 30, "/safe/1")
 	assert.Assert(t, f.count("room.waited") > 0)
--- a/room/account.go
+++ b/room/account.go
@@ -13,6 +13,9 @@
 	// most maxWorkFactor times the mean.
 	workWeight    = 0.05
 	maxWorkFactor = 4
+	// calmFraction is the fraction of the slots in flight up to which no request waits at an
+	// endpoint.
+	calmFraction = 0.8
 	// The account is between -minBalance and maxBalance, in requests of the mean size. What is
 	// above 0 is saved for arrivals that are not spaced evenly. While the room is not full it is at
 	// most calmBalance.
@@ -139,4 +142,11 @@
 	s.samples = min(s.samples+1, 1/workWeight)
 	s.work += (min(took, maxWorkFactor*s.work) - s.work) / s.samples
 	s.work = max(s.work, time.Millisecond.Seconds())
+	switch {
+	case s.load(now) > calmFraction*float64(s.slots):
+	case s.calmWork == 0:
+		s.calmWork = s.work
+	default:
+		s.calmWork += workWeight * (min(took, maxWorkFactor*s.calmWork) - s.calmWork)
+	}
 }
--- a/room/load.go
+++ b/room/load.go
@@ -13,6 +13,11 @@
 	// On engines drafts lose 0.04 to 0.06 at 0.95 and 0.05 to 0.07 at 1.
 	plainTarget  = 1.05
 	engineTarget = 0.95
+	// maxDepth bounds the target with Config.SendFirst, where the endpoints queue a few requests for
+	// each slot, and goalFraction is the part of the goal that a request then may spend at an
+	// endpoint on average: the rest covers the spread of the queues and of the work.
+	maxDepth     = 3.0
+	goalFraction = 0.5
 	// pressureFraction is the fraction of the slots in flight above which the room is full.
 	pressureFraction = 0.9
 	// ownPressureFraction is the fraction above which a router whose account is at overdrawnLevel
@@ -73,11 +78,19 @@
 
 // notePressure records whether the requests in flight and waiting reach the room.
 func (s *Service) notePressure(now time.Time) {
-	if s.known && float64(s.fleetInFlight+s.waiting.len()) >= pressureFraction*float64(s.slots) {
+	if s.known && float64(s.fleetInFlight+s.waiting.len()) >= s.pressureLoad() {
 		s.pressureAt = now
 	}
 }
 
+// pressureLoad returns the requests in flight and waiting from which the room is full.
+func (s *Service) pressureLoad() float64 {
+	if s.config.SendFirst {
+		return pressureFraction * s.target() * float64(s.slots)
+	}
+	return pressureFraction * float64(s.slots)
+}
+
 // Pressed reports whether the room is full, so that shares hold.
 func (s *Service) Pressed(now time.Time) bool {
 	if !s.knowsRoom || s.slots == 0 {
@@ -139,10 +152,13 @@
 
 // target returns the requests in flight, per slot, that the routers aim at.
 func (s *Service) target() float64 {
-	if s.config.Plain {
+	if !s.config.Plain {
+		return engineTarget
+	}
+	if !s.config.SendFirst || s.meanLeft <= 0 || s.calmWork <= 0 {
 		return plainTarget
 	}
-	return engineTarget
+	return min(max(plainTarget, goalFraction*s.meanLeft/s.calmWork), maxDepth)
 }
 
 // RecordFull records that an endpoint refused a request as full.
--- a/room/queue.go
+++ b/room/queue.go
@@ -22,6 +22,7 @@
 	id                  uint64
 	class               int
 	over, below, urgent bool
+	late                bool // the goal can no longer be met
 	promoted            bool
 	since, goal         time.Time
 	until               time.Time
@@ -55,6 +56,9 @@
 	if a.class != b.class {
 		return q.turn(a.class) < q.turn(b.class)
 	}
+	if a.late != b.late {
+		return b.late
+	}
 	return a.goal.Before(b.goal)
 }
 
--- a/room/room.go
+++ b/room/room.go
@@ -23,6 +23,10 @@
 	// router's slots.
 	belowShareLevel, urgentLevel = -2, -3
 	belowShareSlots              = 0.5
+	// With Config.SendFirst, requests that can still meet their goal may overdraw the account by
+	// inTimeLevel. Those that can't start only when lateLevel is saved, so that they don't make
+	// others late as well.
+	inTimeLevel, lateLevel = -1, 0.5
 	// urgentFraction is the fraction of the mean time left below which a request is urgent.
 	urgentFraction = 0.6
 	// workMargin is the time in a slot, as a multiple of its mean, that must be left until the goal
@@ -31,6 +35,8 @@
 	// Limits of the time that a request may wait.
 	maxPlainWait  = 400 * time.Millisecond
 	maxEngineWait = 250 * time.Millisecond
+	// maxReturnWait is the limit with Config.SendFirst.
+	maxReturnWait = time.Second
 	// Limits of the time after which a refused caller is to return, and of the factor for the
 	// excess of its workspace.
 	minRetryAfter   = 50 * time.Millisecond
@@ -75,6 +81,10 @@
 type Config struct {
 	// Plain is set for services that do not stream.
 	Plain bool
+	// SendFirst sends the first time at once what comes from workspaces within their fair share, so
+	// that the endpoints' own queues absorb short peaks. Requests of the other workspaces, and those
+	// that an endpoint has refused as full, wait.
+	SendFirst bool
 	// Random in [0, 1) is the phase of the account, so that routers that start together don't
 	// send together.
 	Random float64
@@ -93,6 +103,9 @@
 	// work is the mean time in a slot, in seconds; samples counts up to 1 / workWeight.
 	work    float64
 	samples float64
+	// calmWork is the mean time in a slot while the endpoints queue nothing, in seconds; 0 if it
+	// has not been measured.
+	calmWork float64
 	// inFlight is the number of own requests in flight, startSum the sum of their starts in
 	// seconds after epoch, and charged what has been taken from the account for them.
 	inFlight          int
@@ -141,7 +154,7 @@
 func (s *Service) Offer(now time.Time, r Request) Decision {
 	hash := WorkspaceHash(r.Workspace)
 	s.sends.add(now, hash, 1)
-	decision := s.offer(now, r)
+	decision := s.offer(now, r, false)
 	if decision.Admit || decision.Wait {
 		s.own.add(now, hash, demandUnit)
 	} else {
@@ -151,9 +164,10 @@
 }
 
 // OfferAgain decides on a request that an endpoint has refused as full.
-func (s *Service) OfferAgain(now time.Time, r Request) Decision { return s.offer(now, r) }
+func (s *Service) OfferAgain(now time.Time, r Request) Decision { return s.offer(now, r, true) }
 
-func (s *Service) offer(now time.Time, r Request) Decision {
+// offer decides on a request; again is set if an endpoint has refused it as full.
+func (s *Service) offer(now time.Time, r Request, again bool) Decision {
 	s.advance(now)
 	w := s.newWaiter(now, r)
 	s.notePressure(now)
@@ -165,6 +179,9 @@
 	if !pressed {
 		return Decision{Admit: true, Reason: ReasonRoom}
 	}
+	if s.config.SendFirst && !again && !w.over && !w.late {
+		return Decision{Admit: true, Reason: ReasonShare}
+	}
 	if s.waiting.ahead(w) == 0 && s.mayStart(now, w) {
 		return Decision{Admit: true, Reason: ReasonShare}
 	}
@@ -186,6 +203,7 @@
 func (s *Service) newWaiter(now time.Time, r Request) *waiter {
 	w := &waiter{id: r.ID, class: min(max(r.Class, 0), classes-1), since: now, goal: r.Goal, over: s.overShare(now, r)}
 	w.below = !w.over && s.limited
+	w.late = s.isLate(now, w)
 	if r.Goal.IsZero() {
 		w.goal = r.Deadline
 	}
@@ -201,6 +219,11 @@
 	return w
 }
 
+// isLate reports whether a request can no longer meet its goal.
+func (s *Service) isLate(now time.Time, w *waiter) bool {
+	return w.goal.Sub(now) < seconds(s.work*workMargin)
+}
+
 // level returns the balance, in requests, above which the waiter may start.
 func (s *Service) level(now time.Time, w *waiter) float64 {
 	level := -s.slack(now)
@@ -210,6 +233,13 @@
 	if w.urgent {
 		level += urgentLevel
 	}
+	switch {
+	case !s.config.SendFirst:
+	case w.late:
+		level += lateLevel
+	case !w.over:
+		level += inTimeLevel
+	}
 	return level
 }
 
@@ -218,7 +248,7 @@
 	if balance >= s.level(now, w)*s.work {
 		return true
 	}
-	return !w.urgent && s.spare >= s.work && balance > -minBalance*s.work
+	return !(w.late && s.config.SendFirst) && !w.urgent && s.spare >= s.work && balance > -minBalance*s.work
 }
 
 // expected returns the time after which the waiter is expected to start.
@@ -229,6 +259,11 @@
 
 // allowed returns how long a request may wait.
 func (s *Service) allowed(now time.Time, r Request) time.Duration {
+	if s.config.SendFirst {
+		// A response after the goal is worth more to the caller than a refusal, after which it has
+		// to return, late as well.
+		return max(0, min(r.Deadline.Sub(now)/4, maxReturnWait))
+	}
 	longest := maxEngineWait
 	wait := r.Deadline.Sub(now) / 6
 	left := r.Goal.Sub(now)
@@ -279,6 +314,11 @@
 func (s *Service) Next(now time.Time) []uint64 {
 	s.advance(now)
 	s.waiting.promote(now)
+	if s.config.SendFirst {
+		for _, w := range s.waiting.waiters {
+			w.late = s.isLate(now, w)
+		}
+	}
 	var admitted []uint64
 	for {
 		w := s.waiting.first(func(w *waiter) bool { return s.mayStart(now, w) })
--- a/room/room_test.go
+++ b/room/room_test.go
@@ -230,3 +230,31 @@
 		s.Expire(now, r)
 	}
 }
+
+// Guards, with SendFirst, against a wait of requests that the endpoints' queues can absorb, against a
+// refusal of one that a full endpoint has refused although its caller still has time, and against late
+// requests that go before those that can be in time.
+func TestSendFirst(t *testing.T) {
+	s := New(Config{Plain: true, SendFirst: true})
+	s.SetRoom(start, 10, 40, 1, true)
+	request := plainRequest(1, start)
+	assert.Assert(t, s.Offer(start, request).Admit, "its workspace is within its share")
+	for range 30 {
+		s.Start(start)
+	}
+	s.SetRoom(start, 10, 40, 1, true)
+	request.Deadline = start.Add(8 * time.Second)
+	decision := s.OfferAgain(start, request)
+	assert.Assert(t, decision.Wait)
+	assert.Equal(t, decision.Until, start.Add(maxReturnWait))
+	late := plainRequest(2, start)
+	late.Goal = start.Add(time.Millisecond)
+	assert.Assert(t, s.Offer(start, late).Wait, "it can't be in time")
+	for range 30 {
+		s.End(start.Add(60*time.Millisecond), start, true)
+	}
+	s.SetRoom(start.Add(400*time.Millisecond), 10, 0, 1, true)
+	admitted := s.Next(start.Add(400 * time.Millisecond))
+	assert.Assert(t, len(admitted) > 0)
+	assert.Equal(t, admitted[0], uint64(1))
+}
