edge: a router that starts lists the roll-outs before it serves

The kinds are listed independently of each other, so that a router that had just started could send to a version that was rolled back until its list of the roll-outs arrived. The mirror of the configuration now waits for that list, for 3 s at most. TestRolledBackVersionAfterStart delays the list by 0.5 s and fails without the change.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -182,8 +182,8 @@
 	add := func(execute func(context.Context) error) {
 		group.Add(func() error { return execute(loops) }, func(error) { stopLoops() })
 	}
-	for _, m := range p.mirrors {
-		add(m.Run)
+	for kind, m := range p.mirrors {
+		add(p.afterRollouts(kind, m.Run))
 	}
 	add(p.gateway.Run)
 	add(p.fleet.run)
--- a/edge/rolloutalone_test.go
+++ b/edge/rolloutalone_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/records"
+	"github.com/hornbeamproxy/hornbeamproxy/rollout"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -58,6 +61,42 @@
 	assert.Assert(t, strings.Contains(text.String(), "Version v2 of service s was rolled back: no_endpoints."), "%s", text.String())
 }
 
+// Guards against a router that serves a version that was rolled back before it started, since it learns
+// of the endpoints before it learns of the roll-outs.
+func TestRolledBackVersionAfterStart(t *testing.T) {
+	s := newSite(t)
+	s.exposeShare = 0.1
+	s.configure("key")
+	s.platform.SetSpec("servers", "i-1", map[string]any{
+		"service": "s", "address": s.endpoint.Listener.Addr().String(), "zone": "z", "version": "v2", "slots": 8, "state": "ready",
+		"cold_left_ms": 0, "seq": 1,
+	})
+	s.platform.SetSpec("rollouts", "s", map[string]any{"service": "s", "target": "v2", "period_s": 12})
+	object, err := s.platform.Store().Get(t.Context(), "rollouts/s")
+	assert.NilError(t, err)
+	object.Key = "s"
+	order, _, err := platform.DecodeRollout(object)
+	assert.NilError(t, err)
+	status, err := platform.EncodeRolloutStatus(rollout.Status{State: rollout.RolledBack, Target: "v2", Order: order.ID, Started: time.Now()})
+	assert.NilError(t, err)
+	_, err = s.platform.Store().PutStatus(t.Context(), "rollouts/s", status, object.Version)
+	assert.NilError(t, err)
+	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/v1/objects/rollouts") {
+			time.Sleep(500 * time.Millisecond)
+		}
+		s.platform.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() { slow.CloseClientConnections(); slow.Close() })
+	r := s.startAt(t, "r1", slow.Listener.Addr().String())
+	eventually(t, 3*time.Second, "the version is refused", func() bool {
+		code, body := r.call("/call/x", "key")
+		assert.Assert(t, code != http.StatusOK, "the version served")
+		return strings.Contains(body, "version_rolled_back")
+	})
+	assert.Equal(t, s.calls.Load(), int64(0))
+}
+
 // Guards against routers that read the kind of the roll-outs, or obey an order, although their
 // settings do not ask for it.
 func TestRolloutsAreOffByDefault(t *testing.T) {
--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -32,6 +32,9 @@
 	rolloutBackupDelay = time.Second
 	// rolloutAnnouncedFor is how long a verdict is announced after it was written.
 	rolloutAnnouncedFor = 5 * time.Second
+	// rolloutListTimeout is how long a router that starts waits for the first list of the roll-outs. A
+	// store that answers all calls but this one must not keep the router from serving.
+	rolloutListTimeout = 3 * time.Second
 	// rolloutStoreFresh is the age up to which the knowledge of the store lets a router decide alone
 	// or write in place of the first relay.
 	rolloutStoreFresh = 1500 * time.Millisecond
@@ -74,6 +77,9 @@
 	failures *reporter
 	wake     chan struct{} // has a value when a decision should not wait for its interval
 
+	listed     chan struct{} // closed after the first list
+	listedOnce sync.Once
+
 	mu     sync.Mutex
 	orders map[string]*rolloutOrder // by object name
 	// versions are the highest versions seen, by object name, so that the answer to a write that
@@ -121,6 +127,7 @@
 	p.rollouts = &rollouts{
 		store: p.store, router: p.options.Settings.Router.ID, start: uint64(time.Now().UnixNano()), logger: p.logger,
 		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{}, wake: make(chan struct{}, 1),
+		listed: make(chan struct{}),
 	}
 }
 
@@ -132,6 +139,25 @@
 	return p.rollouts
 }
 
+// afterRollouts makes the mirror of the configuration wait for the first list of the roll-outs: without
+// a configuration no request is served, so that none goes to a version that was rolled back before this
+// router started.
+func (p *process) afterRollouts(kind string, run func(context.Context) error) func(context.Context) error {
+	if p.rollouts == nil || kind != platform.KindConfig {
+		return run
+	}
+	return func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.rollouts.listed:
+		case <-time.After(rolloutListTimeout):
+			p.logger.Warn("serving before the roll-outs are known")
+		}
+		return run(ctx)
+	}
+}
+
 // connectRollouts sets the parts that are created after the exchange.
 func (p *process) connectRollouts() {
 	if p.rollouts == nil {
@@ -329,6 +355,7 @@
 			r.drop(name)
 		}
 	}
+	r.listedOnce.Do(func() { close(r.listed) })
 }
 
 // ObjectChanged implements mirror.Receiver.
--- a/edge/rollouts_test.go
+++ b/edge/rollouts_test.go
@@ -101,6 +101,7 @@
 	r.rollouts = &rollouts{
 		store: store, peers: r, gateway: g, known: time.Now, router: name, start: 1, logger: zap.NewNop(),
 		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{}, wake: make(chan struct{}, 1),
+		listed: make(chan struct{}),
 	}
 	s.relays = append(s.relays, r)
 	r.read()
