work, balance, gateway: placement by expected work and speed

Requests that look alike cost endpoints work that differs by a factor of 50, and the load was their number. Package work learns what requests cost and how fast endpoints are; balance compares the drawn endpoints by the expected time until the first event if Criteria.Work is set; the gateway sets it where the setting demand.placement_by_work asks for it. The bounds in requests are checked first, as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,6 +17,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
+	"github.com/hornbeamproxy/hornbeamproxy/work"
 )
 
 const (
@@ -78,6 +79,7 @@
 	// endpoint.
 	LocalRequests int
 
+	work         *work.Endpoint     // nil until it is used
 	hash         placement.Endpoint // to compute rendezvous scores
 	zone         *zoneState
 	joined       time.Time             // when the endpoint registered; zero if before this router started
@@ -190,11 +192,17 @@
 	// LoadFactor sets the limit for the load of every endpoint (see loadLimitSlack); 0 means
 	// no limit.
 	LoadFactor float64
+	// Work places the request by expected work and speed. With nil it is placed by the
+	// number of requests of each endpoint.
+	Work *ByWork
 }
 
 // Pick chooses an endpoint. An ejected endpoint is chosen only if no other is left.
 // The state is nil if and only if the refusal is not None.
 func (b *Balancer) Pick(now time.Time, criteria Criteria) (*State, Refusal) {
+	if criteria.Work != nil {
+		criteria.Work.prepare()
+	}
 	b.scratch = b.scratch[:0]
 	total, unusable, failureRates := 0.0, 0.0, 0.0
 	for _, endpoint := range criteria.Members {
@@ -211,6 +219,9 @@
 	fallback, refusal := b.filterCandidates(now, criteria, failureRates/float64(max(1, len(b.scratch))))
 	switch {
 	case len(b.scratch) == 0 && fallback != nil:
+		if criteria.Work != nil {
+			criteria.Work.ChooseFor(now, fallback)
+		}
 		return fallback, None
 	case len(b.scratch) == 0:
 		return nil, refusal
@@ -222,7 +233,7 @@
 		}
 		return b.pickHome(now, criteria, total, bound), None
 	}
-	return b.pickInZone(criteria.Draw), None
+	return b.pickInZone(now, criteria), None
 }
 
 // filterCandidates removes the candidates that may not get the request. mean is the mean
@@ -272,7 +283,7 @@
 // pickInZone chooses among the candidates for a request without a prompt. It leaves out those
 // that have more than the mean load for their slots + zoneSlack, and draws among the others in
 // the router's own availability zone, or among all others if there are none.
-func (b *Balancer) pickInZone(draw uint64) *State {
+func (b *Balancer) pickInZone(now time.Time, criteria Criteria) *State {
 	total, slots := 0.0, 0.0
 	for i := range b.scratch {
 		total += b.scratch[i].load
@@ -291,10 +302,13 @@
 			own++
 		}
 	}
+	if criteria.Work != nil {
+		return b.pickInZoneByWork(now, criteria, inBound, own)
+	}
 	if own > 0 {
 		inBound = inBound[:own]
 	}
-	return drawLessLoaded(inBound, draw)
+	return drawLessLoaded(inBound, criteria.Draw)
 }
 
 // load returns the number of requests that all routers have in flight at the endpoint,
--- a/balance/hotprompt.go
+++ b/balance/hotprompt.go
@@ -131,6 +131,12 @@
 			inBound = append(inBound, c)
 		}
 	}
+	if criteria.Work != nil && len(inBound) > 0 {
+		return b.pickHomeByWork(now, criteria, inBound, width)
+	}
+	if criteria.Work != nil {
+		return criteria.Work.choose(now, b.draw(now, criteria.Work, b.scratch, criteria.Draw, draws, nil))
+	}
 	if len(inBound) == 0 {
 		return drawLessLoaded(b.scratch, criteria.Draw)
 	}
--- a/balance/hotprompt_sim_test.go
+++ b/balance/hotprompt_sim_test.go
@@ -111,6 +111,7 @@
 	asked       map[string]time.Time // end of the pause, by router and endpoint
 	refused     int                  // requests that were refused with a pause
 	pressed     int                  // requests that reached an endpoint within a pause
+	picked      func(id string)      // called with each endpoint that got a request, if not nil
 }
 
 // simLoads are the numbers of requests in flight at one moment.
@@ -271,6 +272,9 @@
 		state, _ = b.Pick(now, criteria)
 	}
 	id := state.Endpoint.ID
+	if s.picked != nil {
+		s.picked(id)
+	}
 	total := 0
 	for _, endpoint := range s.members {
 		total += s.load[endpoint.ID]
--- a/balance/promptholders.go
+++ b/balance/promptholders.go
@@ -84,6 +84,20 @@
 	return holds, other
 }
 
+// has reports whether the endpoint holds the prompt.
+func (h *holderIndex) has(now time.Time, key uint64, endpoint *roster.Endpoint) bool {
+	known, ok := h.byKey[key]
+	if !ok {
+		return false
+	}
+	for i, holder := range known.endpoints {
+		if holder == endpoint {
+			return now.Sub(known.lastUsed[i]) <= holderTTL
+		}
+	}
+	return false
+}
+
 // RecordHolder records that an endpoint has processed the prompt with the key and
 // therefore holds it in its cache.
 func (b *Balancer) RecordHolder(now time.Time, key uint64, endpoint *roster.Endpoint) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -130,7 +130,8 @@
 	p.gateway = gateway.New(gateway.Config{
 		Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
 		Routers: peers.Routers, Reporter: p.failures,
-		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
+		EntryLifetime:   time.Duration(heartbeatsToLapse * float64(heartbeat)),
+		PlacementByWork: placementOf(s),
 	})
 	access := &mirror.Access{}
 	p.mirrors = map[string]*mirror.Mirror{}
@@ -166,6 +167,17 @@
 	}
 }
 
+// placementOf returns at which services requests are placed by work.
+func placementOf(s *config.EdgeSettings) gateway.PlacementByWork {
+	switch {
+	case s.Demand.PlacementByWork == config.Never:
+		return gateway.ByWorkNever
+	case s.Demand.PlacementByWork == config.Always || s.HasFeature(config.FeaturePressure):
+		return gateway.ByWorkAlways
+	}
+	return gateway.ByWorkIfReported
+}
+
 // run runs all parts of the process until the first of them ends.
 func (p *process) run(ctx context.Context) error {
 	loops, stopLoops := context.WithCancel(context.Background())
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -126,6 +126,7 @@
 		return x.handleNoResponse(conn, state, err)
 	}
 	x.sends++
+	x.work.sent = time.Now()
 	x.addOwnTime()
 	// The connection owns the body, and is itself released or closed after the response.
 	response, head, err := x.receive(conn) //nolint:bodyclose // see above
@@ -205,6 +206,7 @@
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
 	x.noteLeaving(state.Endpoint, head)
+	x.observeReport(state, head)
 	if head.NotRun || head.Misdirected {
 		return x.handleNotRun(conn, pool, state, response, head)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -97,6 +97,8 @@
 	// answerRecorded is set when the current attempt has shown that its endpoint bears the
 	// request.
 	answerRecorded bool
+	// work is the part that concerns placement by work.
+	work workExchange
 	// failure is the latest 5xx response of an endpoint to a repeatable request. It
 	// is forwarded if no later attempt succeeds.
 	failure *bufferedResponse
@@ -325,8 +327,10 @@
 	criteria := x.g.pickCriteria(x.table.Services[x.service])
 	criteria.Key, criteria.Tried, criteria.Repeatable = x.promptKey, x.tried, x.route.Repeatable()
 	criteria.Draw = x.draw()
+	x.applyWork(&criteria)
 	state, refusal := x.g.balancer.Pick(now, criteria)
 	if state != nil {
+		x.startWork(now, state, criteria.Work != nil)
 		state.RecordStart(now)
 		x.g.balancer.RecordPromptStart(x.promptKey)
 		x.copyFrom = ""
@@ -363,6 +367,7 @@
 func (x *exchange) release(state *balance.State, failure error) {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
+	x.endWork()
 	state.RecordEnd()
 	x.g.balancer.RecordPromptEnd(x.promptKey)
 	switch {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,8 @@
 	// EntryLifetime is the shortest outage of the store after which entries of endpoints may have
 	// expired because they could not be renewed.
 	EntryLifetime time.Duration
+	// PlacementByWork says at which services requests are placed by expected work and speed.
+	PlacementByWork PlacementByWork
 }
 
 // Gateway serves callers' requests. It is an http.Handler.
@@ -99,6 +101,8 @@
 	// back-off, since a retry goes to another endpoint.
 	retries retry.Policy
 	pools   map[*roster.Endpoint]*upstream.Pool
+	work    map[string]*workService // by service
+	workID  uint64                  // of the newest attempt that was placed by work
 	// exitChecks are the checks of endpoints to which connections broke.
 	exitChecks map[*roster.Endpoint]*exitCheck
 	poison     *poison.Detector
@@ -116,6 +120,7 @@
 		balancer:    balance.New(config.Zone),
 		bodyTimeout: bodyTimeout,
 		pools:       map[*roster.Endpoint]*upstream.Pool{},
+		work:        map[string]*workService{},
 		exitChecks:  map[*roster.Endpoint]*exitCheck{},
 		poison:      poison.New(),
 		latency:     metrics.GetOrRegisterTimer("requests.seconds", config.Metrics.Registry),
@@ -163,6 +168,7 @@
 func (g *Gateway) prune(now time.Time) {
 	g.mu.Lock()
 	g.retries.Budget.SetCapacity(g.retryCapacity())
+	g.exportWork(now)
 	for _, endpoint := range g.roster.Expire(now) {
 		g.logger.Info("endpoint removed: not registered again after the store's outage", zap.String("endpoint", endpoint.ID))
 		g.dropEndpoint(endpoint)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
+	"github.com/hornbeamproxy/hornbeamproxy/work"
 )
 
 // PromptPart is a segment of a prompt that several requests may share.
@@ -32,6 +33,8 @@
 	PromptParts []PromptPart
 	// PromptTokens and OutputTokens are the numbers of tokens that the caller declared.
 	PromptTokens, OutputTokens int
+	// LengthHint is the caller's estimate of the output tokens; 0 if it has none.
+	LengthHint int
 	// ResumeAfter is the id of the last event that the caller has received; empty if
 	// it does not resume a stream.
 	ResumeAfter string
@@ -111,6 +114,8 @@
 	// Encoded is set when the body has a content encoding. Endpoints use none, so the
 	// body is not the one that the endpoint sent.
 	Encoded bool
+	// Load is what the endpoint reports of itself; the zero value if it reports nothing.
+	Load work.Load
 }
 
 // Codec translates between HTTP messages and the types of this package.
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -127,6 +127,8 @@
 	var outcome error
 	if response.StatusCode >= http.StatusInternalServerError {
 		outcome = errEndpointFailed
+	} else {
+		x.observeWhole()
 	}
 	x.release(state, outcome)
 	buffered := &bufferedResponse{response: response, body: body, closing: x.g.draining.Load()}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -56,6 +56,7 @@
 	switch {
 	case err == nil:
 		pool.Release(conn, response, time.Now())
+		x.observeWhole()
 		x.release(state, nil)
 		x.recordAnswer()
 		x.g.metrics.Counter("answers.streams").Inc(1)
@@ -113,6 +114,7 @@
 			}
 			end += len(eventEnd)
 			out := pending[:end]
+			x.observeEvents(out)
 			if resumed {
 				out = x.stream.unseen(out)
 			}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -106,6 +106,16 @@
 	// ColdRequestsPerSecond is the number of requests a second that a cold endpoint can
 	// handle; 0 means no limit.
 	ColdRequestsPerSecond float64
+	// Engine is set for services of engines whose limits are known.
+	Engine *Engine
+}
+
+// Engine has the limits of each engine of a service.
+type Engine struct {
+	// Slots is the number of requests that run at a time.
+	Slots int
+	// Capacity is the number of tokens that the engine's memory holds.
+	Capacity int
 }
 
 // Limits bound the size of requests.
