work, platform, gateway: tests of the model, headers and switches

The gateway's tests show that placement by work is on only where the settings or a fourth figure ask for it, and that no work is left over after streams, failures and refusals.

--- a/balance/worksim_test.go
+++ b/balance/worksim_test.go
@@ -75,6 +75,7 @@
 	members   []*roster.Endpoint
 	machines  map[string]*machine
 	over      []arrival
+	inFlight  int
 	firsts    []time.Duration
 	hits      int
 	overfull  int // arrivals at an engine without memory room while another had some
@@ -228,6 +229,7 @@
 
 func (s *workSim) end(at time.Duration, m *machine, j *job) {
 	m.tokens -= j.tokens
+	s.inFlight--
 	b := s.balancers[j.router]
 	j.state.RecordEnd()
 	b.RecordPromptEnd(j.key)
@@ -304,6 +306,7 @@
 	b.RecordHolder(now, j.key, j.state.Endpoint)
 	j.prefill, j.output = float64(prompt)/80+plain, output*8
 	m.tokens += j.tokens
+	s.inFlight++
 	if at >= measureFrom {
 		m.most = max(m.most, m.tokens)
 	}
@@ -312,15 +315,17 @@
 
 // recordArrival records whether the request reaches an endpoint over a bound.
 func (s *workSim) recordArrival(at time.Duration, m *machine, prompt int) {
-	total, room := 0, false
-	for _, other := range s.machines {
-		total += len(other.jobs)
-		room = room || other.tokens+prompt <= int(0.9*float64(s.capacity))
-	}
-	mean := float64(total) / float64(s.endpoints)
+	mean := float64(s.inFlight) / float64(s.endpoints)
 	s.over = append(s.over, arrival{at, float64(len(m.jobs)) > limitFactor*mean+limitSlack})
-	if at >= measureFrom && s.capacity > 0 && room && m.tokens+prompt > int(0.9*float64(s.capacity)) {
-		s.overfull++
+	room := int(0.9*float64(s.capacity)) - prompt
+	if at < measureFrom || s.capacity == 0 || m.tokens <= room {
+		return
+	}
+	for _, other := range s.machines {
+		if other.tokens <= room {
+			s.overfull++
+			return
+		}
 	}
 }
 
--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -4,3 +4,14 @@
 
 // SetBodyTimeout replaces the time-out for callers' bodies.
 func (g *Gateway) SetBodyTimeout(d time.Duration) { g.bodyTimeout = d }
+
+// OutstandingWork returns the gauge work.outstanding_ms of a service after an update.
+func (g *Gateway) OutstandingWork(service string) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.exportWork(time.Now())
+	if known := g.work[service]; known != nil && known.outstanding != nil {
+		return known.outstanding.Value()
+	}
+	return 0
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -196,6 +196,11 @@
 func (r *recorder) EndpointRecovered(id string)                { r.add("recovered %s", id) }
 
 func newTestGateway(t *testing.T, endpoints ...*endpoint) testGateway {
+	t.Helper()
+	return newTestGatewayWith(t, gateway.ByWorkIfReported, endpoints...)
+}
+
+func newTestGatewayWith(t *testing.T, placement gateway.PlacementByWork, endpoints ...*endpoint) testGateway {
 	t.Helper()
 	metrics, reporter := telemetry.NewMetrics(), &recorder{}
 	g := gateway.New(gateway.Config{
@@ -203,6 +208,8 @@
 		Bounds:   gateway.Bounds{RetryRatio: 0.2, RetrySlack: 20, ColdRateFactor: 1.5, ColdRateSlack: 5, LoadFactor: 2},
 		Reporter: reporter,
 		Routers:  func() *quota.Routers { return quota.NewRouters("r", nil) },
+
+		PlacementByWork: placement,
 	})
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
