--- a/balance/bywork_test.go
+++ b/balance/bywork_test.go
@@ -124,7 +124,7 @@
 
 // Load: a tenth of the plain endpoints are 6 times slower for 6 s. Guards against routers that go on
 // sending them as many requests as others. At 350 routers each endpoint gets a request of one
-// router every 17 s, so that few routers learn of it in time.
+// router of its zone every 6 s, so that few routers learn of it in time.
 func TestSlowPlainEndpoints(t *testing.T) {
 	for _, routers := range fleetSizes {
 		load := plainLoad(routers)
--- a/balance/equalpicks_test.go
+++ b/balance/equalpicks_test.go
@@ -95,11 +95,14 @@
 		key      uint64
 		byWork   bool
 		capacity int
+		busy     bool // each endpoint has reported, answered and has a request of this router
 	}{
 		{name: "prompt", key: 42},
 		{name: "plain"},
 		{name: "prompt by work", key: 42, byWork: true, capacity: 400000},
 		{name: "plain by work", byWork: true},
+		{name: "prompt by work, busy", key: 42, byWork: true, capacity: 400000, busy: true},
+		{name: "plain by work, busy", byWork: true, busy: true},
 	} {
 		b.Run(c.name, func(b *testing.B) {
 			balancer, endpoints := New("z0"), members(benchmarkEndpoints)
@@ -114,6 +117,17 @@
 					Request: work.Request{Prompt: 2400, Cached: 1800, MaxOutput: 300, Hint: 100, Plain: c.key == 0},
 				}
 			}
+			if c.busy {
+				model := criteria.Work.Model
+				for _, endpoint := range endpoints {
+					known := balancer.State(endpoint).Work()
+					known.ObserveLoad(start, work.Load{Running: 4, Slots: 8, Contention: 1.5})
+					known.ObserveSpeed(start, model, time.Millisecond, 2*time.Millisecond)
+					known.Start(start, 1, model.Cost(criteria.Work.Request), time.Millisecond)
+					balancer.State(endpoint).RecordStart(start)
+					model.RecordPlaced(model.Cost(criteria.Work.Request))
+				}
+			}
 			b.ReportAllocs()
 			for i := range b.N {
 				criteria.Draw = uint64(i) * 0x9e3779b97f4a7c15
--- a/work/endpoint.go
+++ b/work/endpoint.go
@@ -274,14 +274,13 @@
 }
 
 // HasMemory reports whether the prompt of a request fits an engine's memory of capacity tokens
-// beside the requests that it has. The number of requests of other routers is old: a standard
-// deviation of it is added.
+// beside the requests that it has. A report may raise the number of other routers' requests but
+// not lower it.
 func (e *Endpoint) HasMemory(now time.Time, capacity int, others float64, mean, estimate Estimate) bool {
 	if capacity <= 0 {
 		return true
 	}
-	others = max(others, e.correctOthers(now, others))
-	held := e.ownTokens + (others+math.Sqrt(others))*mean.Tokens
+	held := e.ownTokens + max(others, e.correctOthers(now, others))*mean.Tokens
 	return held+estimate.Tokens <= memoryShare*float64(capacity)
 }
 
--- a/work/work.go
+++ b/work/work.go
@@ -33,6 +33,8 @@
 	// minServiceShare is the part of an observed time that counts as the request's own work at
 	// least, however long the expected wait was.
 	minServiceShare = 0.25
+	// maxTokens bounds the tokens that a request declares or hints. A larger number is an error.
+	maxTokens = 1 << 24
 	// maxRoutes bounds the number of routes of a service that are learned separately.
 	maxRoutes = 64
 )
@@ -160,11 +162,12 @@
 	if r.Plain {
 		return Estimate{Prefill: milliseconds(known.plainMS.get(defaultPlainMS))}
 	}
-	uncached := float64(max(0, r.Prompt-max(0, r.Cached)))
+	prompt := min(max(0, r.Prompt), maxTokens)
+	uncached := float64(max(0, prompt-max(0, r.Cached)))
 	return Estimate{
 		Prefill: milliseconds(uncached * m.msPerPrompt.get(1/defaultTokensPerMS)),
 		Output:  milliseconds(known.expectedOutput(r) * m.tokenMS.get(defaultTokenMS)),
-		Tokens:  float64(max(0, r.Prompt)),
+		Tokens:  float64(prompt),
 	}
 }
 
@@ -173,7 +176,7 @@
 func (k *route) expectedOutput(r Request) float64 {
 	expected := k.output.get(defaultOutputTokens)
 	if r.Hint > 0 {
-		hinted := float64(r.Hint) * k.hintScale.get(1)
+		hinted := float64(min(r.Hint, maxTokens)) * k.hintScale.get(1)
 		weight := 0.5
 		if sum := k.meanError.get(1) + k.hintError.get(1); sum > 0 {
 			weight = k.meanError.get(1) / sum
--- a/work/work_test.go
+++ b/work/work_test.go
@@ -33,6 +33,10 @@
 	m.Observe(r, Sample{})
 	m.Observe(r, Sample{First: -ms, Rest: -ms, Output: 5, Contention: math.NaN()})
 	assert.Assert(t, m.Cost(r).Prefill > 0)
+	for _, odd := range []Request{{Prompt: math.MaxInt}, {Prompt: math.MinInt, Cached: math.MaxInt}, {MaxOutput: math.MinInt, Hint: math.MaxInt}} {
+		cost := m.Cost(odd)
+		assert.Assert(t, cost.Prefill >= 0 && cost.Output >= 0 && cost.Tokens >= 0, "%v: %v", odd, cost)
+	}
 }
 
 // Guards against hints that count although they never were right, and against ones that do not
