Merge placement by work

Beside the merge: a request stays at its prompt's home while it is expected to take at most half of its goal there. An endpoint without answers counts with the mean speed, and expected times within an eighth as equal, so that an endpoint without samples gets requests.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,6 +17,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
+	"github.com/hornbeamproxy/hornbeamproxy/work"
 )
 
 const (
@@ -78,6 +79,7 @@
 	// endpoint.
 	LocalRequests int
 
+	work         *work.Endpoint     // nil until it is used
 	hash         placement.Endpoint // to compute rendezvous scores
 	zone         *zoneState
 	joined       time.Time             // when the endpoint registered; zero if before this router started
@@ -109,7 +111,11 @@
 	zone    string
 	states  map[string]*State // by endpoint id
 	holders holderIndex
-	zones   map[string]*zoneState
+	loadsAt time.Time // of the newest report of loads of other routers
+	// loadsInterval is the time between the last two reports of all other routers, at most
+	// remoteLoadTTL.
+	loadsInterval time.Duration
+	zones         map[string]*zoneState
 	// localPrompts are the numbers of requests that this router has in flight, by
 	// PromptID. remotePrompts are those of others, by router.
 	localPrompts  map[uint32]int
@@ -197,11 +203,17 @@
 	// LoadFactor sets the limit for the load of every endpoint (see loadLimitSlack); 0 means
 	// no limit.
 	LoadFactor float64
+	// Work places the request by expected work and speed. With nil it is placed by the
+	// number of requests of each endpoint.
+	Work *ByWork
 }
 
 // Pick chooses an endpoint. An ejected endpoint is chosen only if no other is left.
 // The state is nil if and only if the refusal is not None.
 func (b *Balancer) Pick(now time.Time, criteria Criteria) (*State, Refusal) {
+	if criteria.Work != nil {
+		criteria.Work.prepare()
+	}
 	b.scratch, b.pauses = b.scratch[:0], pauseTally{}
 	total, unusable, failureRates := 0.0, 0.0, 0.0
 	for _, endpoint := range criteria.Members {
@@ -219,6 +231,9 @@
 	fallback, refusal := b.filterCandidates(now, criteria, failureRates/float64(max(1, len(b.scratch))))
 	switch {
 	case len(b.scratch) == 0 && fallback != nil:
+		if criteria.Work != nil {
+			criteria.Work.ChooseFor(now, fallback)
+		}
 		return fallback, None
 	case len(b.scratch) == 0:
 		return nil, refusal
@@ -230,7 +245,7 @@
 		}
 		return b.pickHome(now, criteria, total, bound), None
 	}
-	return b.pickInZone(now, criteria.Draw), None
+	return b.pickInZone(now, criteria), None
 }
 
 // filterCandidates removes the candidates that may not get the request. mean is the mean
@@ -280,7 +295,7 @@
 // pickInZone chooses among the candidates for a request without a prompt. It leaves out those
 // that have more than the mean load for their slots + zoneSlack, and draws among the others in
 // the router's own availability zone, or among all others if there are none.
-func (b *Balancer) pickInZone(now time.Time, draw uint64) *State {
+func (b *Balancer) pickInZone(now time.Time, criteria Criteria) *State {
 	total, slots := 0.0, 0.0
 	for i := range b.scratch {
 		total += b.scratch[i].load
@@ -293,8 +308,20 @@
 		}
 	}
 	inBound = b.preferProven(now, inBound)
-	inBound = prefer(inBound, func(s *State) bool { return s.Endpoint.Zone == b.zone })
-	return drawLessLoaded(inBound, draw)
+	own := 0 // number of candidates of the own zone, which are moved to the front
+	for i := range inBound {
+		if inBound[i].state.Endpoint.Zone == b.zone {
+			inBound[own], inBound[i] = inBound[i], inBound[own]
+			own++
+		}
+	}
+	if criteria.Work != nil {
+		return b.pickInZoneByWork(now, criteria, inBound, own)
+	}
+	if own > 0 {
+		inBound = inBound[:own]
+	}
+	return drawLessLoaded(inBound, criteria.Draw)
 }
 
 // load returns the number of requests that all routers have in flight at the endpoint,
@@ -353,6 +380,7 @@
 func (b *Balancer) SetRemoteLoad(now time.Time, router, endpointID string, requests int) {
 	if state, ok := b.states[endpointID]; ok {
 		state.remoteLoads[router] = remoteLoad{requests: requests, at: now}
+		b.loadsAt = now
 	}
 }
 
@@ -360,6 +388,10 @@
 // flight, at each endpoint and with each prompt (by PromptID). They replace the reports of
 // single routers until they expire.
 func (b *Balancer) SetFleetLoads(now time.Time, atEndpoint func(endpointID string) int, prompts map[uint32]int) {
+	if !b.loadsAt.IsZero() {
+		b.loadsInterval = min(now.Sub(b.loadsAt), remoteLoadTTL)
+	}
+	b.loadsAt = now
 	for id, state := range b.states {
 		state.remoteLoads[allOthers] = remoteLoad{requests: atEndpoint(id), at: now}
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -138,7 +138,7 @@
 		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
 		Account:       p.intakes.account, EndpointSlots: p.intakes.slots,
 		BodyTimeout: milliseconds(s.Limits.BodyMS),
-		SharedRoom:  sharedRoomOf(s), QueueBytes: s.QueueBytes(),
+		SharedRoom:  sharedRoomOf(s), QueueBytes: s.QueueBytes(), PlacementByWork: placementOf(s),
 	})
 	access := &mirror.Access{}
 	p.mirrors = map[string]*mirror.Mirror{}
@@ -179,6 +179,17 @@
 	}
 }
 
+// placementOf returns at which services requests are placed by work.
+func placementOf(s *config.EdgeSettings) gateway.PlacementByWork {
+	switch {
+	case s.Demand.PlacementByWork == config.Never:
+		return gateway.ByWorkNever
+	case s.Demand.PlacementByWork == config.Always || s.HasFeature(config.FeaturePressure):
+		return gateway.ByWorkAlways
+	}
+	return gateway.ByWorkIfReported
+}
+
 // run runs all parts of the process until the first of them ends.
 func (p *process) run(ctx context.Context) error {
 	loops, stopLoops := context.WithCancel(context.Background())
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -133,6 +133,7 @@
 	x.sends++
 	x.releaseSentBody()
 	x.sentAt = time.Now()
+	x.work.sent = x.sentAt
 	x.addOwnTime()
 	// The connection owns the body, and is itself released or closed after the response.
 	response, head, err := x.receive(conn) //nolint:bodyclose // see above
@@ -217,6 +218,8 @@
 		return result{refusal: api.RefusalUpstreamMismatch, retry: api.RetryReasonResponseMismatch}
 	}
 	x.noteLeaving(state.Endpoint, head)
+	x.observeReport(state, head)
+	x.observeRoom(head.Load)
 	if head.NotRun || head.Misdirected {
 		return x.handleNotRun(conn, pool, state, response, head)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -112,6 +112,8 @@
 	answerRecorded bool
 	// version is the current attempt as the roll-out of its service sees it.
 	version versionAttempt
+	// work is the part that concerns placement by work.
+	work workExchange
 	// failure is the latest 5xx response of an endpoint to a repeatable request. It
 	// is forwarded if no later attempt succeeds.
 	failure *bufferedResponse
@@ -305,11 +307,13 @@
 	criteria := x.g.pickCriteria(x.table.Services[x.service])
 	criteria.Key, criteria.Tried, criteria.Repeatable = x.promptKey, x.tried, x.route.Repeatable()
 	criteria.Draw = x.draw()
+	x.applyWork(&criteria)
 	state, refusal, barred := x.pickVersion(now, &criteria)
 	if barred {
 		return nil, result{refusal: api.RefusalVersionRolledBack, retryAfter: retryAfterChange, notSent: true}
 	}
 	if state != nil {
+		x.startWork(now, state, criteria.Work != nil)
 		state.RecordStart(now)
 		x.g.balancer.RecordPromptStart(x.promptKey)
 		x.copyFrom = ""
@@ -347,6 +351,7 @@
 	why := x.cause(failure)
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
+	x.endWork()
 	state.RecordEnd()
 	x.recordVersionEnd(time.Now(), state, why)
 	x.g.balancer.RecordPromptEnd(x.promptKey)
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -10,6 +10,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/room"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
+	"github.com/hornbeamproxy/hornbeamproxy/work"
 )
 
 const (
@@ -323,6 +324,17 @@
 	}
 }
 
+// observeRoom passes on what the endpoint says of its load.
+func (x *exchange) observeRoom(load work.Load) {
+	if !x.sharesRoom() || load.Odd || load.Slots <= 0 {
+		return
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	now := time.Now()
+	x.g.roomOf(now, x.service, x.route.Kind != routing.Stream).ObserveLoad(now, load.Running, load.Waiting, load.Slots)
+}
+
 // recordFull tells the room that an endpoint refused the request as full.
 func (x *exchange) recordFull() {
 	if !x.sharesRoom() {
