--- a/balance/bywork.go
+++ b/balance/bywork.go
@@ -38,8 +38,9 @@
 	// for services whose endpoints have uneven speeds: two draws often are both slow.
 	draws       = 2
 	unevenDraws = 3
-	// Expected times count as equal up to one part in equalCosts of the one drawn first, so that
-	// an endpoint whose estimate is a little worse still gets requests, and a new estimate.
+	// Expected times count as equal if they differ by at most equalTime, or by one part in equalCosts,
+	// so that an endpoint whose estimate is a little worse still gets requests, and a new estimate.
+	equalTime  = 2 * time.Millisecond
 	equalCosts = 8
 	// noMemory is added to the expected time at an engine whose memory has no room for the
 	// prompt. It is longer than any request.
@@ -145,6 +146,15 @@
 	return option{candidate: c, cost: cost, holds: holds}
 }
 
+// before reports whether the option is better than another one. Of those that take about the same time,
+// the one with fewer requests for its slots is.
+func (o option) before(other option) bool {
+	if margin := max(equalTime, min(o.cost, other.cost)/equalCosts); (o.cost - other.cost).Abs() > margin {
+		return o.cost < other.cost
+	}
+	return o.candidate.load*other.candidate.slots() < other.candidate.load*o.candidate.slots()
+}
+
 // draw returns the best of n different candidates, or of all if there are fewer. holds reports
 // whether an endpoint is expected to hold the prompt. There must be at least one candidate.
 func (b *Balancer) draw(now time.Time, w *ByWork, candidates []candidate, draw uint64, n int, holds func(*State) bool) option {
@@ -156,7 +166,7 @@
 		rest[0], rest[at] = rest[at], rest[0]
 		draw = nextDraw(draw)
 		found := b.option(now, w, &rest[0], holds != nil && holds(rest[0].state))
-		if best.candidate == nil || found.cost < best.cost-best.cost/equalCosts {
+		if best.candidate == nil || found.before(best) {
 			best = found
 		}
 	}
