gateway: the connection of a complete stream becomes idle once

The connection was idle twice, so that two requests were sent on it at the same time: their responses arrive in turn, and a failure of one breaks the other. A connection that had been closed because the caller left became idle as well.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -57,7 +57,6 @@
 	switch {
 	case err == nil:
 		x.returnConn(conn, pool, response)
-		pool.Release(conn, response, time.Now())
 		x.observeWhole()
 		x.release(state, nil)
 		x.recordAnswer()
