gateway: waiting requests count with the bytes of their bodies

Since bodies are held in segments, the bound of the queue in bytes counted one byte for each segment, so that 512 requests of 4 MiB could wait where 10% of the memory account may be used.

TestQueueBytesCountBodies fails without the change in two runs of two (a second request waits beside a body that fills the bound) and passes five times of five with it.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -15,3 +15,10 @@
 	}
 	return 0
 }
+
+// QueuedRequests returns the number of requests that wait for room.
+func (g *Gateway) QueuedRequests() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.rooms.queued
+}
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -243,7 +243,7 @@
 }
 
 // queuedBytes returns the memory that the request holds while it waits.
-func (x *exchange) queuedBytes() int64 { return int64(len(x.request.Body)) + queuedRequestBytes }
+func (x *exchange) queuedBytes() int64 { return int64(x.request.Body.Len()) + queuedRequestBytes }
 
 // endWait removes the request from the queue. If it was still there, its wait is over, and endWait
 // returns the refusal. If it was not, the request holds room from then on.
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -177,6 +177,30 @@
 	assert.Assert(t, f.count("room.refused") >= 10, "4 of 32 KiB each may wait at a time")
 }
 
+// Guards against waiting requests whose bodies are left out of the bound.
+func TestQueueBytesCountBodies(t *testing.T) {
+	e, _ := busyEndpoint(t, "e1", 60*time.Millisecond)
+	f := newTestGatewayWith(t, func(c *gateway.Config) { c.SharedRoom, c.QueueBytes = gateway.RoomForAll, 64<<10 }, e).configure()
+	_ = f.crowd(t, 4, "/safe/1")
+	large := strings.Repeat("x", 64<<10)
+	var group sync.WaitGroup
+	for i := range 30 {
+		request := f.request(t, "/safe/1", "Request-Id", fmt.Sprint("large", i))
+		request.Body, request.ContentLength = io.NopCloser(strings.NewReader(large)), int64(len(large))
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request); err == nil {
+				response.Body.Close()
+			}
+		}()
+	}
+	eventually(t, func() bool { return f.count("room.waited") > 0 })
+	assert.Equal(t, f.QueuedRequests(), 1, "the first body alone reaches the bound")
+	group.Wait()
+	assert.Equal(t, f.QueuedRequests(), 0)
+}
+
 // Guards against a request that an endpoint refused as full and that is lost, or that is sent
 // without end.
 func TestRefusedAsFullReturnsToQueue(t *testing.T) {
