gateway: a request that waited holds room from its admission on

The room charges a waiter when it is admitted, but the request ended with the time at which its goroutine ran again. The sum of the starts in the room's account then fell by that delay with each such request, until no request of the router was in flight: under lasting load the account showed work that nobody did, and requests waited or were refused although there was room.

TestWaiterStartsWhenAdmitted fails without the change (start 20 ms late, the delay of the test) and passes five times of five with it.

--- a/gateway/room.go
+++ b/gateway/room.go
@@ -51,10 +51,17 @@
 	name        string
 	refreshedAt time.Time
 	admitting   bool // whether admit is due
-	waiters     map[uint64]chan struct{}
+	waiters     map[uint64]*roomWaiter
 	held        int // requests in flight
 }
 
+// roomWaiter is a request that waits. admitted is closed when it may be sent, which counts from
+// started on.
+type roomWaiter struct {
+	admitted chan struct{}
+	started  time.Time
+}
+
 // roomUse is a request's use of the room of its service.
 type roomUse struct {
 	held     *serviceRoom // nil if the request is not in flight
@@ -71,7 +78,7 @@
 		g.pruneRooms()
 		g.rooms.offered++
 		phase := float64(xxhash.Sum64String(service)^uint64(now.UnixNano())*waiterStep) / (1 << 64)
-		r = &serviceRoom{name: service, waiters: map[uint64]chan struct{}{}}
+		r = &serviceRoom{name: service, waiters: map[uint64]*roomWaiter{}}
 		r.Service = room.New(room.Config{Plain: plain, SendFirst: g.config.SharedRoom == RoomForPlain, Random: phase, Full: g.queueFull})
 		g.rooms.services[service] = r
 	}
@@ -203,33 +210,33 @@
 		x.g.mu.Unlock()
 		return x.refuseRoom(decision)
 	}
-	admitted := make(chan struct{})
-	service.waiters[request.ID] = admitted
+	waiter := &roomWaiter{admitted: make(chan struct{})}
+	service.waiters[request.ID] = waiter
 	x.g.rooms.queued++
 	x.g.rooms.bytes += x.queuedBytes()
 	x.g.scheduleAdmit(service)
 	x.g.mu.Unlock()
 	x.g.metrics.Counter("room.waited").Inc(1)
 	x.log("request queued", decision.Reason)
-	return x.wait(service, request, admitted, decision.Until)
+	return x.wait(service, request, waiter, decision.Until)
 }
 
 // wait waits until the request is admitted, its time is over, its caller has left, or the router
 // ends its requests.
-func (x *exchange) wait(service *serviceRoom, request room.Request, admitted <-chan struct{}, until time.Time) *result {
+func (x *exchange) wait(service *serviceRoom, request room.Request, waiter *roomWaiter, until time.Time) *result {
 	x.addOwnTime()
 	since := time.Now()
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	select {
-	case <-admitted:
+	case <-waiter.admitted:
 	case <-timer.C:
 	case <-x.r.Context().Done():
 	case <-x.g.ending.Done():
 	}
 	x.ownSince = time.Now()
 	metrics.GetOrRegisterTimer("room.wait_seconds", x.g.metrics.Registry).Update(x.ownSince.Sub(since))
-	decision, over := x.endWait(service, request)
+	decision, over := x.endWait(service, request, waiter)
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abandon()
@@ -247,7 +254,7 @@
 
 // endWait removes the request from the queue. If it was still there, its wait is over, and endWait
 // returns the refusal. If it was not, the request holds room from then on.
-func (x *exchange) endWait(service *serviceRoom, request room.Request) (refusal room.Decision, over bool) {
+func (x *exchange) endWait(service *serviceRoom, request room.Request, waiter *roomWaiter) (refusal room.Decision, over bool) {
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
 	now := time.Now()
@@ -258,7 +265,7 @@
 		delete(service.waiters, request.ID)
 		return refusal, true
 	}
-	x.holdStarted(now, service)
+	x.holdStarted(waiter.started, service)
 	return room.Decision{}, false
 }
 
@@ -284,7 +291,8 @@
 	now := time.Now()
 	g.refreshRoom(now, service)
 	for _, id := range service.Next(now) {
-		close(service.waiters[id])
+		service.waiters[id].started = now
+		close(service.waiters[id].admitted)
 		delete(service.waiters, id)
 	}
 	if len(service.waiters) > 0 {
@@ -299,10 +307,11 @@
 	x.holdStarted(now, service)
 }
 
-// holdStarted records that the request holds room of the service. Callers hold g.mu.
-func (x *exchange) holdStarted(now time.Time, service *serviceRoom) {
+// holdStarted records that the request holds room of the service since the time that was given to
+// the service's Start: its account drifts if End gets another one. Callers hold g.mu.
+func (x *exchange) holdStarted(started time.Time, service *serviceRoom) {
 	service.held++
-	x.room.held, x.room.started = service, now
+	x.room.held, x.room.started = service, started
 }
 
 // leaveRoom ends the request's use of the room; ran is set if an endpoint has run it to its end.
