gateway: the load of another endpoint says nothing of the service's room

An endpoint that answers 421 has taken over the address of another one and may belong to another service. Its load was taken for that of the service: half of its slots waiting made the room count as full for a second. Placement by work leaves such reports out already; a report without the request's id is left out now as well.

TestMisdirectedLoadIsNotOfTheService fails without the change and passes three times of three with it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -219,7 +219,7 @@
 	}
 	x.noteLeaving(state.Endpoint, head)
 	x.observeReport(state, head)
-	x.observeRoom(head.Load)
+	x.observeRoom(head)
 	if head.NotRun || head.Misdirected {
 		return x.handleNotRun(conn, pool, state, response, head)
 	}
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -10,7 +10,6 @@
 	"github.com/hornbeamproxy/hornbeamproxy/api"
 	"github.com/hornbeamproxy/hornbeamproxy/room"
 	"github.com/hornbeamproxy/hornbeamproxy/routing"
-	"github.com/hornbeamproxy/hornbeamproxy/work"
 )
 
 const (
@@ -333,9 +332,10 @@
 	}
 }
 
-// observeRoom passes on what the endpoint says of its load.
-func (x *exchange) observeRoom(load work.Load) {
-	if !x.sharesRoom() || load.Odd || load.Slots <= 0 {
+// observeRoom passes on what the endpoint says of its load, unless another endpoint has answered.
+func (x *exchange) observeRoom(head ResponseHead) {
+	load := head.Load
+	if !x.sharesRoom() || load.Odd || load.Slots <= 0 || head.ID != x.request.ID || head.Misdirected {
 		return
 	}
 	x.g.mu.Lock()
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -225,3 +225,17 @@
 	assert.Equal(t, demand.Workspaces[room.WorkspaceHash("w")], demand.Total)
 	f.SetRoomDemands(map[uint32]room.Demand{room.ServiceKey("s"): demand})
 }
+
+// Guards against the load of another endpoint, which answers at an address that it took over, being
+// taken for that of the service.
+func TestMisdirectedLoadIsNotOfTheService(t *testing.T) {
+	moved := newEndpoint(t, "e1", func(r *http.Request, w io.Writer) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 421 X\r\nRequest-Id: %s\r\nReplica-Load: 8,8,8\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+		return true
+	})
+	f := newTestGatewayWith(t, sharedRoom, moved).configure()
+	response, _, _ := f.do(t, "/safe/1")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, len(moved.received()), 1)
+	assert.Equal(t, len(f.RoomDemands()), 0)
+}
