gateway: attempts that began before a roll-out count as in flight at old endpoints

A roll-out is done when no router has an attempt in flight at an old endpoint, since these stop at once then. Package rollout leaves it to the caller of NewCounter to count the attempts that are in flight at that time, and the gateway did not: a stream that began before the order, or under an earlier order, was cut at the end of the roll-out. They are counted now when the order arrives, and at their end.

TestAttemptsBeforeTheOrderCountAsInFlight fails without the change (0 in flight of 2) and passes three times of three with it, with -race.

--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -20,6 +20,9 @@
 type serviceVersions struct {
 	limiter *rollout.Limiter
 	counter *rollout.Counter // of the roll-out in force; nil if there is none
+	// earlier are the numbers of attempts in flight that counter has counted as sent although they
+	// began before it: the old endpoints stop at the end of the roll-out, whatever still runs there.
+	earlier map[*balance.State]int
 }
 
 // isTarget reports whether the endpoint runs the target version of the roll-out in force.
@@ -139,6 +142,7 @@
 // recordVersionEnd counts the answer of an attempt that ends for the given cause. Callers hold g.mu.
 func (x *exchange) recordVersionEnd(now time.Time, state *balance.State, why cause) {
 	v := &x.version
+	x.g.recordEarlierEnd(x.service, state, v.counter)
 	if v.counter == nil {
 		return
 	}
@@ -214,10 +218,38 @@
 	v := g.versionsOf(r.Service)
 	if v.counter == nil || v.limiter.Rollout().ID != r.ID {
 		v.counter = rollout.NewCounter(r.ID)
+		defer g.countEarlier(r.Service, v)
 	}
 	v.limiter.SetRollout(r)
 }
 
+// countEarlier counts the attempts in flight at endpoints of other versions than the target of a new
+// roll-out. Callers hold g.mu.
+func (g *Gateway) countEarlier(service string, v *serviceVersions) {
+	v.earlier = map[*balance.State]int{}
+	for _, e := range g.roster.Members(service) {
+		state := g.balancer.State(e)
+		if state.LocalRequests == 0 || v.isTarget(e) {
+			continue
+		}
+		v.earlier[state] = state.LocalRequests
+		for range state.LocalRequests {
+			v.counter.RecordSent(false)
+		}
+	}
+}
+
+// recordEarlierEnd records the end of an attempt that countEarlier counted, which counter, that of the
+// attempt, shows. Callers hold g.mu.
+func (g *Gateway) recordEarlierEnd(service string, state *balance.State, counter *rollout.Counter) {
+	v := g.versions[service]
+	if v == nil || v.counter == nil || v.counter == counter || v.earlier[state] == 0 {
+		return
+	}
+	v.earlier[state]--
+	v.counter.RecordEnd(false)
+}
+
 // ClearRollout ends the roll-out of a service because the order was deleted. Versions that were
 // rolled back still get no requests.
 func (g *Gateway) ClearRollout(service string) {
@@ -225,7 +257,7 @@
 	defer g.mu.Unlock()
 	if v := g.versions[service]; v != nil {
 		v.limiter.ClearRollout()
-		v.counter = nil
+		v.counter, v.earlier = nil, nil
 	}
 }
 
