gateway, balance: target endpoints that failed are not preferred to others that serve

During the second stage of a roll-out the requests for the target go to the endpoints that the limiter names, and to others only if none of these can take them. Pick falls back to an ejected endpoint if it has no other candidate, so that the others were never asked: with one endpoint named, all requests for the target went to it for up to a second after it had failed. Pick refuses instead for the named ones.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -61,9 +61,8 @@
 	AllCold
 	// AllAvoided means that all endpoints are kept out because they failed or could not
 	// be reached: each is ejected, unverified, grey, or in an availability zone that may
-	// be unreachable as a whole (see the package comment). It is used only inside this
-	// package: instead of returning it, Pick chooses the endpoint whose ejection ends
-	// first.
+	// be unreachable as a whole (see the package comment). Pick returns it only with
+	// Criteria.NoFallback; otherwise it chooses the endpoint whose ejection ends first.
 	AllAvoided
 	// AllTried means that the request has already been sent to all endpoints.
 	AllTried
@@ -203,6 +202,9 @@
 	// LoadFactor sets the limit for the load of every endpoint (see loadLimitSlack); 0 means
 	// no limit.
 	LoadFactor float64
+	// NoFallback refuses the request with AllAvoided instead of choosing an endpoint that is kept out
+	// because of failures.
+	NoFallback bool
 	// Work places the request by expected work and speed. With nil it is placed by the
 	// number of requests of each endpoint.
 	Work *ByWork
@@ -230,7 +232,7 @@
 	}
 	fallback, refusal := b.filterCandidates(now, criteria, failureRates/float64(max(1, len(b.scratch))))
 	switch {
-	case len(b.scratch) == 0 && fallback != nil:
+	case len(b.scratch) == 0 && fallback != nil && !criteria.NoFallback:
 		if criteria.Work != nil {
 			criteria.Work.ChooseFor(now, fallback)
 		}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -86,11 +86,13 @@
 	case rollout.Refuse:
 		return nil, balance.NoEndpoint, true
 	case rollout.TargetFirst:
-		for _, admits := range []func(*roster.Endpoint) bool{
-			v.focus(now, choice, criteria), admitted(rollout.TargetOnly), admitted(rollout.OldOnly),
-		} {
-			if pick(admits); state != nil {
-				break
+		// Other target endpoints come before a named one that has just failed.
+		criteria.NoFallback = true
+		pick(v.focus(now, choice, criteria))
+		criteria.NoFallback = false
+		for _, next := range []rollout.Choice{rollout.TargetOnly, rollout.OldOnly} {
+			if state == nil {
+				pick(admitted(next))
 			}
 		}
 		v.limiter.RecordSent(state != nil && v.isTarget(state.Endpoint))
