gateway: a request that is refused as full again costs no retry

The retry was counted, logged and taken from the budget before the request was refused because it had returned to the queue once already. Its caller now also gets the room's time to return if the request has no send left.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -164,7 +164,7 @@
 			x.abandon()
 			return
 		}
-		if !x.shouldRetry(result) || !x.reenterRoom(&result) {
+		if x.refusedAgain(&result) || !x.shouldRetry(result) || !x.reenterRoom(&result) {
 			x.respondFailure(result)
 			return
 		}
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -165,14 +165,6 @@
 		x.g.mu.Unlock()
 		return true
 	}
-	if x.room.requeued {
-		x.g.mu.Lock()
-		now := time.Now()
-		service := x.g.roomOf(now, x.service, x.route.Kind != routing.Stream)
-		r.retryAfter = service.Refuse(now, x.roomRequest()).RetryAfter
-		x.g.mu.Unlock()
-		return false
-	}
 	x.room.requeued = true
 	x.g.metrics.Counter("room.requeued").Inc(1)
 	if refused := x.awaitRoom(true); refused != nil {
@@ -182,6 +174,20 @@
 	return true
 }
 
+// refusedAgain reports whether an endpoint has refused the request as full after it had returned to the
+// queue. It is refused then, and r says when its caller should return.
+func (x *exchange) refusedAgain(r *result) bool {
+	if !x.room.requeued || r.refusal != api.RefusalEndpointFull {
+		return false
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	now := time.Now()
+	service := x.g.roomOf(now, x.service, x.route.Kind != routing.Stream)
+	r.retryAfter = service.Refuse(now, x.roomRequest()).RetryAfter
+	return true
+}
+
 // awaitRoom waits until the request may be sent, and returns the result with which to refuse it
 // if it may not. again is set for a request that an endpoint has refused as full.
 func (x *exchange) awaitRoom(again bool) *result {
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -239,3 +239,14 @@
 	assert.Equal(t, len(moved.received()), 1)
 	assert.Equal(t, len(f.RoomDemands()), 0)
 }
+
+// Guards against a retry that is counted and taken from the budget although the request is refused.
+func TestRefusedAgainIsNoRetry(t *testing.T) {
+	f := newTestGatewayWith(t, sharedRoom, newEndpoint(t, "e1", refuseNotRun), newEndpoint(t, "e2", refuseNotRun),
+		newEndpoint(t, "e3", refuseNotRun)).configure()
+	response, body, _ := f.do(t, "/chat/1")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(body, "endpoint_full"), body)
+	assert.Equal(t, f.count("room.requeued"), int64(1))
+	assert.Equal(t, f.count("retries.refused_by_endpoint"), int64(1))
+}
