gateway: the room of a service during a roll-out is that of the versions that may serve

The room counted the slots of all registered endpoints. During a roll-out the target's stand beside the old ones, although requests may use only its share of them, and after a roll-back they are registered for some seconds more: with as many of each the room seemed twice as large, so that requests did not wait until the old endpoints refused them. It is now what the old endpoints take beside the target's share.

TestRoomDuringRollout fails without the change (128 slots of 64) and passes with it in two runs of two.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -22,3 +22,14 @@
 	defer g.mu.Unlock()
 	return g.rooms.queued
 }
+
+// RoomSlots returns the room of a service, computed anew.
+func (g *Gateway) RoomSlots(service string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.roomOf(time.Now(), service, true)
+	r.refreshedAt = time.Time{}
+	g.refreshRoom(time.Now(), r)
+	slots, _ := r.InFlight()
+	return slots
+}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -304,6 +304,30 @@
 	return v.counter.Report(v.limiter.Share(now)), true
 }
 
+// versionRoom returns the room of a service at the versions that may serve its requests: during a
+// roll-out as many as the old endpoints take beside the target's share, and none at versions that were
+// rolled back. Callers hold g.mu.
+func (g *Gateway) versionRoom(now time.Time, service string) balance.Room {
+	members, v := g.roster.Members(service), g.versions[service]
+	if v == nil {
+		return g.balancer.Room(now, members, g.roster.Usable)
+	}
+	of := func(classes ...rollout.Class) balance.Room {
+		return g.balancer.Room(now, members, func(e *roster.Endpoint) bool {
+			return g.roster.Usable(e) && slices.Contains(classes, v.limiter.Class(e.Version))
+		})
+	}
+	old := of(rollout.Old)
+	if old.Slots == 0 {
+		return of(rollout.Target, rollout.Unproven)
+	}
+	room := of(rollout.Old, rollout.Target)
+	if share := v.limiter.Share(now); share < 1 {
+		room.Slots = min(room.Slots, int(float64(old.Slots)/(1-share)))
+	}
+	return room
+}
+
 // RolloutCapacity returns what this router sees of the target endpoints of a service.
 func (g *Gateway) RolloutCapacity(now time.Time, service string) rollout.Capacity {
 	g.mu.Lock()
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -107,7 +107,7 @@
 	}
 	r.refreshedAt = now
 	routers := g.config.Routers().Count()
-	found := g.balancer.Room(now, g.roster.Members(r.name), g.roster.Usable)
+	found := g.versionRoom(now, r.name)
 	r.SetRoom(now, found.Slots, found.InFlight, routers, found.Known || routers == 1)
 }
 
