--- a/room/room.go
+++ b/room/room.go
@@ -248,7 +248,7 @@
 	if balance >= s.level(now, w)*s.work {
 		return true
 	}
-	return !(w.late && s.config.SendFirst) && !w.urgent && s.spare >= s.work && balance > -minBalance*s.work
+	return (!w.late || !s.config.SendFirst) && !w.urgent && s.spare >= s.work && balance > -minBalance*s.work
 }
 
 // expected returns the time after which the waiter is expected to start.
