gateway: a caller that leaves during a large response is abandoned, whichever side notices first

The connection to the endpoint is closed when the caller disconnects. If reading from it failed before the write to the caller did, the request counted as an incomplete response of the service and was reported to operators.

--- a/gateway/response.go
+++ b/gateway/response.go
@@ -201,7 +201,8 @@
 	if err == nil {
 		_, err = io.Copy(callerWriter{x}, response.Body)
 	}
-	if errors.Is(err, errCallerGone) {
+	// Reading fails as well when the caller has left, since the connection is closed then.
+	if errors.Is(err, errCallerGone) || err != nil && x.r.Context().Err() != nil {
 		conn.Close()
 		x.release(state, errCallerGone)
 		x.abandon()
