roster: what requests read of an endpoint does not change with a newer entry

An exchange reads the id of its endpoint without the gateway's lock, while a newer entry replaced all fields under it. Only the fields that can change between two starts are taken over now.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -37,7 +37,8 @@
 }
 
 // Endpoint is an endpoint from one start to the next: a restart gets a new Endpoint.
-// Fields change only under the lock that the owner of the Roster holds.
+// Fields change only under the lock that the owner of the Roster holds; ID, Service, Address and
+// Started never change and may be read without it.
 type Endpoint struct {
 	Entry
 	// Withdrawn endpoints get no new work: they are draining or leaving, are no longer
@@ -50,6 +51,12 @@
 	removeAt time.Time
 }
 
+// update takes over those parts of a newer entry that can change between two starts.
+func (e *Endpoint) update(entry Entry) {
+	e.Zone, e.Slots, e.ColdFor = entry.Zone, entry.Slots, entry.ColdFor
+	e.Draining, e.Version = entry.Draining, entry.Version
+}
+
 // Cold reports whether the endpoint is cold, that is, can handle only a low rate of
 // requests because its caches are not filled yet.
 func (e *Endpoint) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
@@ -120,7 +127,7 @@
 			known.ColdUntil = now.Add(max(entry.ColdFor, r.config.ColdFor(entry.Service)))
 		}
 	}
-	known.Entry = entry
+	known.update(entry)
 	known.removeAt = time.Time{}
 	known.Withdrawn = entry.Draining || r.leaving[entry.Start()]
 	if until := now.Add(entry.ColdFor); entry.ColdFor > 0 && until.After(known.ColdUntil) {
