--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -20,6 +20,9 @@
 type serviceVersions struct {
 	limiter *rollout.Limiter
 	counter *rollout.Counter // of the roll-out in force; nil if there is none
+	// earlier are the numbers of attempts in flight that counter has counted as sent although they
+	// began before it: the old endpoints stop at the end of the roll-out, whatever still runs there.
+	earlier map[*balance.State]int
 }
 
 // isTarget reports whether the endpoint runs the target version of the roll-out in force.
@@ -83,11 +86,13 @@
 	case rollout.Refuse:
 		return nil, balance.NoEndpoint, true
 	case rollout.TargetFirst:
-		for _, admits := range []func(*roster.Endpoint) bool{
-			v.focus(now, choice, criteria), admitted(rollout.TargetOnly), admitted(rollout.OldOnly),
-		} {
-			if pick(admits); state != nil {
-				break
+		// Other target endpoints come before a named one that has just failed.
+		criteria.NoFallback = true
+		pick(v.focus(now, choice, criteria))
+		criteria.NoFallback = false
+		for _, next := range []rollout.Choice{rollout.TargetOnly, rollout.OldOnly} {
+			if state == nil {
+				pick(admitted(next))
 			}
 		}
 		v.limiter.RecordSent(state != nil && v.isTarget(state.Endpoint))
@@ -139,6 +144,7 @@
 // recordVersionEnd counts the answer of an attempt that ends for the given cause. Callers hold g.mu.
 func (x *exchange) recordVersionEnd(now time.Time, state *balance.State, why cause) {
 	v := &x.version
+	x.g.recordEarlierEnd(x.service, state, v.counter)
 	if v.counter == nil {
 		return
 	}
@@ -214,10 +220,38 @@
 	v := g.versionsOf(r.Service)
 	if v.counter == nil || v.limiter.Rollout().ID != r.ID {
 		v.counter = rollout.NewCounter(r.ID)
+		defer g.countEarlier(r.Service, v)
 	}
 	v.limiter.SetRollout(r)
 }
 
+// countEarlier counts the attempts in flight at endpoints of other versions than the target of a new
+// roll-out. Callers hold g.mu.
+func (g *Gateway) countEarlier(service string, v *serviceVersions) {
+	v.earlier = map[*balance.State]int{}
+	for _, e := range g.roster.Members(service) {
+		state := g.balancer.State(e)
+		if state.LocalRequests == 0 || v.isTarget(e) {
+			continue
+		}
+		v.earlier[state] = state.LocalRequests
+		for range state.LocalRequests {
+			v.counter.RecordSent(false)
+		}
+	}
+}
+
+// recordEarlierEnd records the end of an attempt that countEarlier counted, which counter, that of the
+// attempt, shows. Callers hold g.mu.
+func (g *Gateway) recordEarlierEnd(service string, state *balance.State, counter *rollout.Counter) {
+	v := g.versions[service]
+	if v == nil || v.counter == nil || v.counter == counter || v.earlier[state] == 0 {
+		return
+	}
+	v.earlier[state]--
+	v.counter.RecordEnd(false)
+}
+
 // ClearRollout ends the roll-out of a service because the order was deleted. Versions that were
 // rolled back still get no requests.
 func (g *Gateway) ClearRollout(service string) {
@@ -225,7 +259,7 @@
 	defer g.mu.Unlock()
 	if v := g.versions[service]; v != nil {
 		v.limiter.ClearRollout()
-		v.counter = nil
+		v.counter, v.earlier = nil, nil
 	}
 }
 
@@ -270,6 +304,30 @@
 	return v.counter.Report(v.limiter.Share(now)), true
 }
 
+// versionRoom returns the room of a service at the versions that may serve its requests: during a
+// roll-out as many as the old endpoints take beside the target's share, and none at versions that were
+// rolled back. Callers hold g.mu.
+func (g *Gateway) versionRoom(now time.Time, service string) balance.Room {
+	members, v := g.roster.Members(service), g.versions[service]
+	if v == nil {
+		return g.balancer.Room(now, members, g.roster.Usable)
+	}
+	of := func(classes ...rollout.Class) balance.Room {
+		return g.balancer.Room(now, members, func(e *roster.Endpoint) bool {
+			return g.roster.Usable(e) && slices.Contains(classes, v.limiter.Class(e.Version))
+		})
+	}
+	old := of(rollout.Old)
+	if old.Slots == 0 {
+		return of(rollout.Target, rollout.Unproven)
+	}
+	room := of(rollout.Old, rollout.Target)
+	if share := v.limiter.Share(now); share < 1 {
+		room.Slots = min(room.Slots, int(float64(old.Slots)/(1-share)))
+	}
+	return room
+}
+
 // RolloutCapacity returns what this router sees of the target endpoints of a service.
 func (g *Gateway) RolloutCapacity(now time.Time, service string) rollout.Capacity {
 	g.mu.Lock()
--- a/gateway/room_test.go
+++ b/gateway/room_test.go
@@ -177,6 +177,30 @@
 	assert.Assert(t, f.count("room.refused") >= 10, "4 of 32 KiB each may wait at a time")
 }
 
+// Guards against waiting requests whose bodies are left out of the bound.
+func TestQueueBytesCountBodies(t *testing.T) {
+	e, _ := busyEndpoint(t, "e1", 60*time.Millisecond)
+	f := newTestGatewayWith(t, func(c *gateway.Config) { c.SharedRoom, c.QueueBytes = gateway.RoomForAll, 64<<10 }, e).configure()
+	_ = f.crowd(t, 4, "/safe/1")
+	large := strings.Repeat("x", 64<<10)
+	var group sync.WaitGroup
+	for i := range 30 {
+		request := f.request(t, "/safe/1", "Request-Id", fmt.Sprint("large", i))
+		request.Body, request.ContentLength = io.NopCloser(strings.NewReader(large)), int64(len(large))
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request); err == nil {
+				response.Body.Close()
+			}
+		}()
+	}
+	eventually(t, func() bool { return f.count("room.waited") > 0 })
+	assert.Equal(t, f.QueuedRequests(), 1, "the first body alone reaches the bound")
+	group.Wait()
+	assert.Equal(t, f.QueuedRequests(), 0)
+}
+
 // Guards against a request that an endpoint refused as full and that is lost, or that is sent
 // without end.
 func TestRefusedAsFullReturnsToQueue(t *testing.T) {
@@ -201,3 +225,28 @@
 	assert.Equal(t, demand.Workspaces[room.WorkspaceHash("w")], demand.Total)
 	f.SetRoomDemands(map[uint32]room.Demand{room.ServiceKey("s"): demand})
 }
+
+// Guards against the load of another endpoint, which answers at an address that it took over, being
+// taken for that of the service.
+func TestMisdirectedLoadIsNotOfTheService(t *testing.T) {
+	moved := newEndpoint(t, "e1", func(r *http.Request, w io.Writer) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 421 X\r\nRequest-Id: %s\r\nReplica-Load: 8,8,8\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+		return true
+	})
+	f := newTestGatewayWith(t, sharedRoom, moved).configure()
+	response, _, _ := f.do(t, "/safe/1")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, len(moved.received()), 1)
+	assert.Equal(t, len(f.RoomDemands()), 0)
+}
+
+// Guards against a retry that is counted and taken from the budget although the request is refused.
+func TestRefusedAgainIsNoRetry(t *testing.T) {
+	f := newTestGatewayWith(t, sharedRoom, newEndpoint(t, "e1", refuseNotRun), newEndpoint(t, "e2", refuseNotRun),
+		newEndpoint(t, "e3", refuseNotRun)).configure()
+	response, body, _ := f.do(t, "/chat/1")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(body, "endpoint_full"), body)
+	assert.Equal(t, f.count("room.requeued"), int64(1))
+	assert.Equal(t, f.count("retries.refused_by_endpoint"), int64(1))
+}
