rollout: exposure bounds of the settings decide the canary stage

Cause: bounds.expose_share only switched staged roll-outs on, and bounds.expose_slack was not read. The stages assumed 0.1 and 50, so that an operator who set 0.02 still got a canary stage of 0.05.

Change: Rollout.Bounds carries both settings to Decide. The canary share is half of the bound, at most 1.4 times of it for a service with few requests, and 0.14 at most, because a share from 0.15 on is that of the second stage. The raised share is limited by the bound of the settings.

Result: go test ./rollout ./edge (roll-out tests and the simulation) passes. TestDecideBounds fails with constant bounds (0.14 instead of 0.07), TestRolloutBounds without the hand-over ({0 0} instead of {0.02 10}). TestDecideOrders compares with 0.05 instead of the constant that is gone.

--- a/edge/rollouts.go
+++ b/edge/rollouts.go
@@ -73,6 +73,7 @@
 	known    func() time.Time // when all changes of roll-outs were known
 	router   string
 	start    uint64 // identifies the start of this router
+	bounds   rollout.Bounds
 	logger   *zap.Logger
 	failures *reporter
 	wake     chan struct{} // has a value when a decision should not wait for its interval
@@ -121,13 +122,14 @@
 
 // newRollouts creates the roll-outs if the settings ask for them.
 func (p *process) newRollouts() {
-	if p.options.Settings.Bounds.ExposeShare <= 0 {
+	bounds := p.options.Settings.Bounds
+	if bounds.ExposeShare <= 0 {
 		return
 	}
 	p.rollouts = &rollouts{
 		store: p.store, router: p.options.Settings.Router.ID, start: uint64(time.Now().UnixNano()), logger: p.logger,
 		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{}, wake: make(chan struct{}, 1),
-		listed: make(chan struct{}),
+		listed: make(chan struct{}), bounds: rollout.Bounds{Share: bounds.ExposeShare, Slack: bounds.ExposeSlack},
 	}
 }
 
@@ -388,6 +390,7 @@
 		r.drop(object.Key)
 		return
 	}
+	decoded.Bounds = r.bounds
 	o := r.orders[object.Key]
 	if o == nil || o.rollout.ID != decoded.ID {
 		if o != nil && o.rollout.Service != decoded.Service {
--- a/edge/rollouts_test.go
+++ b/edge/rollouts_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"github.com/hornbeamproxy/hornbeamproxy/config"
 	"github.com/hornbeamproxy/hornbeamproxy/exchange"
 	"github.com/hornbeamproxy/hornbeamproxy/gateway"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
@@ -28,6 +29,7 @@
 	t        *testing.T
 	platform *standin.Platform
 	url      string
+	bounds   rollout.Bounds
 	counter  *rollout.Counter
 	relays   []*rolloutRelay
 }
@@ -101,7 +103,7 @@
 	r.rollouts = &rollouts{
 		store: store, peers: r, gateway: g, known: time.Now, router: name, start: 1, logger: zap.NewNop(),
 		orders: map[string]*rolloutOrder{}, versions: map[string]uint64{}, wake: make(chan struct{}, 1),
-		listed: make(chan struct{}),
+		listed: make(chan struct{}), bounds: s.bounds,
 	}
 	s.relays = append(s.relays, r)
 	r.read()
@@ -183,6 +185,20 @@
 	assert.Equal(t, len(backup.Statuses()), 0, "only the decider announces a share")
 }
 
+// Guards against bounds in the settings that don't reach the decisions.
+func TestRolloutBounds(t *testing.T) {
+	p := &process{options: Options{Settings: &config.EdgeSettings{}}}
+	p.options.Settings.Bounds.ExposeShare, p.options.Settings.Bounds.ExposeSlack = 0.02, 10
+	p.newRollouts()
+	s := newRolloutSite(t)
+	s.bounds = p.rollouts.bounds
+	s.newOrder("v2")
+	first := s.newRelay(true)
+	first.tickNow(t.Context())
+	assert.Equal(t, first.order().rollout.Bounds, rollout.Bounds{Share: 0.02, Slack: 10})
+	assert.Equal(t, first.inForce().Share, 0.01)
+}
+
 // Guards against messages, calls to the store and choices that change without an order.
 func TestNothingWithoutOrder(t *testing.T) {
 	s := newRolloutSite(t)
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -12,8 +12,12 @@
 // about the load of the last one (see Limiter.Focus), so that a version that fails only under load
 // is found before that.
 const (
-	canaryShare = 0.05
-	// maxCanaryShare is the share of the canary stage of a service with few requests.
+	// canaryFraction is the share of the canary stage, and maxCanaryFraction that of a service with
+	// few requests, as fractions of Bounds.Share.
+	canaryFraction    = 0.5
+	maxCanaryFraction = 1.4
+	// maxCanaryShare bounds both. It is under minFocusShare, from which on a share is that of the
+	// second stage for Decide and Limiter.
 	maxCanaryShare = 0.14
 	// minFocusShare and maxFocusShare bound the share of the second stage. maxPairShare is the
 	// largest one with which two endpoints get the load of the last stage instead of one.
@@ -55,14 +59,11 @@
 	// minEndpointAnswers for each target endpoint if that is less.
 	minAnswers         = 100
 	minEndpointAnswers = 20
-	// exposeShare and exposeSlack are the bound of the exposure that the stages are made for,
-	// and canaryPart is the part of it that the canary stage of a service with few requests may
-	// use to get answers for the test.
 	// minRouteAnswers is the number of answers that the test needs to find one bad route of ten.
 	minRouteAnswers = 250
-	exposeShare     = 0.1
-	exposeSlack     = 50
-	canaryPart      = 0.45
+	// canaryPart is the part of the exposure allowed by the bounds that the canary stage of a
+	// service with few requests may use to get answers for the test.
+	canaryPart = 0.45
 	// minRateTime is the time after which the rate of requests is known.
 	minRateTime = time.Second
 	// slotReserve is how many times the requests in flight the target must have slots for.
@@ -106,7 +107,7 @@
 		current = Status{
 			State: Running, Target: r.Target, Order: r.ID, Started: time.UnixMilli(now.UnixMilli()), Since: now,
 		}
-		current.Share = min(canaryShare, capacityLimit(counts.Capacity))
+		current.Share = min(r.canaryShare(), capacityLimit(counts.Capacity))
 		return current, newEvidence(finding{}, counts)
 	}
 	if current.State.Final() {
@@ -251,16 +252,27 @@
 	return d.passed(waiveAt)
 }
 
+// canaryShare returns the least share of the canary stage.
+func (r Rollout) canaryShare() float64 { return r.Bounds.orDefault().canary(canaryFraction) }
+
+// canary returns the share of the canary stage that is a fraction of the bound. It is rounded,
+// so that 1.4 times 0.1 is 0.14.
+func (b Bounds) canary(fraction float64) float64 {
+	return min(math.Round(fraction*b.Share*1e6)/1e6, maxCanaryShare)
+}
+
 // canaryShare returns the share of the canary stage. It is larger for a service with few
 // requests, where the slack is a large part of the exposure that the bound allows.
 func (d *decision) canaryShare() float64 {
+	least := d.rollout.canaryShare()
 	if d.elapsed < minRateTime {
-		return canaryShare
+		return least
 	}
+	bounds := d.rollout.Bounds.orDefault()
 	rate := float64(d.counts.TargetSent+d.counts.OldSent) / d.elapsed.Seconds()
-	allowed := canaryPart * (exposeShare*rate*d.rollout.Period.Seconds() + exposeSlack)
+	allowed := canaryPart * (bounds.Share*rate*d.rollout.Period.Seconds() + bounds.Slack)
 	share := min(minRouteAnswers, allowed) / max(1, rate*d.canaryEnd().Seconds())
-	return min(max(canaryShare, math.Floor(share*100)/100), maxCanaryShare)
+	return min(max(least, math.Floor(share*100)/100), bounds.canary(maxCanaryFraction))
 }
 
 // limitToCapacity limits a share to what the target can serve. A share in force is kept while the
--- a/rollout/decide_test.go
+++ b/rollout/decide_test.go
@@ -98,7 +98,7 @@
 	next, _ := Decide(at(time.Second), r, old, good())
 	assert.Equal(t, next.State, Running)
 	assert.Equal(t, next.Order, r.ID)
-	assert.Equal(t, next.Share, canaryShare)
+	assert.Equal(t, next.Share, 0.05)
 	assert.Equal(t, next.Reason, "")
 
 	for _, final := range []State{Done, RolledBack} {
@@ -127,6 +127,32 @@
 	}
 }
 
+// Guards against settings of the exposure that only switch roll-outs on: with a bound of 0.02 a
+// canary stage of 0.05 is over the bound before any test.
+func TestDecideBounds(t *testing.T) {
+	for _, test := range []struct {
+		bounds           Bounds
+		first, few, many float64 // shares: of the first status, with 30 and with 900 requests in 3 s
+	}{
+		{Bounds{}, 0.05, 0.14, 0.08},
+		{Bounds{Share: 0.1, Slack: 50}, 0.05, 0.14, 0.08},
+		{Bounds{Share: 0.1}, 0.05, 0.07, 0.07},
+		{Bounds{Share: 0.02, Slack: 50}, 0.01, 0.028, 0.02},
+		{Bounds{Share: 0.02}, 0.01, 0.01, 0.01},
+		{Bounds{Share: 0.2, Slack: 50}, 0.1, 0.14, 0.11},
+		{Bounds{Share: 1, Slack: 50}, 0.14, 0.14, 0.14},
+	} {
+		r := testRollout()
+		r.Bounds = test.bounds
+		next, _ := Decide(at(0), r, Status{}, evenCounts(0, 0, 0, 0, 1, 8))
+		assert.Equal(t, next.Share, test.first, "%+v", test.bounds)
+		for sent, want := range map[int]float64{30: test.few, 900: test.many} {
+			later, _ := Decide(at(3*time.Second), r, next, evenCounts(0, 0, sent, 0, 1, 8))
+			assert.Equal(t, later.Share, want, "%+v, %d requests in 3 s", test.bounds, sent)
+		}
+	}
+}
+
 // Guards against a verdict that is lost or changes while the store is down, after which the old
 // version would be tried again or the bad one go on.
 func TestControllerStoreDown(t *testing.T) {
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -26,6 +26,26 @@
 	// Created is the time at which the store created the object, zero if not known. A roll-out
 	// whose first status is much later counts its period from there, see Status.Started.
 	Created time.Time
+	// Bounds are those of the settings; the zero value stands for DefaultBounds. They are no part
+	// of the order.
+	Bounds Bounds
+}
+
+// Bounds limit the exposure: until the deadline, a bad version may get Share of the requests to
+// the service plus Slack requests. A Share of 0 stands for DefaultBounds.
+type Bounds struct {
+	Share float64 // above 0 to 1
+	Slack float64 // requests, at least 0
+}
+
+// DefaultBounds are the bounds for which the simulation's figures were measured.
+var DefaultBounds = Bounds{Share: 0.1, Slack: 50}
+
+func (b Bounds) orDefault() Bounds {
+	if b.Share <= 0 {
+		return DefaultBounds
+	}
+	return b
 }
 
 // New returns the roll-out of an object in the store that was created at the given time.
