rollout: a bad version is found in the second stage of a small service

Cause: with up to 5 target endpoints the second stage goes to one at a time, 1 s each. A version that turned bad in it failed at one endpoint, which counts as a faulty endpoint, and the share rose to 1 at 0.8 of the period. Three faults added to that: a suspect finding of the whole counts hid a recent one that was likely to be bad; good answers of the other endpoints from before hid the second endpoint that failed; turns were drawn by hash, so that two in a row could have the same endpoint.

Change: the gravest finding counts. The second worst endpoint that fails the test alone shows a bad version. While a single endpoint fails and fewer than two others have 8 recent answers, the share does not rise until 0.85 of the period. A single endpoint in focus has turns of 0.75 s in a fixed order. The simulation has rows with 4 endpoints and the flag -rollout.rows.

--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -38,6 +38,9 @@
 	// doubtUntil is when the last stage begins although the target is suspect, unless it is
 	// likely to be bad: a roll-out held by a doubt would miss the deadline.
 	doubtUntil = 0.8
+	// oneEndpointUntil is the same while a single endpoint fails and others have hardly any recent
+	// answers. The last stage and the end of the roll-out fit into the rest of the period.
+	oneEndpointUntil = 0.85
 	// lastDone is when a roll-out with share 1 is done although attempts are still in flight
 	// at old endpoints.
 	lastDone = 0.92
@@ -192,8 +195,12 @@
 		d.counts.Routers == 0 || d.counts.Silent > d.counts.Routers
 }
 
-// doubtful reports whether the last stage must wait because the target is suspect.
-func (d *decision) doubtful() bool { return d.finding.suspect && !d.passed(doubtUntil) }
+// doubtful reports whether the last stage must wait because the target is suspect, or a single
+// endpoint fails and too few others have been tried.
+func (d *decision) doubtful() bool {
+	return d.finding.suspect && !d.passed(doubtUntil) ||
+		d.current.Share < 1 && !d.passed(oneEndpointUntil) && oneEndpoint(d.counts)
+}
 
 // nextShare returns the share of the stage that should be in force, before the capacity.
 func (d *decision) nextShare() float64 {
--- a/rollout/limiter.go
+++ b/rollout/limiter.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -90,7 +89,10 @@
 	// forgotten.
 	maxVersions = 64
 	// focusTurn is how long Limiter.Focus names the same single endpoint.
-	focusTurn = time.Second
+	// Two of them get requests in the shortest second stage, so that it shows a bad version. A
+	// turn of 500 ms is too short for the load of share 1 to build up, and one of 1 s delays the
+	// verdict on a version that turns bad in this stage.
+	focusTurn = 750 * time.Millisecond
 	// creditTolerance makes up for rounding when shares are added: 20 times 0.05 is a turn.
 	creditTolerance = 1e-9
 )
@@ -337,19 +339,19 @@
 // take an attempt, any other may. While the share is between that of the canary stage and 1, these
 // are as many as get about the load of share 1, so that a version that fails under load is found
 // at a small share. If it is a single one, it changes every focusTurn, because one endpoint does
-// not show that the version is bad. All routers that see an endpoint choose it at the same time.
+// not show that the version is bad. Routers that see the same endpoints choose the same ones.
 // Otherwise, and with another choice than TargetFirst, Focus returns all.
 func (l *Limiter) Focus(now time.Time, choice Choice, endpoints []string) []string {
 	share := l.Share(now)
-	if choice != TargetFirst || share < minFocusShare || share >= 1 {
+	if choice != TargetFirst || share < minFocusShare || share >= 1 || len(endpoints) == 0 {
 		return endpoints
 	}
 	focused := int(math.Ceil(share*float64(len(endpoints)) - creditTolerance))
-	turn := ""
+	first := 0
 	if focused == 1 {
-		turn = strconv.FormatInt(int64(now.Sub(l.status.Started)/focusTurn), 10)
+		first = max(0, int(now.Sub(l.status.Started)/focusTurn)) % len(endpoints)
 	}
-	hash := func(id string) uint64 { return xxhash.Sum64String(l.rollout.ID + turn + "/" + id) }
+	hash := func(id string) uint64 { return xxhash.Sum64String(l.rollout.ID + "/" + id) }
 	byHash := slices.SortedFunc(slices.Values(endpoints), func(a, b string) int { return cmp.Compare(hash(a), hash(b)) })
-	return byHash[:min(len(byHash), focused)]
+	return byHash[first:min(len(byHash), first+focused)]
 }
--- a/rollout/limiter_test.go
+++ b/rollout/limiter_test.go
@@ -269,4 +269,13 @@
 		seen[one[0]] = true
 	}
 	assert.Equal(t, len(seen), 3, "a single endpoint changes")
+
+	// Two endpoints get requests in any 1.5 s, the shortest second stage, and three in 2.25 s.
+	clear(seen)
+	for i := range 3 {
+		now := at(6*time.Second + time.Duration(i)*750*time.Millisecond)
+		single.Confirm(now)
+		seen[single.Focus(now, TargetFirst, names[:3])[0]] = true
+	}
+	assert.Equal(t, len(seen), 3, "each endpoint has a turn")
 }
--- a/rollout/sim_test.go
+++ b/rollout/sim_test.go
@@ -6,12 +6,16 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"regexp"
 	"slices"
 	"testing"
 	"time"
 )
 
-var simSeeds = flag.Int("rollout.seeds", 2, "seeds of each scenario of the simulation")
+var (
+	simSeeds = flag.Int("rollout.seeds", 2, "seeds of each scenario of the simulation")
+	simRows  = flag.String("rollout.rows", "", "regular expression of the names of the scenarios to run; empty for all")
+)
 
 const (
 	simRoutes   = 10
@@ -403,9 +407,12 @@
 	{"turns bad 0.55 to 0.65", true, scenario{target: turnsBad, turns: [2]float64{0.55, 0.65}}, never},
 	{"turns bad 0.65 to 0.75", true, scenario{target: turnsBad, turns: [2]float64{0.65, 0.75}}, never},
 	{"turns bad 0.75 to 0.9", true, scenario{target: turnsBad, turns: [2]float64{0.75, 0.9}}, never},
+	{"turns bad 0.65 to 0.75, 4 endpoints", true, scenario{target: turnsBad, turns: [2]float64{0.65, 0.75}, endpoints: 4}, never},
 	{"fails over 0.2 of its load", true, scenario{target: badOverLoad(0.2)}, manyRequests},
 	{"fails over 0.4 of its load", true, scenario{target: badOverLoad(0.4)}, manyRequests},
 	{"fails over 0.7 of its load", true, scenario{target: badOverLoad(0.7)}, never},
+	{"fails over 0.4 of its load, 4 endpoints", true, scenario{target: badOverLoad(0.4), endpoints: 4}, never},
+	{"fails over 0.7 of its load, 4 endpoints", true, scenario{target: badOverLoad(0.7), endpoints: 4}, never},
 	{"fails on one route of 10", true, scenario{target: badRoute}, func(_ time.Duration, rate float64) bool { return rate >= 1000 }},
 	{"3 times slower", true, scenario{target: slowVersion}, manyRequests},
 	{"good", false, scenario{target: goodVersion}, always},
@@ -414,6 +421,7 @@
 	{"good, burst in the last stages", false, scenario{target: goodVersion, burst: burstAt(5.5)}, always},
 	{"good, cold for 5 s", false, scenario{target: goodVersion, cold: 5 * time.Second}, always},
 	{"good, 1 faulty endpoint of 8", false, scenario{target: faultyEndpoint}, always},
+	{"good, 1 faulty endpoint of 4", false, scenario{target: faultyEndpoint, endpoints: 4}, always},
 	{"good, 1 faulty endpoint of 3", false, scenario{target: faultyEndpoint, endpoints: 3}, always},
 }
 
@@ -424,7 +432,11 @@
 // log of this test with -v -rollout.seeds 100.
 func TestSimulation(t *testing.T) {
 	t.Log("| version | period | requests/s | runs | done | rolled back | in time | exposure: median | most | over the bound | stop: median | most | decided |")
+	rows := regexp.MustCompile(*simRows)
 	for _, c := range simCases {
+		if !rows.MatchString(c.name) {
+			continue
+		}
 		rates := []float64{100, 300, 1000}
 		if !c.bad && c.s.routers == 0 {
 			rates = append(rates, 10, 30)
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -48,6 +48,12 @@
 	slowDeviations = 3.29
 	// minVariance is the least variance of the logarithm, for answers that are all in one bucket.
 	minVariance = 0.25
+	// minOutlier is the number of target endpoints from which on one of them may be faulty without
+	// condemning the version.
+	minOutlier = 3
+	// minTried is the number of recent answers from which on an endpoint shows whether it fails: 0.4
+	// failures of an answer give none of 8 in 2 of 100 cases.
+	minTried = 8
 	// worstDeviations is the confidence of the lower bound by which the worst endpoint is found.
 	worstDeviations = 1.64
 )
@@ -144,13 +150,32 @@
 	bad, oldBad sample // on the route; on all if route is ""
 }
 
+// worse returns the finding with the graver consequence, a if they are alike.
+func worse(a, b finding) finding {
+	if b.rank() > a.rank() {
+		return b
+	}
+	return a
+}
+
+// rank orders findings by their consequence.
+func (f finding) rank() int {
+	switch {
+	case f.reason != "":
+		return 3
+	case f.likely:
+		return 2
+	case f.suspect:
+		return 1
+	}
+	return 0
+}
+
 // judge tests whether the target is bad.
 func judge(c Counts) finding {
 	result := judgeCounts(c, nil)
 	if result.reason == "" && c.Recent != nil {
-		if recent := judgeCounts(*c.Recent, &c); recent.reason != "" || recent.suspect && !result.suspect {
-			return recent
-		}
+		return worse(result, judgeCounts(*c.Recent, &c))
 	}
 	return result
 }
@@ -171,10 +196,7 @@
 	if slow.reason == "" && whole == nil && t.meanSlower() {
 		slow.reason = ReasonSlow
 	}
-	if slow.reason != "" || !result.suspect {
-		return slow
-	}
-	return result
+	return worse(result, slow)
 }
 
 // trial tests one set of counts.
@@ -202,9 +224,7 @@
 			break
 		}
 		one := t.judgeRoute(reason, route, minBad, len(routes), t.counts.Target[route], t.counts.Old[route], old[route], newMeasure)
-		if one.reason != "" || one.suspect && !result.suspect {
-			result = one
-		}
+		result = worse(result, one)
 	}
 	return result
 }
@@ -230,8 +250,15 @@
 	rest, others := t.withoutWorst(of, seen, share)
 	result.suspect = rest.bad >= suspectBad && rest.p(oldSeen.rate()) < suspectP/float64(routes)
 	result.likely = rest.bad >= likelyBad && rest.p(null) < likelyP/float64(routes)
+	second, ofEndpoints := t.secondWorst(of, null), float64(len(t.endpoints))
+	if route == "" && second.bad >= likelyBad {
+		result.likely = result.likely || second.p(null) < likelyP/ofEndpoints
+		result.suspect = result.suspect || result.likely
+	}
 	switch {
 	case seen.bad < float64(minBad):
+	case route == "" && 2*second.bad >= float64(minBad) && second.p(null) < limit/ofEndpoints:
+		result.reason = reason
 	case len(t.endpoints) == 2:
 		if others && rest.bad >= 2 && rest.p(null) < pairP && seen.p(null) < limit {
 			result.reason = reason
@@ -282,6 +309,42 @@
 	return rest, withBad >= 2
 }
 
+// secondWorst returns the answers of the endpoint with the second lowest probability, none if
+// there are fewer than three. If it alone fails the test, two endpoints are bad, however many good
+// answers the others gave before the version turned bad.
+func (t *trial) secondWorst(of measure, null float64) sample {
+	if len(t.endpoints) < minOutlier {
+		return sample{}
+	}
+	samples := make([]sample, len(t.endpoints))
+	for i, endpoint := range t.endpoints {
+		samples[i] = of(endpoint)
+	}
+	slices.SortFunc(samples, func(a, b sample) int { return cmp.Compare(a.p(null), b.p(null)) })
+	return samples[1]
+}
+
+// oneEndpoint reports whether a single endpoint fails far more than the old version while fewer than
+// two others have enough recent answers to show whether the version or the endpoint is bad.
+func oneEndpoint(c Counts) bool {
+	if c.Recent == nil || c.TargetEndpoints < minOutlier {
+		return false
+	}
+	t := trial{counts: *c.Recent, whole: &c}
+	null := t.null(failures(total(c.Recent.Old)), failures(total(c.Old)))
+	failing, tried := 0, 0
+	for _, endpoint := range c.Recent.Endpoints {
+		s := failures(endpoint)
+		switch {
+		case s.bad >= likelyBad && s.p(null) < maxP:
+			failing++
+		case s.answers >= minTried:
+			tried++
+		}
+	}
+	return failing == 1 && tried < 2
+}
+
 // meanSlower reports whether the mean time of the target exceeds twice that of the old version,
 // without its slowest endpoint.
 func (t *trial) meanSlower() bool {
--- a/rollout/verdict_test.go
+++ b/rollout/verdict_test.go
@@ -121,3 +121,55 @@
 	assert.Equal(t, evidence.Route, "r3")
 	assert.DeepEqual(t, []uint64{evidence.Answers, evidence.Failed, evidence.OldAnswers, evidence.OldFailed}, []uint64{40, 16, 900, 1})
 }
+
+// withRecent returns counts of a version that turned bad: no failure of 100 answers of each of four
+// endpoints before, then recent answers and failures by endpoint.
+func withRecent(recent ...Tally) Counts {
+	c, late := onEndpoints(100, 0, 0, 0, 0), evenCounts(0, 0, 400, 1, 1, 1)
+	clear(late.Endpoints)
+	for i, tally := range recent {
+		late.Endpoints[uint32(i)] = tally
+		c.Endpoints[uint32(i)] = c.Endpoints[uint32(i)].plus(tally)
+	}
+	late.Target["r0"], c.Target["r0"] = total(late.Endpoints), total(c.Endpoints)
+	c.Recent = &late
+	return c
+}
+
+// Guards against good answers of other endpoints that hide a second one that fails, against a faulty
+// endpoint that condemns a good version, and against a whole count that is only suspect and hides
+// recent answers that are likely to be bad.
+func TestJudgeSecondEndpoint(t *testing.T) {
+	tried, failing := Tally{Answers: 40}, Tally{Answers: 30, Failed: 12}
+	hidden := Tally{Answers: 400}
+	assert.Equal(t, judge(withRecent(failing, Tally{Answers: 10, Failed: 4}, hidden, hidden)).reason, ReasonFailures)
+	assert.Equal(t, judge(withRecent(failing, tried, tried, tried)).reason, "")
+	assert.Assert(t, !judge(withRecent(failing, tried, tried, tried)).likely)
+	likely := withRecent(failing, Tally{Answers: 30, Failed: 5}, Tally{Answers: 8}, Tally{Answers: 8})
+	assert.Assert(t, judge(likely).likely)
+}
+
+// Guards against a last stage in which a version gets every request because a single endpoint had
+// most requests when it turned bad, and against one that waits too long for one faulty endpoint.
+func TestDecideOneEndpoint(t *testing.T) {
+	few, tried, failing := Tally{Answers: 3}, Tally{Answers: 20}, Tally{Answers: 60, Failed: 24}
+	for _, test := range []struct {
+		name   string
+		at     time.Duration // of 12 s
+		counts Counts
+		share  float64
+	}{
+		{"others not tried", 9700 * time.Millisecond, withRecent(failing, few, few, few), 0.25},
+		{"one other tried", 9700 * time.Millisecond, withRecent(failing, tried, few, few), 0.25},
+		{"two others tried", 9700 * time.Millisecond, withRecent(failing, tried, tried, few), 1},
+		{"not in time", 10200 * time.Millisecond, withRecent(failing, few, few, few), 1},
+	} {
+		r := testRollout()
+		current := statusOf(r, Running, 0.25)
+		current.Since = at(7500 * time.Millisecond)
+		test.counts.Routers = 3
+		next, _ := Decide(at(test.at), r, current, test.counts)
+		assert.Equal(t, next.State, Running, test.name)
+		assert.Equal(t, next.Share, test.share, test.name)
+	}
+}
