--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -12,8 +12,12 @@
 // about the load of the last one (see Limiter.Focus), so that a version that fails only under load
 // is found before that.
 const (
-	canaryShare = 0.05
-	// maxCanaryShare is the share of the canary stage of a service with few requests.
+	// canaryFraction is the share of the canary stage, and maxCanaryFraction that of a service with
+	// few requests, as fractions of Bounds.Share.
+	canaryFraction    = 0.5
+	maxCanaryFraction = 1.4
+	// maxCanaryShare bounds both. It is under minFocusShare, from which on a share is that of the
+	// second stage for Decide and Limiter.
 	maxCanaryShare = 0.14
 	// minFocusShare and maxFocusShare bound the share of the second stage. maxPairShare is the
 	// largest one with which two endpoints get the load of the last stage instead of one.
@@ -34,6 +38,9 @@
 	// doubtUntil is when the last stage begins although the target is suspect, unless it is
 	// likely to be bad: a roll-out held by a doubt would miss the deadline.
 	doubtUntil = 0.8
+	// oneEndpointUntil is the same while a single endpoint fails and others have hardly any recent
+	// answers. The last stage and the end of the roll-out fit into the rest of the period.
+	oneEndpointUntil = 0.85
 	// lastDone is when a roll-out with share 1 is done although attempts are still in flight
 	// at old endpoints.
 	lastDone = 0.92
@@ -55,14 +62,11 @@
 	// minEndpointAnswers for each target endpoint if that is less.
 	minAnswers         = 100
 	minEndpointAnswers = 20
-	// exposeShare and exposeSlack are the bound of the exposure that the stages are made for,
-	// and canaryPart is the part of it that the canary stage of a service with few requests may
-	// use to get answers for the test.
 	// minRouteAnswers is the number of answers that the test needs to find one bad route of ten.
 	minRouteAnswers = 250
-	exposeShare     = 0.1
-	exposeSlack     = 50
-	canaryPart      = 0.45
+	// canaryPart is the part of the exposure allowed by the bounds that the canary stage of a
+	// service with few requests may use to get answers for the test.
+	canaryPart = 0.45
 	// minRateTime is the time after which the rate of requests is known.
 	minRateTime = time.Second
 	// slotReserve is how many times the requests in flight the target must have slots for.
@@ -106,7 +110,7 @@
 		current = Status{
 			State: Running, Target: r.Target, Order: r.ID, Started: time.UnixMilli(now.UnixMilli()), Since: now,
 		}
-		current.Share = min(canaryShare, capacityLimit(counts.Capacity))
+		current.Share = min(r.canaryShare(), capacityLimit(counts.Capacity))
 		return current, newEvidence(finding{}, counts)
 	}
 	if current.State.Final() {
@@ -191,8 +195,12 @@
 		d.counts.Routers == 0 || d.counts.Silent > d.counts.Routers
 }
 
-// doubtful reports whether the last stage must wait because the target is suspect.
-func (d *decision) doubtful() bool { return d.finding.suspect && !d.passed(doubtUntil) }
+// doubtful reports whether the last stage must wait because the target is suspect, or a single
+// endpoint fails and too few others have been tried.
+func (d *decision) doubtful() bool {
+	return d.finding.suspect && !d.passed(doubtUntil) ||
+		d.current.Share < 1 && !d.passed(oneEndpointUntil) && oneEndpoint(d.counts)
+}
 
 // nextShare returns the share of the stage that should be in force, before the capacity.
 func (d *decision) nextShare() float64 {
@@ -251,16 +259,27 @@
 	return d.passed(waiveAt)
 }
 
+// canaryShare returns the least share of the canary stage.
+func (r Rollout) canaryShare() float64 { return r.Bounds.orDefault().canary(canaryFraction) }
+
+// canary returns the share of the canary stage that is a fraction of the bound. It is rounded,
+// so that 1.4 times 0.1 is 0.14.
+func (b Bounds) canary(fraction float64) float64 {
+	return min(math.Round(fraction*b.Share*1e6)/1e6, maxCanaryShare)
+}
+
 // canaryShare returns the share of the canary stage. It is larger for a service with few
 // requests, where the slack is a large part of the exposure that the bound allows.
 func (d *decision) canaryShare() float64 {
+	least := d.rollout.canaryShare()
 	if d.elapsed < minRateTime {
-		return canaryShare
+		return least
 	}
+	bounds := d.rollout.Bounds.orDefault()
 	rate := float64(d.counts.TargetSent+d.counts.OldSent) / d.elapsed.Seconds()
-	allowed := canaryPart * (exposeShare*rate*d.rollout.Period.Seconds() + exposeSlack)
+	allowed := canaryPart * (bounds.Share*rate*d.rollout.Period.Seconds() + bounds.Slack)
 	share := min(minRouteAnswers, allowed) / max(1, rate*d.canaryEnd().Seconds())
-	return min(max(canaryShare, math.Floor(share*100)/100), maxCanaryShare)
+	return min(max(least, math.Floor(share*100)/100), bounds.canary(maxCanaryFraction))
 }
 
 // limitToCapacity limits a share to what the target can serve. A share in force is kept while the
