room: bounds of bursts are the goal; two rows of tests above it are listed as red

The bounds were 0.17 and 0.18 where the goal of 0.15 is not met. The rows that meet it stay in a test of their own. Also: an attempt that was not sent is no sample of the time in a slot.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -60,6 +60,7 @@
 // handleNotSent handles a failure before any byte of the request was sent.
 func (x *exchange) handleNotSent(state *balance.State, err error) result {
 	x.version.class = answerShowsNothing
+	x.leaveRoom(false)
 	switch x.release(state, err) {
 	case causeDeadline:
 		return result{refusal: api.RefusalDeadlineExceeded, notSent: true}
--- a/room/room_sim_test.go
+++ b/room/room_sim_test.go
@@ -71,22 +71,35 @@
 	}))
 }
 
+// burstGoal is the largest part of the requests that may be late or refused.
+const burstGoal = 0.15
+
+// burst compares the bursts with the same requests without a shared room.
+func burst(t *testing.T, routers int, loadReports bool) {
+	t.Helper()
+	s := bursts()
+	s.noHeader = !loadReports
+	before, shared := s.compare(t, routers, "late and refused", lost(""))
+	assert.Assert(t, before > 0.25)
+	assert.Assert(t, shared < burstGoal)
+}
+
 // Guards against bursts that fill the queues of all endpoints, so that the requests of the burst
-// and those after it are late. The goal is 0.15. Views reach 350 routers, and 79 without the load
-// reports of endpoints, only when most of the burst of 300 ms has been sent, so that their bounds
-// are higher.
+// and those after it are late.
 func TestBurstOnPlainService(t *testing.T) {
-	for i, bound := range []float64{0.15, 0.15, 0.17} {
-		before, shared := bursts().compare(t, fleets[i], "late and refused", lost(""))
-		assert.Assert(t, before > 0.25)
-		assert.Assert(t, shared < bound)
-	}
-	for i, bound := range []float64{0.15, 0.18, 0.18} {
-		s := bursts()
-		s.noHeader = true
-		_, shared := s.compare(t, fleets[i], "late and refused without load reports", lost(""))
-		assert.Assert(t, shared < bound)
-	}
+	burst(t, fleets[0], true)
+	burst(t, fleets[1], true)
+	burst(t, fleets[0], false)
+}
+
+// Guards against the same in the largest fleet, whose views arrive when most of the burst of 300 ms has
+// been sent.
+func TestBurstInLargestFleet(t *testing.T) { burst(t, fleets[2], true) }
+
+// Guards against the same where endpoints do not report their loads.
+func TestBurstWithoutLoadReports(t *testing.T) {
+	burst(t, fleets[1], false)
+	burst(t, fleets[2], false)
 }
 
 // Guards against shares that leave slots idle while requests wait or are refused. With choices by
