Explain: where a request would go now, without sending it

Operators could see why a request had been refused or where it had gone only after it was sent. The metrics listener now answers GET /explain, and the command hornbeamproxy explain prints it: route, workspace, service, reason of a refusal, room, roll-out in force, up to 200 endpoints with the reason for which each is excluded, and the one that would be chosen. The API key goes in its header; a query with a key is refused.

The decisions are made by the same code on copies. Pick is divided into steps that balance.Explain calls as well; the choice of versions is taken out of pickVersion; room.Preview offers a request to a copy of the room. The hashes of unchanged picks stay the same. Tests compare balancers, rooms and a gateway with a roll-out that explain with ones that don't; each fails if the copy is left out.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -214,21 +214,8 @@
 	if criteria.Work != nil {
 		criteria.Work.prepare()
 	}
-	b.scratch, b.pauses = b.scratch[:0], pauseTally{}
-	total, unusable, failureRates := 0.0, 0.0, 0.0
-	for _, endpoint := range criteria.Members {
-		state := b.State(endpoint)
-		load := state.load(now)
-		if !criteria.Usable(endpoint) {
-			unusable += load
-			continue
-		}
-		total += load
-		b.pauses.add(now, state)
-		failureRates += state.failureRate
-		b.scratch = append(b.scratch, candidate{state: state, load: load})
-	}
-	fallback, refusal := b.filterCandidates(now, criteria, failureRates/float64(max(1, len(b.scratch))))
+	loads := b.collect(now, criteria)
+	fallback, refusal := b.filterCandidates(now, criteria, loads.failureRate)
 	switch {
 	case len(b.scratch) == 0 && fallback != nil:
 		if criteria.Work != nil {
@@ -238,16 +225,48 @@
 	case len(b.scratch) == 0:
 		return nil, refusal
 	case criteria.Key != 0:
-		bound := criteria.HomeLoadFactor*total/float64(len(b.scratch)) + homeSlack
-		if criteria.LoadFactor > 0 {
-			mean := (total + unusable) / float64(len(criteria.Members))
-			bound = min(bound, loadLimitFraction*(criteria.LoadFactor*mean+loadLimitSlack))
-		}
-		return b.pickHome(now, criteria, total, bound), None
+		return b.pickHome(now, criteria, loads.total, loads.homeBound(criteria, len(b.scratch))), None
 	}
 	return b.pickInZone(now, criteria), None
 }
 
+// serviceLoads are sums over the members of a service.
+type serviceLoads struct {
+	total, unusable float64 // requests at the usable endpoints and at the others
+	failureRate     float64 // mean of the usable endpoints
+}
+
+// collect sets scratch to the usable members and pauses to their tally.
+func (b *Balancer) collect(now time.Time, criteria Criteria) serviceLoads {
+	b.scratch, b.pauses = b.scratch[:0], pauseTally{}
+	var loads serviceLoads
+	for _, endpoint := range criteria.Members {
+		state := b.State(endpoint)
+		load := state.load(now)
+		if !criteria.Usable(endpoint) {
+			loads.unusable += load
+			continue
+		}
+		loads.total += load
+		b.pauses.add(now, state)
+		loads.failureRate += state.failureRate
+		b.scratch = append(b.scratch, candidate{state: state, load: load})
+	}
+	loads.failureRate /= float64(max(1, len(b.scratch)))
+	return loads
+}
+
+// homeBound returns the load up to which a prompt stays at its home. candidates is the number of
+// endpoints that may get the request.
+func (l *serviceLoads) homeBound(criteria Criteria, candidates int) float64 {
+	bound := criteria.HomeLoadFactor*l.total/float64(candidates) + homeSlack
+	if criteria.LoadFactor > 0 {
+		mean := (l.total + l.unusable) / float64(len(criteria.Members))
+		bound = min(bound, loadLimitFraction*(criteria.LoadFactor*mean+loadLimitSlack))
+	}
+	return bound
+}
+
 // filterCandidates removes the candidates that may not get the request. mean is the mean
 // failure rate of all candidates. The results are used only if no candidate is left.
 // refusal is then the reason. fallback is then the endpoint whose ejection ends first
@@ -286,27 +305,32 @@
 	if criteria.MaxLocal > 0 && s.LocalRequests >= criteria.MaxLocal {
 		return AllFull
 	}
-	if s.unverified || s.zone.doubted || now.Before(s.ejectedUntil) || s.heldBack(now, criteria, mean) {
+	if s.avoidance(now, criteria, mean) != "" {
 		return AllAvoided
 	}
 	return None
 }
 
+// avoidance returns why an endpoint excluded as AllAvoided is, or an empty string.
+func (s *State) avoidance(now time.Time, criteria Criteria, mean float64) string {
+	switch {
+	case s.unverified:
+		return ExcludedUnverified
+	case s.zone.doubted:
+		return ExcludedZoneDoubted
+	case now.Before(s.ejectedUntil):
+		return ExcludedEjected
+	case s.heldBack(now, criteria, mean):
+		return ExcludedGrey
+	}
+	return ""
+}
+
 // pickInZone chooses among the candidates for a request without a prompt. It leaves out those
 // that have more than the mean load for their slots + zoneSlack, and draws among the others in
 // the router's own availability zone, or among all others if there are none.
 func (b *Balancer) pickInZone(now time.Time, criteria Criteria) *State {
-	total, slots := 0.0, 0.0
-	for i := range b.scratch {
-		total += b.scratch[i].load
-		slots += b.scratch[i].slots()
-	}
-	inBound := b.scratch[:0]
-	for _, c := range b.scratch {
-		if c.load <= total/slots*c.slots()+zoneSlack {
-			inBound = append(inBound, c)
-		}
-	}
+	inBound := withinZoneBound(b.scratch)
 	inBound = b.preferProven(now, inBound)
 	own := 0 // number of candidates of the own zone, which are moved to the front
 	for i := range inBound {
@@ -324,6 +348,23 @@
 	return drawLessLoaded(inBound, criteria.Draw)
 }
 
+// withinZoneBound returns the candidates that have at most the mean load for their slots + zoneSlack.
+// It reuses the memory of its argument.
+func withinZoneBound(candidates []candidate) []candidate {
+	total, slots := 0.0, 0.0
+	for i := range candidates {
+		total += candidates[i].load
+		slots += candidates[i].slots()
+	}
+	inBound := candidates[:0]
+	for _, c := range candidates {
+		if c.load <= total/slots*c.slots()+zoneSlack {
+			inBound = append(inBound, c)
+		}
+	}
+	return inBound
+}
+
 // load returns the number of requests that all routers have in flight at the endpoint,
 // as far as they have reported them.
 func (s *State) load(now time.Time) float64 {
--- a/balance/hotprompt.go
+++ b/balance/hotprompt.go
@@ -125,12 +125,7 @@
 	for i := range b.scratch {
 		b.scratch[i].score = placement.Score(criteria.Key, &b.scratch[i].state.hash)
 	}
-	inBound := b.scratch[:0]
-	for _, c := range b.scratch {
-		if c.load+1 <= bound {
-			inBound = append(inBound, c)
-		}
-	}
+	inBound := withinHomeBound(b.scratch, bound)
 	if criteria.Work != nil && len(inBound) > 0 {
 		return b.pickHomeByWork(now, criteria, b.preferProven(now, inBound), width)
 	}
@@ -144,6 +139,18 @@
 	return drawLessLoaded(highestScores(inBound, width), criteria.Draw)
 }
 
+// withinHomeBound returns the candidates whose load stays within the bound with one more request.
+// It reuses the memory of its argument.
+func withinHomeBound(candidates []candidate, bound float64) []candidate {
+	inBound := candidates[:0]
+	for _, c := range candidates {
+		if c.load+1 <= bound {
+			inBound = append(inBound, c)
+		}
+	}
+	return inBound
+}
+
 // highestScores moves the n candidates with the highest scores to the front and returns
 // them, in no order.
 func highestScores(candidates []candidate, n int) []candidate {
--- a/cmd/hornbeamproxy/main.go
+++ b/cmd/hornbeamproxy/main.go
@@ -54,6 +54,7 @@
 	addNoteCommands(app)
 	addReportCommand(app)
 	addLogCommand(app)
+	addExplainCommand(app)
 	addVersionCommand(app)
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "hornbeamproxy:", err)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,8 @@
 	rollouts *rollouts // nil if they are off
 	intakes  *intakes
 	stopping atomic.Bool
+	// explaining is held during an explanation and for explainInterval after it.
+	explaining sync.Mutex
 }
 
 // Run runs a router until ctx ends or one of its parts fails. When ctx ends, it shuts
@@ -246,6 +249,7 @@
 	operators := echo.New()
 	operators.GET(platform.ReadinessPath, p.ready)
 	operators.GET("/metrics", p.exportMetrics)
+	operators.GET(platform.ExplainPath, p.explain)
 	for _, address := range []string{s.Listen.Readiness, s.Listen.Metrics} {
 		if address == "" {
 			continue
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -201,19 +201,24 @@
 		return false
 	}
 	x.ownSince = time.Now()
-	x.service = x.route.PickService(xxhash.Sum64String(request.ID))
+	x.classify()
+	return true
+}
+
+// classify sets the service, the prompt's key and the deadline from the request and its route.
+func (x *exchange) classify() {
+	x.service = x.route.PickService(xxhash.Sum64String(x.request.ID))
 	if x.route.CachesPrompts {
-		x.promptKey = request.SharedKey()
+		x.promptKey = x.request.SharedKey()
 	}
 	wait := x.route.Timeout
-	if request.Timeout > 0 && (wait <= 0 || request.Timeout < wait) {
-		wait = request.Timeout
+	if x.request.Timeout > 0 && (wait <= 0 || x.request.Timeout < wait) {
+		wait = x.request.Timeout
 	}
 	if wait <= 0 {
 		wait = defaultTimeout
 	}
 	x.deadline = x.arrived.Add(wait - min(deadlineMargin, wait/10))
-	return true
 }
 
 // result is the outcome of one attempt.
@@ -322,18 +327,30 @@
 		}
 		return state, result{}
 	}
+	refused := result{refusal: refusalOf(refusal), retryAfter: retryAfterShort, notSent: true}
 	switch refusal {
 	case balance.AllPaused:
 		pause := x.g.balancer.PauseEnd(now, criteria.Members, criteria.Usable)
-		return nil, result{refusal: api.RefusalEndpointPaused, retryAfter: retry.Spread(pause, criteria.Draw), notSent: true}
+		refused.retryAfter = retry.Spread(pause, criteria.Draw)
+	case balance.NoEndpoint:
+		refused.retryAfter = retryAfterChange
+	}
+	return nil, refused
+}
+
+// refusalOf returns the reason given to the caller if no endpoint was chosen.
+func refusalOf(refusal balance.Refusal) api.Refusal {
+	switch refusal {
+	case balance.AllPaused:
+		return api.RefusalEndpointPaused
 	case balance.AllCold:
-		return nil, result{refusal: api.RefusalEndpointCold, retryAfter: retryAfterShort, notSent: true}
+		return api.RefusalEndpointCold
 	case balance.AllTried:
-		return nil, result{refusal: api.RefusalUpstreamFailed, retryAfter: retryAfterShort, notSent: true}
+		return api.RefusalUpstreamFailed
 	case balance.AllFull:
-		return nil, result{refusal: api.RefusalEndpointFull, retryAfter: retryAfterShort, notSent: true}
+		return api.RefusalEndpointFull
 	}
-	return nil, result{refusal: api.RefusalNoEndpoint, retryAfter: retryAfterChange, notSent: true}
+	return api.RefusalNoEndpoint
 }
 
 // draw returns a hash that differs between requests and between the attempts of a request.
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -67,18 +67,31 @@
 		state, refusal = x.g.balancer.Pick(now, *criteria)
 		return state, refusal, false
 	}
+	if v.limiter.Stale(now) {
+		x.g.metrics.Counter("rollouts.stale_share").Inc(1)
+	}
+	state, refusal, barred = v.choose(now, criteria, len(x.tried) > 0, x.g.balancer.Pick)
+	if state != nil && v.counter != nil {
+		x.startVersionAttempt(now, v, state)
+	}
+	return state, refusal, barred
+}
+
+// pickFunc chooses an endpoint as balance.Pick does.
+type pickFunc func(now time.Time, criteria balance.Criteria) (*balance.State, balance.Refusal)
+
+// choose chooses an endpoint among the versions that may serve an attempt, see pickVersion. repeated
+// is set for a retry or the resumption of a stream.
+func (v *serviceVersions) choose(now time.Time, criteria *balance.Criteria, repeated bool, choose pickFunc) (state *balance.State, refusal balance.Refusal, barred bool) {
 	usable := criteria.Usable
 	pick := func(admits func(*roster.Endpoint) bool) {
 		criteria.Usable = func(e *roster.Endpoint) bool { return usable(e) && admits(e) }
-		state, refusal = x.g.balancer.Pick(now, *criteria)
+		state, refusal = choose(now, *criteria)
 	}
 	admitted := func(choice rollout.Choice) func(*roster.Endpoint) bool {
 		return func(e *roster.Endpoint) bool { return choice.Admits(v.limiter.Class(e.Version)) }
 	}
-	if v.limiter.Stale(now) {
-		x.g.metrics.Counter("rollouts.stale_share").Inc(1)
-	}
-	choice := v.limiter.Allow(now, x.versionRequest(v, criteria))
+	choice := v.limiter.Allow(now, v.request(criteria, repeated))
 	switch choice {
 	case rollout.Refuse:
 		return nil, balance.NoEndpoint, true
@@ -94,9 +107,6 @@
 	default:
 		pick(admitted(choice))
 	}
-	if state != nil && v.counter != nil {
-		x.startVersionAttempt(now, v, state)
-	}
 	return state, refusal, false
 }
 
@@ -112,9 +122,9 @@
 	return func(e *roster.Endpoint) bool { return v.isTarget(e) && slices.Contains(focused, e.ID) }
 }
 
-// versionRequest returns what the limiter has to know of the request. Callers hold g.mu.
-func (x *exchange) versionRequest(v *serviceVersions, criteria *balance.Criteria) rollout.Request {
-	request := rollout.Request{Repeated: len(x.tried) > 0}
+// request returns what the limiter has to know of an attempt. Callers hold g.mu.
+func (v *serviceVersions) request(criteria *balance.Criteria, repeated bool) rollout.Request {
+	request := rollout.Request{Repeated: repeated}
 	for _, e := range criteria.Members {
 		if criteria.Usable(e) {
 			request.AddServing(v.limiter.Class(e.Version))
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -105,11 +105,18 @@
 	r.SetRoom(now, found.Slots, found.InFlight, routers, found.Known || routers == 1)
 }
 
-// roomRequest returns the request as the room sees it. Callers hold g.mu.
+// roomRequest returns the request as the room sees it, with an id of its own. Callers hold g.mu.
 func (x *exchange) roomRequest() room.Request {
 	x.g.rooms.offered++
+	request := x.describeForRoom()
+	request.ID += x.g.rooms.offered * waiterStep
+	return request
+}
+
+// describeForRoom returns the request as the room sees it.
+func (x *exchange) describeForRoom() room.Request {
 	request := room.Request{
-		ID: xxhash.Sum64String(x.request.ID) + x.g.rooms.offered*waiterStep, Class: priority(x.route, x.workspace),
+		ID: xxhash.Sum64String(x.request.ID), Class: priority(x.route, x.workspace),
 		Deadline: x.deadline, Plain: x.route.Kind != routing.Stream,
 	}
 	if x.workspace != nil {
--- a/work/work.go
+++ b/work/work.go
@@ -135,6 +135,17 @@
 // New returns a model without samples.
 func New(config Config) *Model { return &Model{config: config, routes: map[string]*route{}} }
 
+// Clone returns a copy that shares nothing with the model.
+func (m *Model) Clone() *Model {
+	c := *m
+	c.routes = make(map[string]*route, len(m.routes))
+	for name, known := range m.routes {
+		r := *known
+		c.routes[name] = &r
+	}
+	return &c
+}
+
 // SetConfig replaces what is known of the service.
 func (m *Model) SetConfig(config Config) { m.config = config }
 
