--- a/balance/bywork.go
+++ b/balance/bywork.go
@@ -22,8 +22,7 @@
 	zoneMargin = 5 * time.Millisecond
 	// The home of a prompt keeps it up to a multiple of the mean work + homeWorkSlack requests of
 	// mean cost. The multiple is drawn between homeWorkFactor - homeWorkRamp and homeWorkFactor
-	// for each request. With the bound in requests alone the busiest engine gets 1.3 to 1.5 times
-	// the mean in the simulation, with this one 1.1 to 1.3 times.
+	// for each request. The bound in requests alone lets prompts of unequal cost pile up at one engine.
 	homeWorkFactor = 1.3
 	homeWorkRamp   = 0.4
 	homeWorkSlack  = 1
--- a/room/load.go
+++ b/room/load.go
@@ -8,9 +8,7 @@
 const (
 	// plainTarget and engineTarget are the requests in flight, per slot, that the routers aim at.
 	// Routers choose endpoints by loads that are some 100 ms old, so that the endpoints get uneven
-	// numbers. In simulation 30% of the slots of a plain service are idle at 0.95 while requests
-	// wait, 25% at 1.05 and 20% at 1.25, but at 1.25 more responses are late than slots are gained.
-	// On engines drafts lose 0.04 to 0.06 at 0.95 and 0.05 to 0.07 at 1.
+	// numbers: a lower target leaves slots idle, a higher one makes responses late.
 	plainTarget  = 1.05
 	engineTarget = 0.95
 	// maxDepth bounds the target with Config.SendFirst, where the endpoints queue a few requests for
