--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,13 @@
 SKIP = $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
 # The integration tests run alone and one after the other, because their routers and
-# stand-ins miss their deadlines when other tests use the machine at the same time.
+# stand-ins miss their deadlines when other tests use the machine at the same time. The crowds
+# run after them, since they use much of the machine for a moment.
 test:
 	@echo "passed over as listed in KNOWN-RED.txt: $(if $(KNOWN_RED),$(KNOWN_RED),none)"
-	go test $(SKIP) $$(go list ./... | grep -v /integration$$)
+	go test $(SKIP) $$(go list ./... | grep -v -e /integration$$ -e /crowds$$)
 	go test $(SKIP) -parallel 1 -timeout 30m ./integration
+	go test $(SKIP) -parallel 1 -p 1 -timeout 15m ./crowds
 
 # The users' deployments that a change must not make worse. FLEETBENCH is the program of
 # their bench and SITES the folder of its site files; neither is part of this repository.
