--- a/review/standin-2/left.go
+++ b/review/standin-2/left.go
@@ -33,6 +33,7 @@
 		if !strings.Contains(line, " run ") {
 			return
 		}
+		r.add("%s: %s", id, line)
 		at, _ := strconv.ParseInt(field(line, "at"), 10, 64)
 		mu.Lock()
 		defer mu.Unlock()
@@ -74,8 +75,8 @@
 			clients.Go(func() {
 				id := newID()
 				o := send(routers[0].front, "POST", "/hold/1", id, "one pair", 1500*time.Millisecond)
+				r.add("client sent %s and got status %d, %v", id, o.status, o.err)
 				if o.status != 200 {
-					r.add("client got %s: status %d, %v", id, o.status, o.err)
 					mu.Lock()
 					failed[id] = true
 					mu.Unlock()
