--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -112,12 +113,26 @@
 	os.Exit(code)
 }
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a port that is free for TCP and UDP. It lies below the
+// range from which the system gives ports to connections, so that none of these takes it before the
+// router does.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		socket, err := net.ListenPacket("udp", address)
+		listener.Close()
+		if err != nil {
+			continue
+		}
+		socket.Close()
+		return address
+	}
+	must(fmt.Errorf("no free port"))
+	return ""
 }
 
 // router is a router process of the project, with the settings of a small deployment.
