httpcheck: a response with an invalid status is no response

What callers saw. An endpoint answers with the status 000 (or 099, or +20). On the platform a caller got "HTTP/1.1 200 OK" with a body that the endpoint had not sent as its answer, if the body of the response had the form of a response itself, or 504 at its deadline if nothing followed. On the product's own interface the connection of a service call or completion was closed without a byte of an answer ("http: panic serving ...: invalid WriteHeader code 0" in the log). A 101 that nobody had asked for reached callers as "HTTP/1.1 101 Switching Protocols".

Cause. http.ReadResponse accepts any number of three characters as a status. upstream takes all below 200 for informational responses, which have no body, so that the body is read as the next response. engine returns the status to the router, which passes it on; Cancel and ImportKV take all below 300 for a success.

Fix. httpcheck.Response rejects a status below 100. upstream checks each response that it reads, and the client of engine sends its requests through httpcheck.Transport, which also rejects a 101 without an Upgrade in the request. Both then handle it like other bytes that are no response: the connection is closed, a request that may be repeated is retried, any other refused. A recorded outcome with such a status is unknown. The check is where responses are read, so that no caller of upstream or engine has to know of it.

--- /dev/null
+++ b/cmd/hornbeamproxy/rawrouter_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/alecthomas/kingpin/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+// newRawRouter returns the address of a router that reads each request, answers it with the bytes and
+// closes the connection.
+func newRawRouter(t *testing.T, response string) string {
+	t.Helper()
+	server, err := standin.NewRawServer(func(conn *net.TCPConn, request *http.Request) bool {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, response)
+		return false
+	})
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	return server.Addr()
+}
+
+// clientCommand is a command that asks a router, with the body of a successful response to it.
+type clientCommand struct {
+	args []string
+	body string
+}
+
+// clientCommands returns the commands that send requests to the router at the address.
+func clientCommands(t *testing.T, address string) []clientCommand {
+	t.Helper()
+	note := filepath.Join(t.TempDir(), "note.toml")
+	assert.NilError(t, os.WriteFile(note, []byte("title = \"Add a\"\n[[added.zones]]\nid = \"a\"\n"), 0o600))
+	return []clientCommand{
+		{[]string{"note", "accept", note, "--admin", "http://" + address}, `{"note_id":"n1","revision":1}`},
+		{[]string{"note", "check", note, "--admin", "http://" + address}, `{"note_id":"n1","revision":1}`},
+		{[]string{"note", "list", "--admin", "http://" + address}, `{"notes":[],"applied_revision":1}`},
+		{[]string{"note", "status", "1", "--admin", "http://" + address}, `{"revision":1,"routers":[]}`},
+		{[]string{"explain", "--router", address, "--host", "h", "--path", "/x"}, `{"route":"chat"}`},
+	}
+}
+
+// runClientCommand runs the command and returns its output and exit code.
+func runClientCommand(args []string) (string, int) {
+	var out bytes.Buffer
+	app := kingpin.New("hornbeamproxy", "").Terminate(nil)
+	addNoteCommandsTo(app, &out)
+	addExplainCommandTo(app, &out)
+	_, err := app.Parse(args)
+	if err == nil {
+		return out.String(), 0
+	}
+	return out.String(), exitCode(err)
+}
+
+// Guards against a command that takes a response with an invalid status for the router's answer.
+func TestCommandsRejectInvalidStatus(t *testing.T) {
+	for i, c := range clientCommands(t, "") {
+		for _, status := range []string{"000", "099", "+20", "101"} {
+			address := newRawRouter(t, "HTTP/1.1 "+status+" X\r\n\r\n"+c.body)
+			out, code := runClientCommand(clientCommands(t, address)[i].args)
+			assert.Equal(t, code, exitUsage, "%v with status %s: %s", c.args, status, out)
+			assert.Equal(t, out, "", c.args)
+		}
+		address := newRawRouter(t, "HTTP/1.1 200 X\r\n\r\n"+c.body)
+		_, code := runClientCommand(clientCommands(t, address)[i].args)
+		assert.Equal(t, code, 0, c.args)
+	}
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/httpcheck"
 )
 
 // Names of headers that endpoints and routers exchange.
@@ -70,7 +72,7 @@
 // and implements Streamer, Requester, ReportReader, OrderSender and CacheMover.
 type Client struct {
 	options   Options
-	transport *http.Transport
+	transport httpcheck.Transport
 }
 
 var (
@@ -87,7 +89,7 @@
 	dialer := &net.Dialer{Timeout: options.DialTimeout, KeepAlive: 15 * time.Second}
 	return &Client{
 		options: options,
-		transport: &http.Transport{
+		transport: httpcheck.Transport{Base: &http.Transport{
 			// Endpoints are configured by address, so the proxies in environment
 			// variables such as HTTP_PROXY must not apply.
 			Proxy:           nil,
@@ -104,7 +106,7 @@
 			MaxResponseHeaderBytes: 32 << 10,
 			// Transparent decompression would hide the length of the body.
 			DisableCompression: true,
-		},
+		}},
 	}
 }
 
@@ -162,9 +164,9 @@
 }
 
 // send performs the request without following redirects, because a redirect could run the
-// request twice. If the request has a request id, a response that does not repeat that id
-// is an error of kind ErrWrongRequestID. A 503 with X-Not-Run: true is an error of kind
-// ErrNotStarted.
+// request twice. A malformed response is an error of kind ErrIncomplete. If the request has
+// a request id, a response that does not repeat that id is an error of kind
+// ErrWrongRequestID. A 503 with X-Not-Run: true is an error of kind ErrNotStarted.
 func (c *Client) send(a *attempt) (*http.Response, error) {
 	ctx := a.request.Context()
 	response, err := c.transport.RoundTrip(a.request)
--- /dev/null
+++ b/gateway/rawcaller_test.go
@@ -0,0 +1,75 @@
+package gateway_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/roster"
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+// newRawEndpoint starts an endpoint whose handler writes its responses byte by byte.
+func newRawEndpoint(t *testing.T, handler standin.RawHandler) *standin.RawServer {
+	t.Helper()
+	server, err := standin.NewRawServer(handler)
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// newRawGateway returns a gateway in front of the endpoints.
+func newRawGateway(t *testing.T, endpoints ...*standin.RawServer) testGateway {
+	t.Helper()
+	f := newTestGateway(t)
+	ids := map[string]bool{}
+	for _, e := range endpoints {
+		f.SetEndpoint(roster.Entry{ID: e.Addr(), Service: "s", Address: e.Addr(), Zone: "z", Slots: 8, Started: 1})
+		ids[e.Addr()] = true
+	}
+	f.RetainEndpoints(ids)
+	return f.configure()
+}
+
+// answerRaw returns a handler that reads the request, sends the bytes and closes the connection, or
+// keeps it open if keep is set. ID in the bytes stands for the id of the request.
+func answerRaw(response string, keep bool) standin.RawHandler {
+	return func(conn *net.TCPConn, request *http.Request) bool {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, strings.ReplaceAll(response, "ID", request.Header.Get("Request-Id")))
+		return keep
+	}
+}
+
+// rawCall sends a request with the body on a connection of its own and returns all bytes that arrive
+// until the connection ends.
+func (f testGateway) rawCall(t *testing.T, path string, body []byte) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nApi-Key: key\r\nDeadline-Ms: 1500\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", path, len(body))
+	assert.NilError(t, err)
+	_, err = conn.Write(body)
+	assert.NilError(t, err)
+	var received bytes.Buffer
+	_, err = io.Copy(&received, conn)
+	assert.NilError(t, err)
+	return received.String()
+}
+
+// badGateway reports whether the bytes are the router's own response for an endpoint whose response
+// can't be used, and nothing else.
+func badGateway(received string) bool {
+	head, body, found := strings.Cut(received, "\r\n\r\n")
+	return found && strings.HasPrefix(head, "HTTP/1.1 502 Bad Gateway\r\n") && !strings.Contains(head, "Server-Stamp") &&
+		strings.Contains(head, fmt.Sprintf("\r\nContent-Length: %d", len(body))) && strings.HasPrefix(body, `{"refused":"upstream_`)
+}
--- /dev/null
+++ b/httpcheck/httpcheck.go
@@ -0,0 +1,51 @@
+// Package httpcheck rejects HTTP/1.1 responses that net/http accepts although they are malformed.
+package httpcheck
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// ErrMalformed means that bytes which net/http has taken for a response are not one.
+var ErrMalformed = errors.New("httpcheck: malformed response")
+
+// Response checks a response that net/http has read, informational ones included. Its error wraps
+// ErrMalformed.
+func Response(response *http.Response) error {
+	// net/http takes any number that has three characters for a status, such as 000, 099 or +20.
+	if response.StatusCode < http.StatusContinue {
+		return fmt.Errorf("%w: status %q", ErrMalformed, response.Status)
+	}
+	return nil
+}
+
+// Transport sends requests through Base and returns an error that wraps ErrMalformed for a response
+// that is malformed, or that switches protocols though the request did not ask for it.
+type Transport struct {
+	Base http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Base.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	err = Response(response)
+	if err == nil && response.StatusCode == http.StatusSwitchingProtocols && request.Header.Get("Upgrade") == "" {
+		err = fmt.Errorf("%w: status 101 without a request to upgrade", ErrMalformed)
+	}
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the idle connections of Base.
+func (t Transport) CloseIdleConnections() {
+	if base, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -70,6 +70,9 @@
 	// replaces it. If they are nil, the stand-in keeps its handler.
 	wrapEngine  func(*standin.SiteEngine, http.Handler) http.Handler
 	wrapService func(*standin.SiteReplica, http.Handler) http.Handler
+	// directEndpoints lets the routers connect to the endpoints without the fault proxies, which
+	// don't forward a reset as a reset.
+	directEndpoints bool
 	// peerSecret returns the peer secret of a router; nil means the site's secret.
 	peerSecret func(id string) string
 	// beforeNote runs after the routers have started and before they accept the release
@@ -150,9 +153,12 @@
 }
 
 // siteNote returns the note that adds the site, with the endpoints' URLs set to their
-// proxies.
+// proxies unless the fleet has none.
 func (f *Fleet) siteNote() api.Note {
 	note := f.site.Note()
+	if f.options.directEndpoints {
+		return note
+	}
 	for i := range note.Added.Endpoints {
 		e := &note.Added.Endpoints[i]
 		e.URL = "http://" + f.endpointProxies[e.ID].Addr()
--- /dev/null
+++ b/integration/rawanswers_test.go
@@ -0,0 +1,126 @@
+package integration_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/standin"
+)
+
+// rawAnswers lets all endpoints of a fleet answer with bytes that no HTTP library sends.
+type rawAnswers struct {
+	// respond writes the answer to a request whose body is unread; nil lets the endpoints answer as
+	// usual. The connection is closed afterwards.
+	respond atomic.Pointer[func(conn *net.TCPConn, r *http.Request)]
+}
+
+func (a *rawAnswers) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		respond := a.respond.Load()
+		if respond == nil || r.Method != http.MethodPost {
+			next.ServeHTTP(w, r)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		(*respond)(conn.(*net.TCPConn), r)
+	})
+}
+
+// newRawFleet starts one router before an engine and a replica of the service that answer with a.
+func newRawFleet(t *testing.T, a *rawAnswers) *Fleet {
+	t.Helper()
+	return newFleet(t, fleetOptions{
+		site:            standin.SiteConfig{Zones: []string{"za"}, Engines: 1, Services: 1, Workspaces: 1, MaxInflight: 8, Engine: standin.EngineConfig{MaxRunning: 8}},
+		routers:         1,
+		settings:        map[string]map[string]any{"retry": {"budget_floor": 1000}},
+		directEndpoints: true,
+		wrapEngine:      func(_ *standin.SiteEngine, next http.Handler) http.Handler { return a.wrap(next) },
+		wrapService:     func(_ *standin.SiteReplica, next http.Handler) http.Handler { return a.wrap(next) },
+	})
+}
+
+// sendBytes returns a responder that sends the bytes. ID in them stands for the id of the request.
+func sendBytes(response string) *func(conn *net.TCPConn, r *http.Request) {
+	respond := func(conn *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(conn, strings.ReplaceAll(response, "ID", r.Header.Get("X-Request-Id")))
+	}
+	return &respond
+}
+
+// rawCall is a request of a caller.
+type rawCall struct{ path, header, body string }
+
+// rawCalls returns a request of each kind whose body has about size bytes more than the least.
+func rawCalls(size int) map[string]rawCall {
+	filler := strings.Repeat("x", size)
+	chat := func(stream bool) string {
+		return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":2,"messages":[{"role":"user","content":"hi%s"}]}`, standin.SiteModel, stream, filler)
+	}
+	service := "/services/" + standin.SiteService + "/holds"
+	hold := fmt.Sprintf(`{"item":"goatskin","quantity":1,"note":%q}`, filler)
+	return map[string]rawCall{
+		"stream":       {"/v1/chat/completions", "", chat(true)},
+		"completion":   {"/v1/chat/completions", "", chat(false)},
+		"call":         {service, "", hold},
+		"claimed call": {service, "Idempotency-Key: KEY\r\n", hold},
+	}
+}
+
+var rawKeys atomic.Int64
+
+// callRaw sends the request on a connection of its own and returns all bytes that arrive until the
+// connection ends.
+func callRaw(t *testing.T, r *Router, call rawCall) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(r.callers, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(2 * callTimeout))
+	header := strings.ReplaceAll(call.header, "KEY", fmt.Sprint("raw-", rawKeys.Add(1)))
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		call.path, standin.WorkspaceKey(0), header, len(call.body), call.body)
+	assert.NilError(t, err)
+	var received bytes.Buffer
+	_, err = io.Copy(&received, conn)
+	assert.NilError(t, err)
+	return received.String()
+}
+
+// isRefusal reports whether the bytes are one whole refusal of the router, and nothing else. Requests
+// that may be repeated get a 503 when no endpoint is left to try.
+func isRefusal(received string) bool {
+	head, body, found := strings.Cut(received, "\r\n\r\n")
+	refused := strings.HasPrefix(head, "HTTP/1.1 502 Bad Gateway\r\n") || strings.HasPrefix(head, "HTTP/1.1 503 Service Unavailable\r\n")
+	return found && refused && strings.Contains(head, "\r\nContent-Type: application/problem+json\r\n") &&
+		strings.Contains(head, fmt.Sprintf("\r\nContent-Length: %d\r\n", len(body))) && json.Valid([]byte(body))
+}
+
+// Guards against a response with an invalid status that reaches the caller or ends its connection
+// without an answer.
+func TestInvalidStatusGetsRefusal(t *testing.T) {
+	answers := &rawAnswers{}
+	f := newRawFleet(t, answers)
+	for _, status := range []string{"000", "099", "+20", "101"} {
+		for _, rest := range []string{"Content-Length: 5\r\n\r\nhello", "Content-Length: 0\r\n\r\n", "\r\nhello"} {
+			answers.respond.Store(sendBytes("HTTP/1.1 " + status + " X\r\nX-Request-Id: ID\r\nContent-Type: text/plain\r\n" + rest))
+			for name, call := range rawCalls(0) {
+				received := callRaw(t, f.routers[0], call)
+				assert.Check(t, isRefusal(received), "%s, status %s, %q: %q", name, status, rest, received)
+			}
+		}
+	}
+}
--- a/router/service.go
+++ b/router/service.go
@@ -323,9 +323,10 @@
 }
 
 // replayOutcome returns the recorded outcome of a key as a response, or a refusal
-// if the outcome is unknown or was too large to record.
+// if the outcome is unknown or was too large to record. Routers of earlier builds may
+// have recorded a status that is none of a final response.
 func replayOutcome(writer http.ResponseWriter, outcome *api.ClaimOutcome) (engine.Response, error) {
-	if outcome == nil || outcome.Status == 0 {
+	if outcome == nil || outcome.Status < http.StatusOK {
 		return engine.Response{}, &refusal{reason: api.RefusalClaimOutcomeUnknown, detail: "the call with this key may have run; its outcome is unknown"}
 	}
 	if outcome.Truncated {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/httpcheck"
 )
 
 var (
@@ -162,6 +164,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, classifyHeadError(err))
 		}
+		if err := httpcheck.Response(response); err != nil {
+			return nil, fmt.Errorf("%w: %w: %w", ErrBroken, ErrNoResponse, err)
+		}
 		if response.StatusCode >= 200 {
 			return response, nil
 		}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -128,6 +128,22 @@
 	assert.ErrorIs(t, conn.Send(request), ErrNotSent)
 }
 
+// Guards against a status below 100 that is taken for that of an informational response, so that the
+// body is read as the next response.
+func TestReceiveRejectsInvalidStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "-00", "+20", "0", "0000", "2x0", "1e2"} {
+		for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+			pool := newTestPool(t, answerWith(before+"HTTP/1.1 "+status+" X\r\nContent-Length: 38\r\n\r\n"+completeResponse))
+			conn := dial(t, pool)
+			assert.NilError(t, conn.Send(request))
+			_, err := conn.Receive(nil) //nolint:bodyclose // there is no response
+			assert.ErrorIs(t, err, ErrNoResponse, "status %s", status)
+			assert.ErrorIs(t, err, ErrBroken, "status %s", status)
+			conn.Close()
+		}
+	}
+}
+
 // Guards against connections that stay open after the pool is closed or their idle
 // timeout has passed.
 func TestClose(t *testing.T) {
