engine: a part of an error response is not passed on as the whole one

What callers saw. An endpoint answers a streamed completion with 404 or 422 while a long request is still being written, without a length, sends "part" and resets the connection. The caller gets "HTTP/1.1 422 ...", "Content-Length: 4" and "part", a complete response. The same happened with a length or chunks that were cut off, with or without an upload, and the router itself cut bodies at 16 KiB.

Cause. statusError read the body up to the first error and kept what it had. While a request is being written, the write may take the error of the reset from the socket, and the read finds an orderly end; so a body without a length gives no error at all.

Unexpected responses are read with readBody, which Do and Completion use as well: a body has a length or chunks and is read to its end, or the error has no body and names the reason as its cause. The router passes on only responses without such a cause; the others are failures of the endpoint. How the connection ends no longer matters, so that it does not matter which side of it sees the reset. The bound of the body is that of other bodies.

--- a/cmd/hornbeamproxy/rawrouter_test.go
+++ b/cmd/hornbeamproxy/rawrouter_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"gotest.tools/v3/assert"
@@ -88,3 +89,28 @@
 		}
 	}
 }
+
+// Guards against a command that takes a part of a router's answer for the whole, because the router
+// reset the connection while a long note was still being sent.
+func TestCommandsRejectAnswerCutDuringUpload(t *testing.T) {
+	note := filepath.Join(t.TempDir(), "note.toml")
+	assert.NilError(t, os.WriteFile(note, bytes.Repeat([]byte("# comment\n"), 2<<20), 0o600))
+	const whole = `{"note_id":"n1","revision":1}`
+	for _, framing := range []string{"", "Content-Length: 29\r\n"} {
+		for cut := range len(whole) {
+			for _, command := range []string{"check", "accept"} {
+				server, err := standin.NewRawServer(func(conn *net.TCPConn, _ *http.Request) bool {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+framing+"\r\n"+whole[:cut])
+					time.Sleep(time.Millisecond)
+					standin.ResetConn(conn)
+					return false
+				})
+				assert.NilError(t, err)
+				out, code := runClientCommand([]string{"note", command, note, "--admin", "http://" + server.Addr()})
+				server.Close()
+				assert.Equal(t, code, exitUsage, "%s cut after %d bytes: %s", command, cut, out)
+				assert.Equal(t, out, "")
+			}
+		}
+	}
+}
--- a/engine/call.go
+++ b/engine/call.go
@@ -46,8 +46,10 @@
 	Completion(ctx context.Context, r StreamRequest) (Response, error)
 }
 
-// errNoLength is the cause of ErrIncomplete for a response whose end is marked only by
-// the close of the connection, so that a truncated body could not be detected.
+// errNoLength is the cause for a response whose end is marked only by the close of the
+// connection, so that a truncated body could not be detected. A reset of the connection is no
+// help: while the request is still being written, the writer may take it from the socket, and
+// the reader then finds an orderly end.
 var errNoLength = errors.New("response has neither a length nor chunked encoding")
 
 // Do implements Requester.
@@ -78,23 +80,36 @@
 	if method == http.MethodHead {
 		return result, nil
 	}
+	body, err := readBody(response, limit)
+	switch {
+	case err == nil:
+		result.Body = body
+		return result, nil
+	case errors.Is(err, ErrTooLarge):
+		return Response{}, &Error{Kind: ErrTooLarge, Sent: true}
+	}
+	return Response{}, callError(ctx, true, err)
+}
+
+// readBody reads a whole body of up to limit bytes. Errors: errNoLength, ErrTooLarge, or that of the
+// connection.
+func readBody(response *http.Response, limit int64) ([]byte, error) {
 	if !isSelfDelimited(response) {
-		return Response{}, &Error{Kind: ErrIncomplete, Cause: errNoLength, Sent: true}
+		return nil, errNoLength
 	}
 	if response.ContentLength > limit {
-		return Response{}, &Error{Kind: ErrTooLarge, Sent: true}
+		return nil, ErrTooLarge
 	}
 	// The transport reports io.ErrUnexpectedEOF for a body that is shorter than its
 	// length or whose last chunk is missing.
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
-		return Response{}, callError(ctx, true, err)
+		return nil, err
 	}
 	if int64(len(body)) > limit {
-		return Response{}, &Error{Kind: ErrTooLarge, Sent: true}
+		return nil, ErrTooLarge
 	}
-	result.Body = body
-	return result, nil
+	return body, nil
 }
 
 // isSelfDelimited reports whether the end of the body is known without the close of
--- a/engine/client.go
+++ b/engine/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"crypto/tls"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -179,23 +178,19 @@
 		return nil, &Error{Kind: ErrWrongRequestID, Sent: true}
 	}
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) == "true" {
-		return nil, statusError(response, ErrNotStarted)
+		return nil, statusError(response, ErrNotStarted, maxErrorBodyBytes)
 	}
 	return response, nil
 }
 
-// statusError returns an error with the response's status, its header and the start of
-// its body, and closes the body.
-func statusError(response *http.Response, kind error) *Error {
+// statusError returns an error with the response's status, its header and its body, and closes the
+// body. If the body is not whole or larger than limit bytes, the error has none, and says why in its
+// cause.
+func statusError(response *http.Response, kind error, limit int64) *Error {
 	defer response.Body.Close()
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
-	return &Error{
-		Kind:   kind,
-		Status: response.StatusCode,
-		Header: response.Header,
-		Body:   body,
-		Sent:   true,
-	}
+	failure := &Error{Kind: kind, Status: response.StatusCode, Header: response.Header, Sent: true}
+	failure.Body, failure.Cause = readBody(response, limit)
+	return failure
 }
 
 func setPriority(header http.Header, priority int) {
--- a/engine/control.go
+++ b/engine/control.go
@@ -85,8 +85,7 @@
 		}
 		return nil
 	}
-	body := response.Body[:min(len(response.Body), maxErrorBodyBytes)]
-	return &Error{Kind: ErrStatus, Status: response.Status, Header: response.Header, Body: body, Sent: true}
+	return &Error{Kind: ErrStatus, Status: response.Status, Header: response.Header, Body: response.Body, Sent: true}
 }
 
 // Order implements OrderSender.
@@ -134,7 +133,7 @@
 		return nil, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, statusError(response, ErrStatus)
+		return nil, statusError(response, ErrStatus, maxErrorBodyBytes)
 	}
 	// The importing endpoint needs the length to detect a truncated export.
 	if response.ContentLength < 0 {
@@ -165,7 +164,7 @@
 		return err
 	}
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return statusError(response, ErrStatus)
+		return statusError(response, ErrStatus, maxErrorBodyBytes)
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBodyBytes))
 	response.Body.Close()
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -34,19 +34,21 @@
 	ErrInvalidBody = errors.New("body is not a JSON object")
 )
 
-// maxErrorBodyBytes bounds the part of an unexpected response that an Error keeps.
+// maxErrorBodyBytes bounds the body that an Error keeps of a response that does not reach callers.
 const maxErrorBodyBytes = 16 << 10
 
 // Error describes a failed call.
 type Error struct {
 	// Kind is one of the kinds of failure of this package.
 	Kind error
-	// Cause is the underlying error; nil if there is none besides Kind.
+	// Cause is the underlying error; nil if there is none besides Kind. With a Status it is why
+	// Body does not hold the response's body.
 	Cause error
 	// Status is the HTTP status of the response in Header and Body; 0 if they hold none.
 	Status int
 	// Header and Body hold a response with an unexpected status, or one by which the
-	// endpoint reported that it did not run the request. Body is cut off after 16 KiB.
+	// endpoint reported that it did not run the request. Body is whole, or nil if it was cut
+	// off, has no length or is too large.
 	Header http.Header
 	Body   []byte
 	// Sent reports whether a byte of the request may have reached the endpoint. It is
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -98,7 +98,7 @@
 		return err
 	}
 	if response.StatusCode >= 300 && response.StatusCode != http.StatusNotFound {
-		return statusError(response, ErrStatus)
+		return statusError(response, ErrStatus, maxErrorBodyBytes)
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBodyBytes))
 	return response.Body.Close()
@@ -115,7 +115,8 @@
 	stop := afterTimeout(r.FirstByteTimeout, func() { cancel(ErrFirstByteTimeout) })
 	response, err := c.send(a)
 	if err == nil && response.StatusCode != http.StatusOK {
-		err = statusError(response, ErrStatus)
+		// A response to a request of the caller's may be passed on.
+		err = statusError(response, ErrStatus, c.options.MaxBodyBytes)
 	}
 	stop()
 	if err != nil {
--- a/gateway/rawcaller_test.go
+++ b/gateway/rawcaller_test.go
@@ -51,6 +51,14 @@
 // rawCall sends a request with the body on a connection of its own and returns all bytes that arrive
 // until the connection ends.
 func (f testGateway) rawCall(t *testing.T, path string, body []byte) string {
+	t.Helper()
+	received, err := f.rawUpload(t, path, body)
+	assert.NilError(t, err)
+	return received
+}
+
+// rawUpload is rawCall for a connection that may end with an error, which it returns.
+func (f testGateway) rawUpload(t *testing.T, path string, body []byte) (string, error) {
 	t.Helper()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
 	assert.NilError(t, err)
@@ -62,8 +70,7 @@
 	assert.NilError(t, err)
 	var received bytes.Buffer
 	_, err = io.Copy(&received, conn)
-	assert.NilError(t, err)
-	return received.String()
+	return received.String(), err
 }
 
 // badGateway reports whether the bytes are the router's own response for an endpoint whose response
--- a/integration/rawanswers_test.go
+++ b/integration/rawanswers_test.go
@@ -142,3 +142,38 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that reaches the caller as a whole one, because the endpoint
+// reset the connection while the request was still being written to it.
+func TestAnswerCutDuringUploadGetsRefusal(t *testing.T) {
+	answers := &rawAnswers{}
+	f := newRawFleet(t, answers)
+	const size = 1000 << 10 // a little below the default limit for a request
+	for _, status := range []string{"200", "201", "404", "422", "500"} {
+		for _, rest := range []string{
+			"Content-Type: text/plain\r\n\r\npart", "\r\n", "Content-Length: 9\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+			"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n",
+		} {
+			for _, wait := range []time.Duration{0, 20 * time.Millisecond} {
+				respond := func(conn *net.TCPConn, r *http.Request) {
+					(*sendBytes("HTTP/1.1 " + status + " X\r\nX-Request-Id: ID\r\n" + rest))(conn, r)
+					time.Sleep(wait)
+					standin.ResetConn(conn)
+				}
+				answers.respond.Store(&respond)
+				for name, call := range rawCalls(size) {
+					received := callRaw(t, f.routers[0], call)
+					broken := isRefusal(received) || name == "stream" && isAbortedStream(received)
+					assert.Check(t, broken, "%s, status %s, %q, reset after %s: %q", name, status, rest, wait, received)
+				}
+			}
+		}
+	}
+}
+
+// isAbortedStream reports whether the bytes are a stream that ends with an error event and without the
+// last chunk.
+func isAbortedStream(received string) bool {
+	return strings.HasPrefix(received, "HTTP/1.1 200 OK\r\n") && strings.Contains(received, "\r\nTransfer-Encoding: chunked\r\n") &&
+		strings.Contains(received, "event: error\n") && !strings.HasSuffix(received, "\r\n0\r\n\r\n")
+}
--- a/router/chat.go
+++ b/router/chat.go
@@ -226,12 +226,12 @@
 	return !clientError
 }
 
-// clientErrorResponse returns the endpoint's response if the failure is a 4xx status
-// other than 408 and 429. Such a status is caused by the request itself, so another
+// clientErrorResponse returns the endpoint's response if the failure is a whole response with a
+// 4xx status other than 408 and 429. Such a status is caused by the request itself, so another
 // endpoint would return the same one.
 func clientErrorResponse(err error) (engine.Response, bool) {
 	var failure *engine.Error
-	if !errors.As(err, &failure) || !errors.Is(err, engine.ErrStatus) {
+	if !errors.As(err, &failure) || !errors.Is(err, engine.ErrStatus) || failure.Cause != nil {
 		return engine.Response{}, false
 	}
 	code := failure.Status
--- a/router/chat_test.go
+++ b/router/chat_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 
@@ -29,6 +30,7 @@
 		{"connection refused", live, &engine.Error{Kind: engine.ErrNotStarted}, true},
 		{"server error", live, &engine.Error{Kind: engine.ErrStatus, Status: http.StatusInternalServerError}, true},
 		{"bad request", live, &engine.Error{Kind: engine.ErrStatus, Status: http.StatusBadRequest}, false},
+		{"part of a bad request", live, &engine.Error{Kind: engine.ErrStatus, Status: http.StatusBadRequest, Cause: io.ErrUnexpectedEOF}, true},
 		{"caller gone", live, fmt.Errorf("%w: broken pipe", errCallerGone), false},
 		{"request cancelled", gone, incomplete, false},
 		{"drained", live, errDrained, false},
