engine: an import of a cache is done only after a whole upload and answer

What callers saw. Nothing of it in their answers: the import fills an endpoint's cache before a returning chat is sent there. The router recorded that endpoint as the holder of a cache of which it had a part.

ImportKV took any response with a status below 300 for success, also one that came before the cache had been sent, and did not look at how its body ended.

The response must be whole, as in Do, and all of the export must have been read for sending when it has arrived. An endpoint that has taken the whole cache can't have answered before.

--- a/engine/control.go
+++ b/engine/control.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 
 	"golang.org/x/time/rate"
 
@@ -42,7 +43,8 @@
 	ExportKV(ctx context.Context, endpointURL, prefix string) (*KVExport, error)
 	// ImportKV sends an exported KV cache to an endpoint, at no more bytes per second
 	// than the limiter allows; a nil limiter means no limit. Several imports may share a
-	// limiter. An export can be imported only once. The caller must close it afterwards.
+	// limiter. An export can be imported only once. The caller must close it afterwards. It
+	// is imported only if the endpoint answers with a whole response after all of it was sent.
 	ImportKV(ctx context.Context, endpointURL, prefix string, kv *KVExport, limiter *rate.Limiter) error
 }
 
@@ -153,7 +155,8 @@
 	if err != nil {
 		return &Error{Kind: ErrNotStarted, Cause: err}
 	}
-	source := io.Reader(kv.body)
+	counted := &countingReader{source: kv.body}
+	source := io.Reader(counted)
 	if limiter != nil {
 		source = &rateLimitedReader{ctx: ctx, source: source, limiter: limiter}
 	}
@@ -166,11 +169,33 @@
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return statusError(response, ErrStatus, maxErrorBodyBytes)
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxErrorBodyBytes))
-	response.Body.Close()
+	defer response.Body.Close()
+	if _, err := readResponse(ctx, response, a.request.Method, maxErrorBodyBytes); err != nil {
+		return err
+	}
+	if counted.count.Load() < kv.Size {
+		return &Error{Kind: ErrIncomplete, Cause: errEarlyResponse, Sent: true}
+	}
 	return nil
 }
 
+// errEarlyResponse is the cause of ErrIncomplete for an import that the endpoint answered before the
+// cache had been sent.
+var errEarlyResponse = errors.New("response before the end of the request")
+
+// countingReader counts the bytes that are read. The transport reads the body of a request on another
+// goroutine, also after the response has arrived.
+type countingReader struct {
+	source io.Reader
+	count  atomic.Int64
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	r.count.Add(int64(n))
+	return n, err
+}
+
 func kvURL(endpointURL, prefix string) string {
 	return endpointURL + "/kv/" + url.PathEscape(prefix)
 }
--- a/engine/cutupload_test.go
+++ b/engine/cutupload_test.go
@@ -60,6 +60,10 @@
 			}
 		}
 	},
+	"ImportKV": func(ctx context.Context, c *Client, url string) (int, error) {
+		kv := &KVExport{Size: uploadBytes, body: io.NopCloser(bytes.NewReader(make([]byte, uploadBytes)))}
+		return 0, c.ImportKV(ctx, url, "ab", kv, nil)
+	},
 }
 
 // Guards against a part of a response that is taken for the whole because the connection was reset
@@ -82,6 +86,20 @@
 	}
 }
 
+// Guards against an import that counts as done although the endpoint has answered before it had the
+// whole cache.
+func TestImportNeedsWholeUpload(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 204 X\r\nX-Request-Id: ID\r\n\r\n", "HTTP/1.1 200 X\r\nX-Request-Id: ID\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		for _, wait := range []time.Duration{0, 20 * time.Millisecond} {
+			url := newRawServer(t, answerDuringUpload(response, wait))
+			_, err := longUploads["ImportKV"](context.Background(), newClient(t), url)
+			assert.ErrorIs(t, err, ErrIncomplete, "%q", response)
+		}
+	}
+}
+
 // Guards against a part of the body of a response with an unexpected status that is kept as the whole
 // one, which would reach callers as a complete response.
 func TestStatusErrorHasWholeBodyOrNone(t *testing.T) {
