--- a/cmd/hornbeamproxy/rawrouter_test.go
+++ b/cmd/hornbeamproxy/rawrouter_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"bytes"
-	"io"
-	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
@@ -16,20 +13,18 @@
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 )
 
-// newRawRouter returns the address of a router that reads each request, answers it with the bytes and
-// closes the connection.
-func newRawRouter(t *testing.T, response string) string {
+// newRawRouter returns the address of a router whose handler writes its responses byte by byte.
+func newRawRouter(t *testing.T, handler standin.RawHandler) string {
 	t.Helper()
-	server, err := standin.NewRawServer(func(conn *net.TCPConn, request *http.Request) bool {
-		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, response)
-		return false
-	})
+	server, err := standin.NewRawServer(handler)
 	assert.NilError(t, err)
 	t.Cleanup(server.Close)
 	return server.Addr()
 }
 
+// respondRaw returns a handler that sends the bytes and closes the connection.
+func respondRaw(response string) standin.RawHandler { return standin.RespondRaw(response, "", false) }
+
 // clientCommand is a command that asks a router, with the body of a successful response to it.
 type clientCommand struct {
 	args []string
@@ -67,12 +62,12 @@
 func TestCommandsRejectInvalidStatus(t *testing.T) {
 	for i, c := range clientCommands(t, "") {
 		for _, status := range []string{"000", "099", "+20", "101"} {
-			address := newRawRouter(t, "HTTP/1.1 "+status+" X\r\n\r\n"+c.body)
+			address := newRawRouter(t, respondRaw("HTTP/1.1 "+status+" X\r\n\r\n"+c.body))
 			out, code := runClientCommand(clientCommands(t, address)[i].args)
 			assert.Equal(t, code, exitUsage, "%v with status %s: %s", c.args, status, out)
 			assert.Equal(t, out, "", c.args)
 		}
-		address := newRawRouter(t, "HTTP/1.1 200 X\r\n\r\n"+c.body)
+		address := newRawRouter(t, respondRaw("HTTP/1.1 200 X\r\n\r\n"+c.body))
 		_, code := runClientCommand(clientCommands(t, address)[i].args)
 		assert.Equal(t, code, 0, c.args)
 	}
@@ -83,7 +78,7 @@
 func TestCommandsRejectInvalidFieldName(t *testing.T) {
 	for i, c := range clientCommands(t, "") {
 		for _, name := range []string{"X Bad", "X-Bad ", "Content-Length ", "Transfer-Encoding ", "X\tBad", "X\x01Bad", "X-Bad\x7f"} {
-			address := newRawRouter(t, "HTTP/1.1 200 OK\r\n"+name+": 1\r\n\r\n"+c.body)
+			address := newRawRouter(t, respondRaw("HTTP/1.1 200 OK\r\n"+name+": 1\r\n\r\n"+c.body))
 			out, code := runClientCommand(clientCommands(t, address)[i].args)
 			assert.Check(t, code == exitUsage && out == "", "%v with field %q: exit code %d, %q", c.args, name, code, out)
 		}
@@ -99,15 +94,9 @@
 	for _, framing := range []string{"", "Content-Length: 29\r\n"} {
 		for cut := range len(whole) {
 			for _, command := range []string{"check", "accept"} {
-				server, err := standin.NewRawServer(func(conn *net.TCPConn, _ *http.Request) bool {
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+framing+"\r\n"+whole[:cut])
-					time.Sleep(time.Millisecond)
-					standin.ResetConn(conn)
-					return false
-				})
-				assert.NilError(t, err)
-				out, code := runClientCommand([]string{"note", command, note, "--admin", "http://" + server.Addr()})
-				server.Close()
+				response := "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + whole[:cut]
+				address := newRawRouter(t, standin.RespondDuringUpload(response, "", time.Millisecond))
+				out, code := runClientCommand([]string{"note", command, note, "--admin", "http://" + address})
 				assert.Equal(t, code, exitUsage, "%s cut after %d bytes: %s", command, cut, out)
 				assert.Equal(t, out, "")
 			}
--- a/engine/cutupload_test.go
+++ b/engine/cutupload_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -20,17 +19,6 @@
 // uploadBytes is the size of an upload that is larger than the socket buffers of both sides.
 const uploadBytes = 16 << 20
 
-// answerDuringUpload returns a handler that sends the bytes while the request's body is unread, waits
-// and resets the connection. ID in the bytes stands for the id of the request.
-func answerDuringUpload(response string, wait time.Duration) standin.RawHandler {
-	return func(conn *net.TCPConn, request *http.Request) bool {
-		_, _ = io.WriteString(conn, strings.ReplaceAll(response, "ID", request.Header.Get(HeaderRequestID)))
-		time.Sleep(wait)
-		standin.ResetConn(conn)
-		return false
-	}
-}
-
 // longUploads are the calls of a client with a body of uploadBytes. Those whose response may have any
 // status return it.
 var longUploads = map[string]func(ctx context.Context, c *Client, url string) (int, error){
@@ -77,7 +65,7 @@
 			"chunks": "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", "events": "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n",
 		} {
 			for _, wait := range []time.Duration{0, 20 * time.Millisecond} {
-				url := newRawServer(t, answerDuringUpload(head+rest, wait))
+				url := newRawServer(t, standin.RespondDuringUpload(head+rest, HeaderRequestID, wait))
 				_, err := call(context.Background(), newClient(t), url)
 				assert.Check(t, err != nil, "%s took a part for the whole, %s, reset after %s", name, framing, wait)
 				assert.Check(t, MayHaveRun(err), "%s: %v", name, err)
@@ -93,7 +81,7 @@
 		"HTTP/1.1 204 X\r\nX-Request-Id: ID\r\n\r\n", "HTTP/1.1 200 X\r\nX-Request-Id: ID\r\nContent-Length: 2\r\n\r\nok",
 	} {
 		for _, wait := range []time.Duration{0, 20 * time.Millisecond} {
-			url := newRawServer(t, answerDuringUpload(response, wait))
+			url := newRawServer(t, standin.RespondDuringUpload(response, HeaderRequestID, wait))
 			_, err := longUploads["ImportKV"](context.Background(), newClient(t), url)
 			assert.ErrorIs(t, err, ErrIncomplete, "%q", response)
 		}
--- a/engine/rawserver_test.go
+++ b/engine/rawserver_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 
@@ -23,14 +21,10 @@
 	return "http://" + server.Addr()
 }
 
-// respondRaw returns a handler that reads the request, sends the bytes and closes the connection. ID
-// in the bytes stands for the id of the request.
+// respondRaw returns a handler that sends the bytes, in which ID stands for the id of the request, and
+// closes the connection.
 func respondRaw(response string) standin.RawHandler {
-	return func(conn *net.TCPConn, request *http.Request) bool {
-		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, strings.ReplaceAll(response, "ID", request.Header.Get(HeaderRequestID)))
-		return false
-	}
+	return standin.RespondRaw(response, HeaderRequestID, false)
 }
 
 // everyCall are the calls of a client, each of which returns its error.
--- a/gateway/cutupload_test.go
+++ b/gateway/cutupload_test.go
@@ -3,9 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -15,17 +12,6 @@
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 )
 
-// answerDuringUpload returns a handler that sends the bytes while the request's body is unread, waits
-// and resets the connection. ID in the bytes stands for the id of the request.
-func answerDuringUpload(response string, wait time.Duration) standin.RawHandler {
-	return func(conn *net.TCPConn, request *http.Request) bool {
-		_, _ = io.WriteString(conn, strings.ReplaceAll(response, "ID", request.Header.Get("Request-Id")))
-		time.Sleep(wait)
-		standin.ResetConn(conn)
-		return false
-	}
-}
-
 // Guards against a part of a body that is taken for the whole because the connection was reset while
 // the request was still being written, which can hide the reset from the reader.
 func TestAnswerCutDuringUploadIsNeverWhole(t *testing.T) {
@@ -47,7 +33,7 @@
 			for _, wait := range []time.Duration{0, 20 * time.Millisecond} {
 				for _, path := range []string{"/safe/a", "/unsafe/a", "/chat/a", "/report/a"} {
 					t.Run(fmt.Sprintf("%s, %d bytes, reset after %s, %s", name, size, wait, path), func(t *testing.T) {
-						e := newRawEndpoint(t, answerDuringUpload(response, wait))
+						e := newRawEndpoint(t, standin.RespondDuringUpload(response, "Request-Id", wait))
 						received, err := newRawGateway(t, e).rawUpload(t, path, bytes.Repeat([]byte("u"), size))
 						assert.Assert(t, !looksWhole(received, err), "%.200q %v", received, err)
 						assert.Equal(t, e.Served(), 1)
--- a/gateway/rawcaller_test.go
+++ b/gateway/rawcaller_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -38,14 +37,10 @@
 	return f.configure()
 }
 
-// answerRaw returns a handler that reads the request, sends the bytes and closes the connection, or
-// keeps it open if keep is set. ID in the bytes stands for the id of the request.
+// answerRaw returns a handler that sends the bytes, in which ID stands for the id of the request, and
+// keeps the connection open if keep is set.
 func answerRaw(response string, keep bool) standin.RawHandler {
-	return func(conn *net.TCPConn, request *http.Request) bool {
-		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, strings.ReplaceAll(response, "ID", request.Header.Get("Request-Id")))
-		return keep
-	}
+	return standin.RespondRaw(response, "Request-Id", keep)
 }
 
 // rawCall sends a request with the body on a connection of its own and returns all bytes that arrive
--- a/httpcheck/httpcheck_test.go
+++ b/httpcheck/httpcheck_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -29,10 +28,7 @@
 		"HTTP/1.1 500 OK\r\nX-Y : 1\r\nX-Y: 1\r\nContent-Length: 2\r\n\r\nok":      false,
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n": false,
 	} {
-		server, err := standin.NewRawServer(func(conn *net.TCPConn, _ *http.Request) bool {
-			_, _ = io.WriteString(conn, head)
-			return false
-		})
+		server, err := standin.NewRawServer(standin.RespondRaw(head, "", false))
 		assert.NilError(t, err)
 		request, err := http.NewRequest(http.MethodGet, "http://"+server.Addr(), nil)
 		assert.NilError(t, err)
@@ -51,10 +47,7 @@
 
 // Guards against a switch of protocols that is rejected although the request asked for it.
 func TestTransportAllowsUpgrade(t *testing.T) {
-	server, err := standin.NewRawServer(func(conn *net.TCPConn, _ *http.Request) bool {
-		_, _ = io.WriteString(conn, "HTTP/1.1 101 X\r\nUpgrade: a\r\nConnection: Upgrade\r\n\r\nok")
-		return false
-	})
+	server, err := standin.NewRawServer(standin.RespondRaw("HTTP/1.1 101 X\r\nUpgrade: a\r\nConnection: Upgrade\r\n\r\nok", "", false))
 	assert.NilError(t, err)
 	defer server.Close()
 	request, err := http.NewRequest(http.MethodGet, "http://"+server.Addr(), nil)
--- a/localfleet/client_test.go
+++ b/localfleet/client_test.go
@@ -1,9 +1,6 @@
 package localfleet_test
 
 import (
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -19,10 +16,7 @@
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, fleet.Close()) }()
 	for _, head := range []string{"HTTP/1.1 000 X", "HTTP/1.1 101 X", "HTTP/1.1 200 OK\r\nX Bad: 1", "HTTP/1.1 200 OK\r\nContent-Length : 9"} {
-		server, err := standin.NewRawServer(func(conn *net.TCPConn, _ *http.Request) bool {
-			_, _ = io.WriteString(conn, head+"\r\n\r\nhello")
-			return false
-		})
+		server, err := standin.NewRawServer(standin.RespondRaw(head+"\r\n\r\nhello", "", false))
 		assert.NilError(t, err)
 		response, err := fleet.Client.Get("http://" + server.Addr())
 		if err == nil {
--- a/standin/rawserver.go
+++ b/standin/rawserver.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
+	"time"
 )
 
 // RawHandler answers a request whose head has been read; its body is unread. The connection stays
@@ -90,6 +93,35 @@
 	}
 }
 
+// RespondRaw returns a handler that reads the request, sends the bytes, and keeps the connection open
+// if keep is set. ID in the bytes stands for the value of the request's header idHeader,
+// unless that is empty.
+func RespondRaw(response, idHeader string, keep bool) RawHandler {
+	return func(conn *net.TCPConn, request *http.Request) bool {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, withID(response, request, idHeader))
+		return keep
+	}
+}
+
+// RespondDuringUpload is RespondRaw for a response that is sent while the body of the request is
+// unread. The connection is reset after the wait.
+func RespondDuringUpload(response, idHeader string, wait time.Duration) RawHandler {
+	return func(conn *net.TCPConn, request *http.Request) bool {
+		_, _ = io.WriteString(conn, withID(response, request, idHeader))
+		time.Sleep(wait)
+		ResetConn(conn)
+		return false
+	}
+}
+
+func withID(response string, request *http.Request, idHeader string) string {
+	if idHeader == "" {
+		return response
+	}
+	return strings.ReplaceAll(response, "ID", request.Header.Get(idHeader))
+}
+
 // ResetConn closes the connection with a TCP reset.
 func ResetConn(conn *net.TCPConn) {
 	_ = conn.SetLinger(0)
