--- a/engine/stream.go
+++ b/engine/stream.go
@@ -115,7 +115,7 @@
 	stop := afterTimeout(r.FirstByteTimeout, func() { cancel(ErrFirstByteTimeout) })
 	response, err := c.send(a)
 	if err == nil && response.StatusCode != http.StatusOK {
-		// A response to a request of the caller's may be passed on.
+		// The router may pass this response on to the caller.
 		err = statusError(response, ErrStatus, c.options.MaxBodyBytes)
 	}
 	stop()
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -71,7 +71,7 @@
 	// headBytesLeft is the number of bytes that may still be read of the head. It is below
 	// 0 while no head is read.
 	headBytesLeft int
-	// folds sees the bytes of the head that is being read.
+	// folds examines the bytes of the head that is being read.
 	folds foldScanner
 	// requestRetryable is set when the request in flight may be retried or resumed at
 	// another endpoint.
