integration: tests of raw answers check that an endpoint was reached

A router that takes its only endpoint for down refuses requests without sending them, and the tests would then pass without a broken answer.

--- a/integration/rawanswers_test.go
+++ b/integration/rawanswers_test.go
@@ -22,6 +22,7 @@
 	// respond writes the answer to a request whose body is unread; nil lets the endpoints answer as
 	// usual. The connection is closed afterwards.
 	respond atomic.Pointer[func(conn *net.TCPConn, r *http.Request)]
+	sent    atomic.Int64 // answers that respond has written
 }
 
 func (a *rawAnswers) wrap(next http.Handler) http.Handler {
@@ -36,6 +37,7 @@
 			return
 		}
 		defer conn.Close()
+		a.sent.Add(1)
 		(*respond)(conn.(*net.TCPConn), r)
 	})
 }
@@ -82,10 +84,11 @@
 
 var rawKeys atomic.Int64
 
-// callRaw sends the request on a connection of its own and returns all bytes that arrive until the
-// connection ends.
-func callRaw(t *testing.T, r *Router, call rawCall) string {
+// call sends the request on a connection of its own and returns all bytes that arrive until the
+// connection ends. It fails the test if no endpoint has answered the request.
+func (a *rawAnswers) call(t *testing.T, r *Router, call rawCall) string {
 	t.Helper()
+	before := a.sent.Load()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(r.callers, "http://"))
 	assert.NilError(t, err)
 	defer conn.Close()
@@ -97,6 +100,7 @@
 	var received bytes.Buffer
 	_, err = io.Copy(&received, conn)
 	assert.NilError(t, err)
+	assert.Assert(t, a.sent.Load() > before, "the request did not reach an endpoint")
 	return received.String()
 }
 
@@ -118,7 +122,7 @@
 		for _, rest := range []string{"Content-Length: 5\r\n\r\nhello", "Content-Length: 0\r\n\r\n", "\r\nhello"} {
 			answers.respond.Store(sendBytes("HTTP/1.1 " + status + " X\r\nX-Request-Id: ID\r\nContent-Type: text/plain\r\n" + rest))
 			for name, call := range rawCalls(0) {
-				received := callRaw(t, f.routers[0], call)
+				received := answers.call(t, f.routers[0], call)
 				assert.Check(t, isRefusal(received), "%s, status %s, %q: %q", name, status, rest, received)
 			}
 		}
@@ -136,7 +140,7 @@
 		for _, rest := range []string{"Content-Length: 5\r\n\r\nhello", "\r\nhello", events} {
 			answers.respond.Store(sendBytes(head + name + ": 5\r\n" + rest))
 			for kind, call := range rawCalls(0) {
-				received := callRaw(t, f.routers[0], call)
+				received := answers.call(t, f.routers[0], call)
 				assert.Check(t, isRefusal(received), "%s, field %q, %q: %q", kind, name, rest, received)
 			}
 		}
@@ -162,7 +166,7 @@
 				}
 				answers.respond.Store(&respond)
 				for name, call := range rawCalls(size) {
-					received := callRaw(t, f.routers[0], call)
+					received := answers.call(t, f.routers[0], call)
 					broken := isRefusal(received) || name == "stream" && isAbortedStream(received)
 					assert.Check(t, broken, "%s, status %s, %q, reset after %s: %q", name, status, rest, wait, received)
 				}
