outage, roster: a router's own partition is no outage of the store

Cause: a router took its own failed calls for an outage of the store, in which entries lapse because endpoints can't renew them, and kept endpoints without an entry until 2 s after its own next answer. The store had answered the other routers and the endpoints all the while. Relays did not use what the others announced, and routers that watch the store themselves announced nothing.

Evidence: the router logged "endpoint kept" 74 ms after the others logged "endpoint removed", so it knew of the change; "store available again" began the 2 s anew. A late list and the interval of prune are ruled out by that.

Change: outage.Tracker decides for the whole router, from the answers to all routers. Each reports since when the store has answered without a gap in which entries could lapse, and when it answered last; relays pass on the answers of routers that watch the store themselves. An outage is a gap in which no router was answered, its grace runs from the first answer to any, and an endpoint that was kept is removed when a report refutes the outage. Heads of relays of earlier builds count as answers.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/exchange"
 	"github.com/hornbeamproxy/hornbeamproxy/gateway"
 	"github.com/hornbeamproxy/hornbeamproxy/mirror"
+	"github.com/hornbeamproxy/hornbeamproxy/outage"
 	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
@@ -47,6 +48,9 @@
 	// which an entry may expire: after three without a renewal, of which the first may lie before
 	// the outage and is not exact.
 	heartbeatsToLapse = 1.5
+	// lapsedEntryGrace is how long an endpoint whose entry expired in an outage of the store may
+	// take to register again.
+	lapsedEntryGrace = 2 * time.Second
 	// exitMargin is the part at the end of the grace period that is reserved for the
 	// exit of the process.
 	exitMargin = 400 * time.Millisecond
@@ -73,6 +77,7 @@
 	metrics  *telemetry.Metrics
 	store    *platform.Store
 	gateway  *gateway.Gateway
+	outages  *outage.Tracker
 	peers    *exchange.Exchange
 	mirrors  map[string]*mirror.Mirror // by kind
 	fleet    *fleet
@@ -104,6 +109,10 @@
 	p.store = platform.NewStore("http://"+s.Store.Address, "", p.metrics)
 	self := exchange.Peer{Address: s.Listen.Peers, LinkMbps: s.Router.LinkMbps}
 	guard := telemetry.Guard{Logger: p.logger, Metrics: p.metrics}
+	heartbeat := time.Duration(s.Store.HeartbeatMS * float64(time.Millisecond))
+	p.outages = outage.New(outage.Config{
+		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)), Grace: lapsedEntryGrace,
+	})
 	p.newRollouts()
 	demands, receiveDemands := p.roomDemands()
 	peers, err := exchange.Listen(exchange.Config{
@@ -125,6 +134,7 @@
 		ReceiveLeaving: func(starts []uint64) { p.gateway.ReceiveLeaving(starts) },
 		Demands:        demands,
 		ReceiveDemands: receiveDemands,
+		Outages:        p.outages,
 		ReceiveBatch:   p.receiveBatch,
 		Rollouts:       p.exchangedRollouts(),
 	})
@@ -133,13 +143,12 @@
 	}
 	p.peers = peers
 	p.failures = newReporter(s.Router.ID, platform.KeyStore{Store: p.store}, peers.Alive, p.metrics, p.logger)
-	heartbeat := time.Duration(s.Store.HeartbeatMS * float64(time.Millisecond))
 	p.intakes = newIntakes(s)
 	p.gateway = gateway.New(gateway.Config{
 		Router: s.Router.ID, Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
 		Routers: peers.Routers, Reporter: p.failures,
-		EntryLifetime: time.Duration(heartbeatsToLapse * float64(heartbeat)),
-		Account:       p.intakes.account, EndpointSlots: p.intakes.slots,
+		EntryGraceUntil: p.outages.GraceUntil,
+		Account:         p.intakes.account, EndpointSlots: p.intakes.slots,
 		BodyTimeout: milliseconds(s.Limits.BodyMS),
 		SharedRoom:  sharedRoomOf(s), QueueBytes: s.QueueBytes(), PlacementByWork: placementOf(s),
 	})
@@ -157,7 +166,7 @@
 		p.mirrors[kind] = mirror.New(mirror.Config{
 			// A watch that is cut off must not look like an outage of EntryLifetime.
 			Source: p.store, Kind: kind, WatchWait: min(watchWait, heartbeat), ListToCatchUp: kind == platform.KindConfig,
-			Receiver: receiver, Peers: peers, Access: access, Logger: p.logger, Guard: guard,
+			Receiver: receiver, Peers: peers, Access: access, Outages: p.outages, Logger: p.logger, Guard: guard,
 		})
 	}
 	p.connectRollouts()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/mirror"
+	"github.com/hornbeamproxy/hornbeamproxy/outage"
 	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/quota"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
@@ -72,6 +73,9 @@
 	// sum of all reports from the first relay. Earlier versions ignore both.
 	Demand      []byte `cbor:"20,keyasint,omitempty"`
 	FleetDemand []byte `cbor:"21,keyasint,omitempty"`
+	// StoreAnswers are the answers of the store that the sender knows of. Earlier versions ignore
+	// them.
+	StoreAnswers *storeAnswers `cbor:"22,keyasint,omitempty"`
 }
 
 // Peer is the registration of a router.
@@ -116,6 +120,9 @@
 	// the sums of all routers. Both are nil if the room of services is not shared.
 	Demands        func() Demands
 	ReceiveDemands func(sums Demands)
+	// Outages gets the answers of the store that the other routers report, and says which are
+	// reported to them. Nil means that none are.
+	Outages *outage.Tracker
 	// ReceiveBatch is called with the changes that a relay forwards.
 	ReceiveBatch func(batch mirror.Batch)
 }
@@ -175,6 +182,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("resolving address for peers: %w", err)
 	}
+	if config.Outages == nil {
+		config.Outages = outage.New(outage.Config{})
+	}
 	socket, err := net.ListenUDP("udp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("listening for peers: %w", err)
@@ -254,7 +264,7 @@
 	outgoing := e.loadMessages(now, own)
 	view := e.dueView(now, own)
 	if e.rank < relayCount {
-		outgoing = append(outgoing, e.toAll(&message{Router: e.config.Router, Relay: true, Heads: headsToSend(now, e.heads), View: view, RolloutStatuses: statuses})...)
+		outgoing = append(outgoing, e.toAll(&message{Router: e.config.Router, Relay: true, Heads: headsToSend(now, e.heads), View: view, RolloutStatuses: statuses, StoreAnswers: e.storeAnswers(now, true)})...)
 	}
 	outgoing = append(outgoing, e.heartbeats()...)
 	overdue := e.overdueBatches(now)
--- a/exchange/loads.go
+++ b/exchange/loads.go
@@ -21,6 +21,9 @@
 // fleet, and otherwise to the relays. Callers hold e.mu.
 func (e *Exchange) loadMessages(now time.Time, own Loads) []outgoingMessage {
 	m := &message{Router: e.config.Router, Loads: own.Endpoints, Prompts: own.Prompts, HasLoads: true}
+	if e.rank >= relayCount {
+		m.StoreAnswers = e.storeAnswers(now, false)
+	}
 	receivers := e.relayOrder
 	if !e.sendsDirect() {
 		if !e.reportDue(now, own) {
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -53,6 +53,9 @@
 // is used.
 func (e *Exchange) handleMessage(now time.Time, m message) {
 	r := e.recordMessage(now, m)
+	if r.known {
+		e.receiveStoreAnswers(now, m)
+	}
 	batch := m.Batch
 	if r.compressed != nil {
 		var err error
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -113,7 +113,7 @@
 func headsToSend(now time.Time, heads map[string]mirror.Head) map[string]mirror.Head {
 	sent := make(map[string]mirror.Head, len(heads))
 	for kind, head := range heads {
-		head.AgeMS = uint32(min(max(0, now.Sub(head.AnsweredAt).Milliseconds()), math.MaxUint32))
+		head.AgeMS = uint32(ageMS(now, head.AnsweredAt, math.MaxUint32))
 		sent[kind] = head
 	}
 	return sent
@@ -123,7 +123,7 @@
 func receivedHeads(now time.Time, heads map[string]mirror.Head) map[string]mirror.Head {
 	known := make(map[string]mirror.Head, len(heads))
 	for kind, head := range heads {
-		head.AnsweredAt = now.Add(-time.Duration(head.AgeMS) * time.Millisecond)
+		head.AnsweredAt = timeOfAge(now, head.AgeMS)
 		known[kind] = head
 	}
 	return known
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,11 +30,7 @@
 	// dialTimeout bounds the opening of a connection: round trips are a few
 	// milliseconds, and a lost SYN is sent again only after a second.
 	dialTimeout = 200 * time.Millisecond
-	// lapsedEntryGrace is how long an endpoint whose entry expired during an outage
-	// of the store may take to register again.
-	lapsedEntryGrace = 2 * time.Second
-	// pruneInterval is the time between checks for idle connections to close and
-	// for endpoints that did not register again after an outage.
+	// pruneInterval is the time between checks for idle connections to close.
 	pruneInterval = 500 * time.Millisecond
 	// limitFraction is the fraction of a fleet-wide limit that the routers' shares
 	// add up to. The rest covers differences in the routers' views of the fleet.
@@ -69,9 +65,9 @@
 	Routers func() *quota.Routers
 	// Reporter receives the failures that are recorded for operators.
 	Reporter Reporter
-	// EntryLifetime is the shortest outage of the store after which entries of endpoints may have
-	// expired because they could not be renewed.
-	EntryLifetime time.Duration
+	// EntryGraceUntil returns the time until which endpoints without an entry are kept, since the
+	// store was unavailable; not after now if none are kept. Nil means that none ever are.
+	EntryGraceUntil func(now time.Time) time.Time
 	// Account holds the bytes of bodies and responses; nil means one without a limit.
 	Account *overload.Account
 	// EndpointSlots counts the connections to endpoints; nil means a count without a limit.
@@ -158,7 +154,7 @@
 		g.slots = overload.NewSlots(0)
 	}
 	g.ending, g.endRequests = context.WithCancel(context.Background())
-	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, LapsedEntryGrace: lapsedEntryGrace, EntryLifetime: config.EntryLifetime})
+	g.roster = roster.New(roster.Config{ColdFor: g.coldFor, GraceUntil: config.EntryGraceUntil})
 	g.retries.Budget = retry.NewBudget(retry.BudgetConfig{
 		Fraction: config.Bounds.RetryRatio * limitFraction,
 		Capacity: g.retryCapacity(),
@@ -188,6 +184,7 @@
 	var lastPrune time.Time
 	return timing.Every(ctx, verifyInterval, func(now time.Time) {
 		g.verify(ctx, now)
+		g.expireEndpoints(now)
 		if now.Sub(lastPrune) >= pruneInterval {
 			lastPrune = now
 			g.prune(now)
@@ -199,10 +196,6 @@
 	g.mu.Lock()
 	g.retries.Budget.SetCapacity(g.retryCapacity())
 	g.exportWork(now)
-	for _, endpoint := range g.roster.Expire(now) {
-		g.logger.Info("endpoint removed: not registered again after the store's outage", zap.String("endpoint", endpoint.ID))
-		g.dropEndpoint(endpoint)
-	}
 	pools := make([]*upstream.Pool, 0, len(g.pools))
 	for _, pool := range g.pools {
 		pools = append(pools, pool)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -41,9 +41,8 @@
 		zap.Bool("restarted", replaced != nil))
 }
 
-// RemoveEndpoint handles an entry that is no longer in the store. During an outage of the
-// store in which entries may expire, and for lapsedEntryGrace after it, the endpoint is kept
-// unless it is draining.
+// RemoveEndpoint handles an entry that is no longer in the store. Until Config.EntryGraceUntil, the
+// endpoint is kept unless it is draining, so that it can register again.
 func (g *Gateway) RemoveEndpoint(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -74,24 +73,18 @@
 	for _, kept := range g.roster.TakeKept() {
 		g.metrics.Counter("endpoints.kept_without_entry").Inc(1)
 		g.logger.Info("endpoint kept: its entry may have lapsed in an outage of the store", zap.String("endpoint", kept.ID),
-			zap.String("service", kept.Service), zap.Duration("until", kept.RemoveAt().Sub(now)))
+			zap.String("service", kept.Service), zap.Duration("until", g.config.EntryGraceUntil(now).Sub(now)))
 	}
 }
 
-// StoreUnavailable is called after each call that the store did not answer; answeredAt is when
-// it last answered. If it has not for Config.EntryLifetime, endpoints whose entries are gone are
-// kept until lapsedEntryGrace after the outage, so that they can register again.
-func (g *Gateway) StoreUnavailable(answeredAt time.Time) {
+// expireEndpoints removes the endpoints that were kept without an entry and whose grace is over.
+func (g *Gateway) expireEndpoints(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.roster.StoreUnavailable(time.Now(), answeredAt)
-}
-
-// StoreAvailable is called when the store answers again.
-func (g *Gateway) StoreAvailable() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.roster.StoreAvailable(time.Now())
+	for _, endpoint := range g.roster.Expire(now) {
+		g.logger.Info("endpoint removed: no entry after the grace for an outage of the store", zap.String("endpoint", endpoint.ID))
+		g.dropEndpoint(endpoint)
+	}
 }
 
 // SetEvacuated starts or ends the evacuation of an availability zone, whose endpoints
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/outage"
 	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
@@ -114,9 +115,10 @@
 	ListToCatchUp bool
 	Receiver      Receiver
 	Peers         Peers
-	// Access is shared by the mirrors of a router.
-	Access *Access
-	Logger *zap.Logger
+	// Access and Outages are shared by the mirrors of a router.
+	Access  *Access
+	Outages *outage.Tracker
+	Logger  *zap.Logger
 	// Guard runs the receiver.
 	Guard telemetry.Guard
 }
@@ -160,6 +162,9 @@
 	if config.Access == nil {
 		config.Access = &Access{}
 	}
+	if config.Outages == nil {
+		config.Outages = outage.New(outage.Config{})
+	}
 	return &Mirror{Config: config, batches: make(chan Batch, batchQueueLength), versions: map[string]uint64{}}
 }
 
@@ -231,6 +236,7 @@
 	if err != nil {
 		return err
 	}
+	m.Outages.RecordAnswer(time.Now()) // the store may have been unavailable when the call began
 	m.setAnswered(began)
 	if m.listedAt.IsZero() {
 		m.listedAt = time.Now()
@@ -363,9 +369,13 @@
 		case batch := <-m.batches:
 			m.applyBatch(batch)
 		case r := <-result:
+			answeredAt := answeredBy(began, time.Now(), wait, len(r.objects))
+			if r.err == nil {
+				m.Outages.RecordAnswer(answeredAt)
+			}
 			err := m.applyWatch(from, r)
 			if err == nil && r.err == nil {
-				m.setAnswered(answeredBy(began, time.Now(), wait, len(r.objects)))
+				m.setAnswered(answeredAt)
 			}
 			if err != nil || len(r.objects) == 0 {
 				return err
@@ -464,10 +474,12 @@
 	if ctx.Err() != nil {
 		return
 	}
+	m.Outages.RecordFailure(time.Now())
 	if m.failures == 0 {
 		m.outageSince = time.Now()
 		m.Logger.Warn("store unavailable", zap.String("kind", m.Kind), zap.Uint64("revision", m.revision),
-			zap.Duration("store_answered_ago", m.sinceAnswer()), zap.Error(err))
+			zap.Duration("store_answered_ago", m.sinceAnswer()),
+			zap.Duration("fleet_answered_ago", m.Outages.SilentFor(time.Now())), zap.Error(err))
 	}
 	m.failures++
 	m.relist = true
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,6 +3,8 @@
 package roster
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,9 +48,6 @@
 	Withdrawn bool
 	// ColdUntil is the time until which the endpoint counts as cold.
 	ColdUntil time.Time
-	// removeAt is the time at which the endpoint is removed if its entry, which
-	// expired around an outage of the store, has not come back; zero otherwise.
-	removeAt time.Time
 }
 
 // update takes over those parts of a newer entry that can change between two starts.
@@ -61,20 +60,13 @@
 // requests because its caches are not filled yet.
 func (e *Endpoint) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
 
-// RemoveAt returns the time at which the endpoint is removed unless its entry comes back;
-// zero if it has an entry.
-func (e *Endpoint) RemoveAt() time.Time { return e.removeAt }
-
 // Config holds the settings of a Roster.
 type Config struct {
 	// ColdFor returns how long an endpoint of the service is cold after a start.
 	ColdFor func(service string) time.Duration
-	// LapsedEntryGrace is how long an endpoint is kept after an outage of the store
-	// although its entry has expired, so that it can register again.
-	LapsedEntryGrace time.Duration
-	// EntryLifetime is the shortest time without an answer of the store after which entries may
-	// have expired because their endpoints could not renew them.
-	EntryLifetime time.Duration
+	// GraceUntil returns the time until which endpoints are kept although their entries are gone,
+	// since these may have expired in an outage of the store; not after now if none are kept.
+	GraceUntil func(now time.Time) time.Time
 }
 
 // Roster is the set of endpoints. It is not safe for concurrent use.
@@ -86,23 +78,17 @@
 	// leaving has the starts of endpoints that have said that they leave, by Entry.Start. An
 	// entry that lapses and comes back does not make such an endpoint a new one.
 	leaving map[uint64]bool
-	// unanswered is set from the first call of StoreUnavailable to the next one of StoreAvailable.
-	// The store was last known to answer at answeredAt.
-	unanswered bool
-	answeredAt time.Time
-	// graceUntil is the time until which endpoints are kept although their entries have
-	// expired: LapsedEntryGrace after the store was last known not to have answered for
-	// EntryLifetime or longer.
-	graceUntil time.Time
-	kept       []*Endpoint // kept without an entry since the last call of TakeKept
-	complete   bool        // whether a complete list of entries has been seen
+	// lapsed has the endpoints that are kept without an entry, by id.
+	lapsed   map[string]*Endpoint
+	kept     []*Endpoint // kept without an entry since the last call of TakeKept
+	complete bool        // whether a complete list of entries has been seen
 }
 
 // New returns an empty roster.
 func New(config Config) *Roster {
 	return &Roster{
 		config: config, endpoints: map[string]*Endpoint{}, services: map[string][]*Endpoint{},
-		evacuated: map[string]bool{}, leaving: map[uint64]bool{},
+		evacuated: map[string]bool{}, leaving: map[uint64]bool{}, lapsed: map[string]*Endpoint{},
 	}
 }
 
@@ -128,7 +114,7 @@
 		}
 	}
 	known.update(entry)
-	known.removeAt = time.Time{}
+	delete(r.lapsed, entry.ID)
 	known.Withdrawn = entry.Draining || r.leaving[entry.Start()]
 	if until := now.Add(entry.ColdFor); entry.ColdFor > 0 && until.After(known.ColdUntil) {
 		known.ColdUntil = until
@@ -154,21 +140,17 @@
 	return true
 }
 
-// Remove handles an entry that was deleted or expired. In an outage of the store of at least
-// EntryLifetime, and for LapsedEntryGrace after it, the endpoint is kept unless it is draining,
-// since its entry may have expired only because it could not be renewed. Remove returns the
-// endpoint if it was removed, or nil.
+// Remove handles an entry that was deleted or expired. In the grace period of an outage of the store
+// the endpoint is kept unless it is draining, since its entry may have expired only because it could
+// not be renewed. Remove returns the endpoint if it was removed, or nil.
 func (r *Roster) Remove(now time.Time, id string) *Endpoint {
 	known, ok := r.endpoints[id]
 	if !ok {
 		return nil
 	}
-	if !now.Before(r.graceUntil) {
-		r.extendGrace(now)
-	}
-	if now.Before(r.graceUntil) && !known.Withdrawn {
-		if known.removeAt.IsZero() {
-			known.removeAt = r.graceUntil
+	if r.inGrace(now) && !known.Withdrawn {
+		if r.lapsed[id] == nil {
+			r.lapsed[id] = known
 			r.kept = append(r.kept, known)
 		}
 		return nil
@@ -177,6 +159,10 @@
 	return known
 }
 
+func (r *Roster) inGrace(now time.Time) bool {
+	return r.config.GraceUntil != nil && now.Before(r.config.GraceUntil(now))
+}
+
 // TakeKept returns the endpoints that were kept without an entry since the last call.
 func (r *Roster) TakeKept() []*Endpoint {
 	kept := r.kept
@@ -200,43 +186,15 @@
 	return gone
 }
 
-// StoreUnavailable records that a call to the store failed. The store last answered at
-// answeredAt, zero if it never did. An interruption that is shorter than EntryLifetime, such as
-// a watch that was cut off, changes nothing: no entry can have expired in it.
-func (r *Roster) StoreUnavailable(now, answeredAt time.Time) {
-	r.unanswered, r.answeredAt = true, answeredAt
-	r.extendGrace(now)
-}
-
-// StoreAvailable records that the store answers again.
-func (r *Roster) StoreAvailable(now time.Time) {
-	r.extendGrace(now)
-	r.unanswered = false
-}
-
-// extendGrace starts or extends the grace period if the store has not answered for EntryLifetime
-// or longer.
-func (r *Roster) extendGrace(now time.Time) {
-	if !r.unanswered || now.Sub(r.answeredAt) < r.config.EntryLifetime {
-		return
-	}
-	r.graceUntil = now.Add(r.config.LapsedEntryGrace)
-	for _, endpoint := range r.endpoints {
-		if !endpoint.removeAt.IsZero() {
-			endpoint.removeAt = r.graceUntil
-		}
-	}
-}
-
-// Expire removes the endpoints that were kept because of an outage of the store and whose
-// entries did not come back in time, and returns them.
+// Expire removes the endpoints that were kept without an entry and whose grace period is over, also
+// since there turned out to have been no outage. It returns them.
 func (r *Roster) Expire(now time.Time) []*Endpoint {
-	var gone []*Endpoint
-	for _, endpoint := range r.endpoints {
-		if !endpoint.removeAt.IsZero() && !now.Before(endpoint.removeAt) {
-			r.drop(endpoint)
-			gone = append(gone, endpoint)
-		}
+	if len(r.lapsed) == 0 || r.inGrace(now) {
+		return nil
+	}
+	gone := slices.Collect(maps.Values(r.lapsed))
+	for _, endpoint := range gone {
+		r.drop(endpoint)
 	}
 	return gone
 }
@@ -245,6 +203,7 @@
 func (r *Roster) drop(endpoint *Endpoint) {
 	endpoint.Withdrawn = true
 	delete(r.endpoints, endpoint.ID)
+	delete(r.lapsed, endpoint.ID)
 	members := r.services[endpoint.Service]
 	for i, member := range members {
 		if member == endpoint {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -5,16 +5,25 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/hornbeamproxy/hornbeamproxy/outage"
 )
 
 var start = time.Unix(1000, 0)
 
 func newRoster() *Roster {
-	r := New(Config{ColdFor: func(string) time.Duration { return 3 * time.Second }, LapsedEntryGrace: 2 * time.Second, EntryLifetime: 1800 * time.Millisecond})
+	r, _ := newRosterWithOutages()
+	return r
+}
+
+// newRosterWithOutages also returns the tracker that decides on the grace for lapsed entries.
+func newRosterWithOutages() (*Roster, *outage.Tracker) {
+	outages := outage.New(outage.Config{EntryLifetime: 1800 * time.Millisecond, Grace: 2 * time.Second})
+	r := New(Config{ColdFor: func(string) time.Duration { return 3 * time.Second }, GraceUntil: outages.GraceUntil})
 	r.Set(start, Entry{ID: "a", Service: "s", Address: "1:1", Zone: "z1"})
 	r.Set(start, Entry{ID: "b", Service: "s", Address: "1:2", Zone: "z2"})
 	r.RetainOnly(start, map[string]bool{"a": true, "b": true})
-	return r
+	return r, outages
 }
 
 func usable(r *Roster) []string {
@@ -70,14 +79,18 @@
 // Guards against removing endpoints whose entries expired only because the store was
 // unavailable, and against keeping such endpoints if they do not register again.
 func TestLapse(t *testing.T) {
-	r := newRoster()
-	r.StoreUnavailable(start, start.Add(-2*time.Second))
+	r, outages := newRosterWithOutages()
+	outages.RecordAnswer(start.Add(-2 * time.Second))
+	outages.RecordFailure(start)
 	r.Set(start, Entry{ID: "d", Service: "s", Address: "1:4", Draining: true})
 	assert.Equal(t, len(r.RetainOnly(start.Add(time.Second), map[string]bool{})), 1, "a draining endpoint is not kept")
 	assert.DeepEqual(t, usable(r), []string{"a", "b"})
 	r.Set(start.Add(time.Second), Entry{ID: "a", Service: "s", Address: "1:1", Zone: "z1"})
-	assert.Equal(t, len(r.Expire(start.Add(1900*time.Millisecond))), 0)
-	gone := r.Expire(start.Add(2 * time.Second))
+	assert.Equal(t, len(r.Expire(start.Add(9*time.Second))), 0, "the outage lasts")
+	outages.RecordAnswer(start.Add(9 * time.Second))
+	outages.RecordAnswer(start.Add(10 * time.Second))
+	assert.Equal(t, len(r.Expire(start.Add(10900*time.Millisecond))), 0)
+	gone := r.Expire(start.Add(11 * time.Second))
 	assert.Equal(t, len(gone), 1)
 	assert.Equal(t, gone[0].ID, "b")
 	assert.DeepEqual(t, usable(r), []string{"a"})
@@ -87,18 +100,21 @@
 // that answers all other calls are cut off; and against dropping all endpoints whose entries
 // expired in an outage that the first call after it shows to have been long.
 func TestOnlyLongOutagesKeepEndpoints(t *testing.T) {
-	r := newRoster()
+	r, outages := newRosterWithOutages()
 	now := start
+	outages.RecordAnswer(now)
 	for range 4 {
-		r.StoreUnavailable(now.Add(time.Second), now)
+		outages.RecordFailure(now.Add(time.Second))
 		now = now.Add(1100 * time.Millisecond)
-		r.StoreAvailable(now)
+		outages.RecordAnswer(now)
 	}
-	r.StoreUnavailable(now, now.Add(-time.Second))
+	now = now.Add(time.Second)
+	outages.RecordFailure(now)
 	assert.Assert(t, r.Remove(now, "a") != nil, "watches were cut off")
 	assert.Equal(t, len(r.RetainOnly(now.Add(600*time.Millisecond), map[string]bool{"b": true})), 0)
 	assert.Assert(t, r.Remove(now.Add(time.Second), "b") == nil, "the store has not answered for 2 s")
-	r.StoreAvailable(now.Add(time.Second))
+	outages.RecordAnswer(now.Add(time.Second))
+	outages.RecordAnswer(now.Add(2 * time.Second))
 	assert.Equal(t, len(r.Expire(now.Add(2900*time.Millisecond))), 0)
 	assert.Equal(t, len(r.Expire(now.Add(3*time.Second))), 1)
 }
@@ -128,3 +144,19 @@
 	endpoint, _ = r.Set(now, late)
 	assert.Assert(t, r.Usable(endpoint), "a new start")
 }
+
+// Guards against work for an endpoint that is gone, sent by a router that has kept it since it took
+// its own lost way to the store for an outage, until the end of a grace period that does not apply.
+func TestRefutedOutageEndsGrace(t *testing.T) {
+	r, outages := newRosterWithOutages()
+	outages.RecordAnswer(start)
+	outages.RecordFailure(start.Add(2 * time.Second))
+	now := start.Add(5 * time.Second)
+	outages.RecordAnswer(now)
+	assert.Assert(t, r.Remove(now, "a") == nil)
+	assert.Equal(t, len(r.Expire(now)), 0)
+	outages.Receive(outage.Answers{Since: start, Until: now}, false)
+	gone := r.Expire(now)
+	assert.Equal(t, len(gone), 1)
+	assert.DeepEqual(t, usable(r), []string{"b"})
+}
