edge: the morning report tells a partition from an outage of the store

What operators saw: a router that was cut off from the store alone recorded that the store did not answer, and that endpoints without an entry are kept. If three other routers ranked before it for such records, it recorded nothing, since they were expected to.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -155,7 +155,7 @@
 	access := &mirror.Access{}
 	p.mirrors = map[string]*mirror.Mirror{}
 	receivers := map[string]mirror.Receiver{
-		platform.KindConfig:      outageReceiver{platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger}, p.failures},
+		platform.KindConfig:      outageReceiver{platform.ConfigReceiver{Gateway: p.gateway, Logger: p.logger}, p.failures, p.outages},
 		platform.KindEndpoints:   platform.EndpointReceiver{Gateway: p.gateway, Logger: p.logger},
 		platform.KindEvacuations: platform.EvacuationReceiver{Gateway: p.gateway, Logger: p.logger},
 	}
--- a/edge/failures.go
+++ b/edge/failures.go
@@ -14,6 +14,7 @@
 	"github.com/hornbeamproxy/hornbeamproxy/gateway"
 	"github.com/hornbeamproxy/hornbeamproxy/mirror"
 	"github.com/hornbeamproxy/hornbeamproxy/objectstore"
+	"github.com/hornbeamproxy/hornbeamproxy/outage"
 	"github.com/hornbeamproxy/hornbeamproxy/placement"
 	"github.com/hornbeamproxy/hornbeamproxy/records"
 	"github.com/hornbeamproxy/hornbeamproxy/rollout"
@@ -186,6 +187,9 @@
 // storeSubject is the subject of records about outages of the store.
 const storeSubject = "store"
 
+// partitionSubject is the subject of records about partitions between this router and the store.
+func (f *reporter) partitionSubject() string { return storeSubject + "/" + f.router }
+
 // beginOutage records an outage of the store, unless enough other routers do.
 func (f *reporter) beginOutage() {
 	if f.rank(storeSubject) >= maxStoreOutageReporters {
@@ -197,18 +201,35 @@
 		"Endpoints whose entries lapse meanwhile are kept until shortly after the outage.", "")
 }
 
-// endOutage ends the record of the outage.
-func (f *reporter) endOutage() { f.rec.CloseIfOpen(api.RecordKindPlatformUnavailable, storeSubject) }
+// beginPartition records that this router is cut off from the store, which only it can tell.
+func (f *reporter) beginPartition() {
+	f.rec.OpenOnce(api.RecordKindPlatformUnavailable, f.partitionSubject(), "",
+		fmt.Sprintf("The platform's store answers other routers, but not router %s.", f.router),
+		"Its requests are served with what is known; changes arrive only through other routers.", "",
+		fmt.Sprintf("Check the network between router %s and the store.", f.router))
+}
+
+// endOutage ends the records of the outage and the partition.
+func (f *reporter) endOutage() {
+	f.rec.CloseIfOpen(api.RecordKindPlatformUnavailable, storeSubject)
+	f.rec.CloseIfOpen(api.RecordKindPlatformUnavailable, f.partitionSubject())
+}
 
-// outageReceiver is a mirror.Receiver that also records the outages of the store.
+// outageReceiver is a mirror.Receiver that also records the outages of the store, and the partitions
+// between it and this router.
 type outageReceiver struct {
 	mirror.Receiver
 	failures *reporter
+	outages  *outage.Tracker
 }
 
 // StoreUnavailable implements mirror.Receiver.
 func (o outageReceiver) StoreUnavailable(answeredAt time.Time, err error) {
-	if time.Since(answeredAt) >= outageReportedAfter {
+	last := o.outages.LastAnswer()
+	switch {
+	case !answeredAt.IsZero() && last.Sub(answeredAt) >= outageReportedAfter:
+		o.failures.beginPartition()
+	case time.Since(last) >= outageReportedAfter:
 		o.failures.beginOutage()
 	}
 	o.Receiver.StoreUnavailable(answeredAt, err)
--- a/edge/failures_test.go
+++ b/edge/failures_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -108,3 +109,27 @@
 
 // outageLength is long enough for an outage to be recorded.
 const outageLength = 4 * time.Second
+
+// Guards against a morning report without the partition of a single router from the store, or with an
+// outage of the store in its place.
+func TestPartitionIsReported(t *testing.T) {
+	f := newPartitionableFleet(t, 5)
+	cut := f.ids[0]
+	f.partition(t, []string{cut})
+	time.Sleep(outageLength)
+	f.heal(t)
+	reported := func() []string {
+		store := platform.KeyStore{Store: platform.NewStore(f.store.URL, "", telemetry.NewMetrics())}
+		found, err := records.Read(context.Background(), store, time.Now().Add(-time.Minute))
+		assert.NilError(t, err)
+		var texts []string
+		for _, record := range found.Records {
+			if record.Kind == api.RecordKindPlatformUnavailable {
+				texts = append(texts, record.Text)
+			}
+		}
+		return texts
+	}
+	eventually(t, 10*time.Second, "the partition is recorded", func() bool { return len(reported()) > 0 })
+	assert.DeepEqual(t, reported(), []string{fmt.Sprintf("The platform's store answers other routers, but not router %s.", cut)})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -217,15 +217,15 @@
 		source = "relays"
 	}
 	m.Logger.Info("changes are taken from the "+source, zap.String("kind", m.Kind), zap.Uint64("revision", m.revision),
-		zap.Duration("store_answered_ago", m.sinceAnswer()))
+		zap.Duration("store_answered_ago", since(m.answeredAt)))
 }
 
-// sinceAnswer returns the time since answeredAt, 0 if the store never answered.
-func (m *Mirror) sinceAnswer() time.Duration {
-	if m.answeredAt.IsZero() {
+// since returns the time since an answer of the store, 0 if it never answered.
+func since(answeredAt time.Time) time.Duration {
+	if answeredAt.IsZero() {
 		return 0
 	}
-	return time.Since(m.answeredAt)
+	return time.Since(answeredAt)
 }
 
 // list reads all objects from the store. A relay then publishes what has changed since
@@ -478,14 +478,14 @@
 	if m.failures == 0 {
 		m.outageSince = time.Now()
 		m.Logger.Warn("store unavailable", zap.String("kind", m.Kind), zap.Uint64("revision", m.revision),
-			zap.Duration("store_answered_ago", m.sinceAnswer()),
-			zap.Duration("fleet_answered_ago", m.Outages.SilentFor(time.Now())), zap.Error(err))
+			zap.Duration("store_answered_ago", since(m.answeredAt)),
+			zap.Duration("fleet_answered_ago", since(m.Outages.LastAnswer())), zap.Error(err))
 	}
 	m.failures++
 	m.relist = true
 	m.startedInOutage = m.startedInOutage || m.listedAt.IsZero()
 	m.Receiver.StoreUnavailable(m.answeredAt, err)
-	fresh := m.failures < failuresToOutage && m.sinceAnswer() < maxKnowledgeAge && !m.answeredAt.IsZero()
+	fresh := m.failures < failuresToOutage && since(m.answeredAt) < maxKnowledgeAge && !m.answeredAt.IsZero()
 	m.Peers.Announce(m.Kind, Head{Changed: m.changedRevision, Fresh: fresh, AnsweredAt: m.answeredAt})
 	backoff := min(minBackoff<<min(m.failures-1, 8), maxBackoff)
 	m.waitApplyingBatches(ctx, backoff/2+rand.N(backoff/2+1))
--- a/outage/outage.go
+++ b/outage/outage.go
@@ -133,12 +133,9 @@
 	return time.Time{}
 }
 
-// SilentFor returns the time since the store last answered any router, 0 if it never did.
-func (t *Tracker) SilentFor(now time.Time) time.Duration {
+// LastAnswer returns when the store last answered any router, zero if it never did.
+func (t *Tracker) LastAnswer() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.answers.Until.IsZero() {
-		return 0
-	}
-	return now.Sub(t.answers.Until)
+	return t.answers.Until
 }
