edge: a router whose registration is missing writes it again

What callers would see: limits that all routers keep together are exceeded, and changes arrive late, at a router that the others no longer know.

Cause: the router with the smallest id removes the registrations of routers that it has not heard for 60 s, though it may be the one that hears nothing. A router registered once and never looked again.

Change: a list of routers without this one, 10 s or more after its registration (lists may be seconds old), makes it register again.

TestRemovedRegistrationIsRestored failed before: not registered within 20 s.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -16,7 +16,9 @@
 
 	"github.com/hornbeamproxy/hornbeamproxy/config"
 	"github.com/hornbeamproxy/hornbeamproxy/edge"
+	"github.com/hornbeamproxy/hornbeamproxy/platform"
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
+	"github.com/hornbeamproxy/hornbeamproxy/telemetry"
 )
 
 // site is a stand-in platform with one endpoint, to which tests add routers.
@@ -350,3 +352,22 @@
 		assert.Equal(t, <-failed, "")
 	}
 }
+
+// Guards against a router whose registration was removed while it runs, as by one that could not
+// hear it: the others would no longer leave it its share of the limits, nor send it changes.
+func TestRemovedRegistrationIsRestored(t *testing.T) {
+	s := newSite(t)
+	s.register("ready")
+	s.configure("k")
+	s.start(t, "r1")
+	s.start(t, "r2")
+	store := platform.NewStore(s.store.URL, "", telemetry.NewMetrics())
+	registered := func() bool {
+		_, err := store.Get(context.Background(), platform.KindRouters, "r1")
+		return err == nil
+	}
+	eventually(t, 5*time.Second, "registered", registered)
+	time.Sleep(2 * time.Second) // the routers have found each other
+	assert.NilError(t, store.Remove(context.Background(), platform.KindRouters, "r1", 0))
+	eventually(t, 20*time.Second, "registered again", registered)
+}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -22,18 +22,22 @@
 	// failedListInterval is the interval after a list that failed before any succeeded. A
 	// router that does not know the others sends nothing to cold endpoints.
 	failedListInterval = 250 * time.Millisecond
+	// listLag is the time after which a list shows this router's registration, since lists may be
+	// seconds old.
+	listLag = 10 * time.Second
 	// deadAfter is the silence after which a router's registration is removed.
 	deadAfter = 60 * time.Second
 )
 
 // fleet registers this router in the store and discovers the other routers there.
 type fleet struct {
-	store      *platform.Store
-	peers      *exchange.Exchange
-	router     string
-	self       exchange.Peer // this router's registration
-	logger     *zap.Logger
-	registered bool
+	store  *platform.Store
+	peers  *exchange.Exchange
+	router string
+	self   exchange.Peer // this router's registration
+	logger *zap.Logger
+	// registeredAt is when this router was registered, zero if it is not.
+	registeredAt time.Time
 	// onRouterLost is called for a router whose registration was removed.
 	onRouterLost func(router string)
 	// silentSince holds, by id, the time since which a registered router has not been
@@ -46,12 +50,12 @@
 	pause := time.Duration(0)
 	for timing.Pause(ctx, pause) {
 		found := f.list(ctx)
-		if !f.registered {
-			f.registered = f.register(ctx)
+		if f.registeredAt.IsZero() && f.register(ctx) {
+			f.registeredAt = time.Now()
 		}
 		pause = firstListInterval
 		switch {
-		case found && f.registered:
+		case found && !f.registeredAt.IsZero():
 			pause = listInterval
 		case f.peers.Routers() == nil:
 			pause = failedListInterval
@@ -76,6 +80,7 @@
 		f.logger.Warn("router not registered", zap.Error(err))
 		return false
 	}
+	f.logger.Info("router registered")
 	return true
 }
 
@@ -96,6 +101,10 @@
 		}
 		registered[object.Key] = router
 	}
+	if _, ok := registered[f.router]; !ok && time.Since(f.registeredAt) >= listLag {
+		// It may have been removed by a router that could not hear this one.
+		f.registeredAt = time.Time{}
+	}
 	f.peers.SetPeers(registered)
 	f.removeDead(ctx, registered)
 	return len(registered) > 1
