--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -120,8 +120,8 @@
 	// the sums of all routers. Both are nil if the room of services is not shared.
 	Demands        func() Demands
 	ReceiveDemands func(sums Demands)
-	// Outages gets the answers of the store that the other routers report, and says which are
-	// reported to them. Nil means that none are.
+	// Outages receives the answers of the store that other routers report, and supplies those that
+	// this router reports. Nil means that nothing is reported.
 	Outages *outage.Tracker
 	// ReceiveBatch is called with the changes that a relay forwards.
 	ReceiveBatch func(batch mirror.Batch)
@@ -264,7 +264,10 @@
 	outgoing := e.loadMessages(now, own)
 	view := e.dueView(now, own)
 	if e.rank < relayCount {
-		outgoing = append(outgoing, e.toAll(&message{Router: e.config.Router, Relay: true, Heads: headsToSend(now, e.heads), View: view, RolloutStatuses: statuses, StoreAnswers: e.storeAnswers(now, true)})...)
+		outgoing = append(outgoing, e.toAll(&message{
+			Router: e.config.Router, Relay: true, Heads: headsToSend(now, e.heads), View: view,
+			RolloutStatuses: statuses, StoreAnswers: e.storeAnswers(now, true),
+		})...)
 	}
 	outgoing = append(outgoing, e.heartbeats()...)
 	overdue := e.overdueBatches(now)
--- a/outage/outage.go
+++ b/outage/outage.go
@@ -61,8 +61,8 @@
 	t.failedAt = at
 }
 
-// Receive records the answers that another router has reported; ownOnly is set if that router was
-// no relay, which reports only answers to its own calls.
+// Receive records the answers that another router has reported. ownOnly is set if they are answers
+// to that router's own calls, as from one that is no relay.
 func (t *Tracker) Receive(report Answers, ownOnly bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -86,7 +86,7 @@
 }
 
 // union returns the interval that two overlapping or adjacent ones make up. An outage before the
-// later of them is refuted if the store answered at a time that lies in it.
+// later of them is refuted if the earlier one shows an answer within it.
 func (t *Tracker) union(a, b Answers) Answers {
 	if b.Since.Before(a.Since) {
 		a, b = b, a
