--- a/edge/failures_test.go
+++ b/edge/failures_test.go
@@ -115,7 +115,7 @@
 func TestPartitionIsReported(t *testing.T) {
 	f := newPartitionableFleet(t, 5)
 	cut := f.ids[0]
-	f.partition(t, []string{cut})
+	f.partition(t, standin.ProxyFaults{Freeze: true}, []string{cut})
 	time.Sleep(outageLength)
 	f.heal(t)
 	reported := func() []string {
--- a/edge/partition_test.go
+++ b/edge/partition_test.go
@@ -54,11 +54,11 @@
 	}
 }
 
-// partition cuts the routers off from the store; heal ends that.
-func (f *partitionableFleet) partition(t *testing.T, ids []string) {
+// partition cuts the routers off from the store by faults of their proxies; heal ends that.
+func (f *partitionableFleet) partition(t *testing.T, faults standin.ProxyFaults, ids []string) {
 	t.Helper()
 	for _, id := range ids {
-		assert.NilError(t, f.proxies[id].SetFaults(standin.ProxyFaults{Freeze: true}))
+		assert.NilError(t, f.proxies[id].SetFaults(faults))
 	}
 }
 
@@ -75,16 +75,20 @@
 // routers all the while. A key and an evacuation are withdrawn in the same way.
 func TestPartitionIsNoOutage(t *testing.T) {
 	const partitionLength = 2500 * time.Millisecond // longer than an entry lasts without a renewal
+	bothWays, noAnswers := standin.ProxyFaults{Freeze: true}, standin.ProxyFaults{DropFromTarget: true}
 	for name, c := range map[string]struct {
 		routers int
 		cut     func(ids []string) []string
+		faults  standin.ProxyFaults
 		// healFirst is set if the withdrawal can't reach the routers in the partition.
 		healFirst bool
 	}{
-		"a relay":            {3, func(ids []string) []string { return ids[:1] }, false},
-		"no relay":           {5, func(ids []string) []string { return ids[4:] }, false},
-		"all relays":         {5, func(ids []string) []string { return ids[:3] }, true},
-		"all relays and one": {5, func(ids []string) []string { return ids[:4] }, true},
+		"a relay":                       {3, func(ids []string) []string { return ids[:1] }, bothWays, false},
+		"a relay, only answers":         {3, func(ids []string) []string { return ids[:1] }, noAnswers, false},
+		"no relay":                      {5, func(ids []string) []string { return ids[4:] }, bothWays, false},
+		"all relays":                    {5, func(ids []string) []string { return ids[:3] }, bothWays, true},
+		"all relays, only answers":      {5, func(ids []string) []string { return ids[:3] }, noAnswers, true},
+		"all relays and another router": {5, func(ids []string) []string { return ids[:4] }, bothWays, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -100,7 +104,7 @@
 					func() { f.platform.RemoveSpec("evacuations", "z") }, http.StatusServiceUnavailable,
 				},
 			} {
-				f.partition(t, c.cut(f.ids))
+				f.partition(t, c.faults, c.cut(f.ids))
 				time.Sleep(partitionLength)
 				if c.healFirst {
 					f.heal(t)
@@ -120,7 +124,7 @@
 // although they register again within 2 s of its end.
 func TestOutageKeepsEndpoints(t *testing.T) {
 	f := newPartitionableFleet(t, 5)
-	f.partition(t, f.ids)
+	f.partition(t, standin.ProxyFaults{Freeze: true}, f.ids)
 	time.Sleep(2500 * time.Millisecond)
 	f.platform.RemoveSpec("servers", "i-1")
 	time.Sleep(500 * time.Millisecond)
