edge: tests of partitions wait until the routers know each other

TestPartitionIsReported failed once in four runs with the race detector at a load average of 10: the record named an outage. A router that found one other router at its first list lists them again after 5 s, but the test cut it off after 3 s, so that it heard nobody. The wait is 6 s now.

--- a/edge/partition_test.go
+++ b/edge/partition_test.go
@@ -14,6 +14,10 @@
 	"github.com/hornbeamproxy/hornbeamproxy/standin"
 )
 
+// fleetKnown is the time after the start within which all routers know each other: a router that has
+// found another one lists them again after 5 s.
+const fleetKnown = 6 * time.Second
+
 // partitionableFleet is a fleet of which each router reaches the store through a proxy of its own.
 type partitionableFleet struct {
 	*site
@@ -38,7 +42,7 @@
 	// Routers with equal links become relays in the order of the hashes of their ids.
 	slices.SortFunc(f.ids, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
 	eventually(t, 5*time.Second, "all serve", f.allAnswer(http.StatusOK))
-	time.Sleep(3 * time.Second) // the routers know each other, and the others follow the relays
+	time.Sleep(fleetKnown)
 	return f
 }
 
