--- a/roster/roster.go
+++ b/roster/roster.go
@@ -186,8 +186,8 @@
 	return gone
 }
 
-// Expire removes the endpoints that were kept without an entry and whose grace period is over, also
-// since there turned out to have been no outage. It returns them.
+// Expire removes the endpoints that were kept without an entry once the grace period is over, which
+// a refuted outage ends early. It returns them.
 func (r *Roster) Expire(now time.Time) []*Endpoint {
 	if len(r.lapsed) == 0 || r.inGrace(now) {
 		return nil
