--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -16,6 +16,7 @@
 	id, method, target, replica, lastEvent string
 	at, ended                              time.Time // ended is when the replica stopped work on it
 	n                                      int       // how many times the request had run before, plus one
+	spoiled                                bool      // whether its answer was spoiled
 }
 
 // ledger has all runs, by request id.
@@ -35,11 +36,20 @@
 	return r
 }
 
-// end records that the replica has stopped work on a run.
+// end records that the replica has stopped work on a run, unless it has been recorded.
 func (l *ledger) end(r run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs[r.id][r.n-1].ended = time.Now()
+	if known := &l.runs[r.id][r.n-1]; known.ended.IsZero() {
+		known.ended = time.Now()
+	}
+}
+
+// spoil records that the answer of a run is spoiled.
+func (l *ledger) spoil(r run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[r.id][r.n-1].spoiled = true
 }
 
 func (l *ledger) of(id string) []run {
@@ -57,12 +67,18 @@
 	work                       time.Duration // before the first byte of an answer's body
 	pause                      time.Duration // between events
 	events                     int           // of a stream
-	listener                   net.Listener
-	born                       time.Time
-
-	mu    sync.Mutex
-	conns map[net.Conn]bool
-	down  bool
+	// dropsAtOnce is set if the replica drops a stream as soon as its connection closes. Otherwise it does when
+	// a write fails.
+	dropsAtOnce bool
+	// spoilEvery makes each so many-th answer that is no stream a spoiled one (see spoiled); 0 means none.
+	spoilEvery int
+	listener   net.Listener
+	born       time.Time
+
+	mu      sync.Mutex
+	conns   map[net.Conn]bool
+	down    bool
+	answers int // that are no streams
 }
 
 func newReplica(id, service, zone string, work time.Duration, l *ledger) *replica {
@@ -119,13 +135,13 @@
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
-		if err != nil || !r.answer(conn, request) {
+		if err != nil || !r.answer(conn, reader, request) {
 			return
 		}
 	}
 }
 
-func (r *replica) answer(conn net.Conn, q *http.Request) bool {
+func (r *replica) answer(conn net.Conn, reader *bufio.Reader, q *http.Request) bool {
 	id := q.Header.Get("Request-Id")
 	if _, err := io.Copy(io.Discard, q.Body); err != nil {
 		return false
@@ -139,18 +155,63 @@
 	time.Sleep(r.work)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nServer-Stamp: %s\r\nRequest-Id: %s\r\n", stampOf(r.id, got), id)
 	if strings.HasPrefix(q.URL.Path, "/report/") || strings.HasPrefix(q.URL.Path, "/chat/") {
-		return r.stream(conn, head, got)
+		return r.stream(conn, reader, head, got)
 	}
 	text := "answer to " + id
+	if r.spoils() {
+		r.ledger.spoil(got)
+		_, _ = io.WriteString(conn, spoiled(head, text))
+		return false
+	}
 	_, err := fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(text), text)
 	return err == nil
 }
 
+// spoils reports whether the replica spoils its next answer.
+func (r *replica) spoils() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers++
+	return r.spoilEvery > 0 && r.answers%r.spoilEvery == 0
+}
+
+// spoiled returns the bytes of an answer whose framing is faulty: it says that it is of HTTP/1.0 and that its
+// body is in chunks. The connection is closed after it.
+func spoiled(head, text string) string {
+	head = strings.Replace(head, "HTTP/1.1", "HTTP/1.0", 1)
+	return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(text), text)
+}
+
 func stampOf(replica string, r run) string { return fmt.Sprintf("st.%s.%s.%d", replica, r.id, r.n) }
 
 func event(id string, k int) string { return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", k, id, k) }
 
-func (r *replica) stream(conn net.Conn, head string, got run) bool {
+// closing returns a channel that is closed when the connection closes, and a function that waits until the
+// reader may be used again, which is when the next request comes or the connection closes.
+func closing(reader *bufio.Reader) (closed <-chan struct{}, wait func()) {
+	gone, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		if _, err := reader.Peek(1); err != nil {
+			close(gone)
+		}
+	}()
+	return gone, func() { <-done }
+}
+
+func (r *replica) stream(conn net.Conn, reader *bufio.Reader, head string, got run) (whole bool) {
+	var closed <-chan struct{} // never closed unless dropsAtOnce is set
+	if r.dropsAtOnce {
+		gone, wait := closing(reader)
+		closed = gone
+		defer func() {
+			r.ledger.end(got)
+			if !whole {
+				_ = conn.Close()
+			}
+			wait()
+		}()
+	}
 	if _, err := fmt.Fprintf(conn, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head); err != nil {
 		return false
 	}
@@ -164,7 +225,11 @@
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text); err != nil {
 			return false
 		}
-		time.Sleep(r.pause)
+		select {
+		case <-closed:
+			return false
+		case <-time.After(r.pause):
+		}
 	}
 	_, err := io.WriteString(conn, "0\r\n\r\n")
 	return err == nil
