--- a/review/standin-3/queue.go
+++ b/review/standin-3/queue.go
@@ -88,6 +88,7 @@
 		// Each replica is alone in its zone.
 		r := newReplicaOn(listener, fmt.Sprintf("lm-%d", i), "lm", fmt.Sprintf("z%d", i), 100*time.Millisecond, l)
 		r.pause, r.events = 700*time.Millisecond, queueEvents
+		r.dropsAtOnce = i > 0 // most replicas do
 		s.put("servers", r.id, r.entry())
 	}
 	var routers []*router
