--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 	at, ended                              time.Time // ended is when the replica stopped work on it
 	n                                      int       // how many times the request had run before, plus one
 	spoiled                                bool      // whether its answer was spoiled
+	body                                   []byte    // of a stream, as it was sent
 }
 
 // ledger has all runs, by request id.
@@ -52,6 +54,13 @@
 	l.runs[r.id][r.n-1].spoiled = true
 }
 
+// sent records the body of a stream as it was sent.
+func (l *ledger) sent(r run, body []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[r.id][r.n-1].body = body
+}
+
 func (l *ledger) of(id string) []run {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,8 +81,10 @@
 	dropsAtOnce bool
 	// spoilEvery makes each so many-th answer that is no stream a spoiled one (see spoiled); 0 means none.
 	spoilEvery int
-	listener   net.Listener
-	born       time.Time
+	// lose, unless nil, returns the place in a stream's body from which on bytes are lost, and their number; 0 for none.
+	lose     func() (at, n int)
+	listener net.Listener
+	born     time.Time
 
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
@@ -216,13 +227,17 @@
 		return false
 	}
 	first := 1
-	if got.lastEvent != "" {
-		_, _ = fmt.Sscan(got.lastEvent, &first)
-		first++
+	if last, err := strconv.Atoi(got.lastEvent); err == nil {
+		first = last + 1
+	}
+	body := &lossy{Writer: conn}
+	if r.lose != nil {
+		body.at, body.lost = r.lose()
 	}
+	defer func() { r.ledger.sent(got, body.sent) }()
 	for k := first; k <= r.events; k++ {
 		text := event(got.id, k)
-		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(text), text); err != nil {
+		if _, err := fmt.Fprintf(body, "%x\r\n%s\r\n", len(text), text); err != nil {
 			return false
 		}
 		select {
@@ -231,6 +246,27 @@
 		case <-time.After(r.pause):
 		}
 	}
-	_, err := io.WriteString(conn, "0\r\n\r\n")
+	_, err := io.WriteString(body, "0\r\n\r\n")
 	return err == nil
 }
+
+// lossy is a writer that loses some bytes.
+type lossy struct {
+	io.Writer
+	at, lost int // what is lost: from at on, that many bytes
+	written  int
+	sent     []byte // what was not lost
+}
+
+// Write implements io.Writer.
+func (l *lossy) Write(p []byte) (int, error) {
+	from := min(max(l.at-l.written, 0), len(p))
+	to := min(max(l.at+l.lost-l.written, from), len(p))
+	kept := append(append([]byte{}, p[:from]...), p[to:]...)
+	l.written += len(p)
+	l.sent = append(l.sent, kept...)
+	if _, err := l.Writer.Write(kept); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
