poison: quarantines can be refuted until a common cause of the exits is ruled out

Cause: exits count against all parts of the prompts without an answer, so that exits of one cause count against the parts that all prompts share. Only an answer to a request with the part lifted a quarantine, and none was let through.

Change: a quarantine is provisional until the evidence rules out a common cause. Until then a single request is sent as a trial, by the first relay, or by a later router if that one gets no request with the part. Two exits in quick succession are enough for a part that had no answer yet, so that the trial replaces the third exit. The product's own interface uses the same detector and gets the same change.

TestSuspectedPromptIsNotSentAgain: its two exits came 0.15 s apart, which quarantines a new part at once now. They are 0.6 s apart, so that the third request still is the one that must not be sent again; the check is the same. TestNewPartIsStoppedAfterTwoQuickExits covers the shorter time.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -146,7 +146,7 @@
 	p.intakes = newIntakes(s)
 	p.gateway = gateway.New(gateway.Config{
 		Router: s.Router.ID, Zone: s.Router.Zone, Bounds: boundsOf(s), Codec: platform.Codec{}, Logger: p.logger, Metrics: p.metrics,
-		Routers: peers.Routers, Reporter: p.failures,
+		Routers: peers.Routers, RelayRank: peers.RelayRank, Reporter: p.failures,
 		EntryGraceUntil: p.outages.GraceUntil,
 		Account:         p.intakes.account, EndpointSlots: p.intakes.slots,
 		BodyTimeout: milliseconds(s.Limits.BodyMS),
--- a/exchange/poison_test.go
+++ b/exchange/poison_test.go
@@ -17,7 +17,7 @@
 		for i := range 3 {
 			r := fleet[i*routers/3]
 			r.mu.Lock()
-			r.poison.RecordExit(time.Now().Add(time.Duration(i-3)*time.Second), uint64(i+1), [][]uint64{{1, part}})
+			r.poison.RecordExit(time.Now().Add(time.Duration(i-3)*time.Second), 1, uint64(i+1), [][]uint64{{1, part}})
 			r.mu.Unlock()
 		}
 		for _, r := range fleet {
--- a/exchange/relay.go
+++ b/exchange/relay.go
@@ -76,6 +76,17 @@
 	return known && e.rank < relayCount, known && e.rank == 0
 }
 
+// RelayRank returns the number of relays that come before this router: relayCount if it is none, or
+// if the routers are not known yet.
+func (e *Exchange) RelayRank() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.routers == nil {
+		return relayCount
+	}
+	return e.rank
+}
+
 // RelaysHeard implements mirror.Peers.
 func (e *Exchange) RelaysHeard() bool {
 	now := time.Now()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,9 @@
 	Metrics *telemetry.Metrics
 	// Routers returns the routers that share the limits; nil if they are not known.
 	Routers func() *quota.Routers
+	// RelayRank returns the number of relays that come before this router, at most the number of
+	// all; nil means 0.
+	RelayRank func() int
 	// Reporter receives the failures that are recorded for operators.
 	Reporter Reporter
 	// EntryGraceUntil returns the time until which endpoints without an entry are kept, since the
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/api"
@@ -22,7 +23,7 @@
 			prompts = append(prompts, request.parts)
 		}
 	}
-	g.poison.RecordExit(now, endpoint.Start(), prompts)
+	g.poison.RecordExit(now, xxhash.Sum64String(endpoint.Service), endpoint.Start(), prompts)
 	g.logQuarantines()
 }
 
@@ -34,7 +35,7 @@
 	x.answerRecorded = true
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	x.g.poison.RecordAnswer(time.Now(), x.request.SharedParts())
+	x.g.poison.RecordAnswer(time.Now(), xxhash.Sum64String(x.service), x.request.SharedParts())
 	x.g.logQuarantines()
 }
 
@@ -49,20 +50,39 @@
 	return x.g.poison.Suspected(time.Now(), x.request.SharedParts())
 }
 
-// admitPrompt reports whether no part of the prompt is quarantined. Otherwise it refuses the
-// request.
+// admitPrompt reports whether no part of the prompt is quarantined, or the request is a trial of
+// those that are. Otherwise it refuses the request.
 func (x *exchange) admitPrompt() bool {
 	if !x.route.CachesPrompts {
 		return true
 	}
+	rank := 0
+	if x.g.config.RelayRank != nil {
+		rank = x.g.config.RelayRank()
+	}
 	x.g.mu.Lock()
-	_, until, quarantined := x.g.poison.Quarantined(x.arrived, x.request.SharedParts())
+	admission := x.g.poison.Admit(x.arrived, x.request.SharedParts(), rank)
 	x.g.mu.Unlock()
-	if !quarantined {
-		return true
+	if admission.Refused() {
+		x.refuse(http.StatusServiceUnavailable, api.RefusalPromptQuarantined, admission.Until.Sub(x.arrived))
+		return false
+	}
+	if admission.Trial {
+		x.trial = true
+		x.g.metrics.Counter("prompts.trials").Inc(1)
+		x.log("trial of a quarantined prompt part", string(api.RefusalPromptQuarantined), zap.String("part", strconv.FormatUint(admission.Part, 16)))
 	}
-	x.refuse(http.StatusServiceUnavailable, api.RefusalPromptQuarantined, until.Sub(x.arrived))
-	return false
+	return true
+}
+
+// cancelUnsentTrial lets another request be the trial that this one was to be, if it was not sent.
+func (x *exchange) cancelUnsentTrial() {
+	if !x.trial || x.sends > 0 {
+		return
+	}
+	x.g.mu.Lock()
+	defer x.g.mu.Unlock()
+	x.g.poison.CancelTrial(x.request.SharedParts(), x.arrived)
 }
 
 // PoisonReport returns what this router has to tell the relays about exits of endpoints and
@@ -77,7 +97,9 @@
 func (g *Gateway) PoisonAnnouncement() *poison.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.poison.Announcement(time.Now())
+	announcement := g.poison.Announcement(time.Now())
+	g.logQuarantines()
+	return announcement
 }
 
 // ReceivePoison records the report of a router, or the announcement of a relay.
@@ -88,17 +110,21 @@
 	g.logQuarantines()
 }
 
-// Quarantines returns the quarantines that are in effect and were not contradicted in time.
+// Quarantines returns the quarantines that are confirmed and were not contradicted in time.
 func (g *Gateway) Quarantines() []poison.Quarantine {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.poison.Active(time.Now())
 }
 
-// logQuarantines logs the quarantines that began or were lifted. Callers hold g.mu.
+// logQuarantines logs the quarantines that began, were confirmed or were lifted. Callers hold g.mu.
 func (g *Gateway) logQuarantines() {
 	for _, change := range g.poison.TakeChanges() {
 		part := strconv.FormatUint(change.Part, 16)
+		if change.Confirmed {
+			g.logger.Warn("quarantine of a prompt part confirmed", zap.String("part", part), zap.Int("returns", change.Returns), zap.Time("until", change.Until))
+			continue
+		}
 		if change.Lifted {
 			g.metrics.Counter("prompts.released").Inc(1)
 			g.logger.Warn("quarantine of a prompt part lifted by an answer", zap.String("part", part))
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -127,10 +127,65 @@
 	}
 	for range 2 {
 		send("/prompt/1")
-		time.Sleep(150 * time.Millisecond)
+		time.Sleep(600 * time.Millisecond) // two exits in quick succession quarantine a new part at once
 	}
 	send("/chatprompt/1")
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	assert.Equal(t, len(p.exits), 2+1)
 }
+
+// Guards against a part of all prompts that stays refused after all endpoints exited together for
+// another reason: no request with it is left whose answer could lift the quarantine.
+func TestSharedPartIsServedAfterCommonExit(t *testing.T) {
+	g := newTestGateway(t).configure()
+	slowly := func(r *http.Request, w io.Writer) bool {
+		time.Sleep(500 * time.Millisecond)
+		return events(1, 2, true)(r, w)
+	}
+	start := func(id string, next script) *endpoint {
+		e := newEndpoint(t, id, next)
+		g.register(e)
+		return e
+	}
+	var endpoints []*endpoint
+	for i := range 4 {
+		endpoints = append(endpoints, start(fmt.Sprint("before", i), slowly))
+	}
+	send := func(i int) int {
+		response, _, _ := g.do(t, "/prompt/1", "Prompt-Prefix", fmt.Sprintf("a:800,b%d:80,c%d:20", i, i), "Request-Id", fmt.Sprint("r", i))
+		return response.StatusCode
+	}
+	var requests sync.WaitGroup
+	for i := range 16 {
+		requests.Go(func() { send(i) })
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, e := range endpoints {
+		e.exit()
+		time.Sleep(120 * time.Millisecond)
+	}
+	requests.Wait()
+	assert.Equal(t, send(100), http.StatusServiceUnavailable, "the part is not quarantined")
+	for i, e := range endpoints {
+		g.RemoveEndpoint(e.id)
+		start(fmt.Sprint("after", i), events(1, 2, true))
+	}
+	for i := 200; send(i) != http.StatusOK; i++ {
+		assert.Assert(t, i < 300, "refused for 10 s")
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// Guards against a new part whose endpoints exit in quick succession being sent on until a third one
+// exits.
+func TestNewPartIsStoppedAfterTwoQuickExits(t *testing.T) {
+	p := newCrashingPool(t, 6)
+	for range 3 {
+		_, _, _ = p.gateway.do(t, "/prompt/1", "Prompt-Prefix", "a:800,"+poisonPart+":30,c:20")
+		time.Sleep(150 * time.Millisecond)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Equal(t, len(p.exits), 2)
+}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -12,6 +12,11 @@
 // relays, whose detectors add it up and announce the quarantines to all routers. A router that
 // has seen an answer contradicts a quarantine. Callers are asked to come back after objectionTime,
 // in which that happens, and only then to stay away until the quarantine ends.
+//
+// Exits of a common cause count against the parts that many prompts share, and once these are
+// refused no answer can clear them. A quarantine is therefore provisional until the evidence rules
+// out a common cause (see evidence.go). While it is provisional, single requests are let through as
+// trials (see trial.go), and the answer to one lifts it.
 package poison
 
 import (
@@ -62,8 +67,10 @@
 // exit is the exit of an endpoint.
 type exit struct {
 	endpoint uint64
+	service  uint64
 	at       time.Time
 	prompts  [][]uint64 // the shared parts of each prompt without an answer, in order
+	own      [][]uint64 // those of prompts of this router, also if they are the same
 	// depths are the positions of the parts in their prompts, the deepest if there are several.
 	depths map[uint64]int
 }
@@ -85,6 +92,10 @@
 	firstExit time.Time // the oldest exit that counts against the part
 	since     time.Time // when it was decided
 	returns   int       // number of earlier quarantines of the part
+	// provisional is set until the evidence rules out that the exits have a common cause.
+	provisional bool
+	// lastTrial is when the newest trial began, at any router; zero if there was none.
+	lastTrial time.Time
 	// announced is when a relay last announced it, and reminded when this router last told
 	// the relays because none did.
 	announced, reminded time.Time
@@ -97,13 +108,14 @@
 // active reports whether the quarantine has not ended. It may not be in effect yet.
 func (q *quarantine) active(now time.Time) bool { return now.Before(q.until()) }
 
-// Change is a quarantine that began or was lifted, for logs and records.
+// Change is a quarantine that began, was confirmed or was lifted, for logs and records.
 type Change struct {
-	Part    uint64
-	Lifted  bool
-	Exits   int       // that count against the part at this router
-	Until   time.Time // end of the quarantine
-	Returns int       // number of earlier quarantines of the part
+	Part      uint64
+	Lifted    bool
+	Confirmed bool      // it is no longer provisional
+	Exits     int       // that count against the part at this router
+	Until     time.Time // end of the quarantine
+	Returns   int       // number of earlier quarantines of the part
 }
 
 // Detector keeps the exits, answers and quarantines that a router knows. It is not safe for
@@ -117,8 +129,10 @@
 	// contradicted has the parts of quarantines that an answer contradicted, with the time at
 	// which this router learned of the quarantine or of the answer.
 	contradicted map[uint64]time.Time
-	outbox       outbox
-	changes      []Change
+	// answered are the times of this router's newest answers, by service.
+	answered map[uint64]*answerTimes
+	outbox   outbox
+	changes  []Change
 	// announcedAt is when this router last made an announcement, and changedAt when what it
 	// announces last changed.
 	announcedAt, changedAt time.Time
@@ -128,23 +142,25 @@
 func New() *Detector {
 	return &Detector{
 		quarantines: map[uint64]*quarantine{}, answers: map[uint64]time.Time{}, olderAnswers: map[uint64]time.Time{},
-		contradicted: map[uint64]time.Time{},
+		contradicted: map[uint64]time.Time{}, answered: map[uint64]*answerTimes{},
 	}
 }
 
 // RecordExit records that an endpoint exited while requests with these prompts had no answer.
-// It may be called several times for an exit. endpoint identifies one start of an endpoint; each
-// prompt is the ids of its shared parts in order.
-func (d *Detector) RecordExit(now time.Time, endpoint uint64, prompts [][]uint64) {
-	if added := d.addExit(now, endpoint, prompts); added != nil {
+// It may be called several times for an exit. service and endpoint identify a service and one start
+// of an endpoint; each prompt is the ids of its shared parts in order.
+func (d *Detector) RecordExit(now time.Time, service, endpoint uint64, prompts [][]uint64) {
+	added := d.addExit(now, service, endpoint, prompts)
+	d.findExit(now, service, endpoint).addOwn(prompts)
+	if added != nil {
 		d.outbox.addExit(now, added)
 		d.decide(now, added)
 	}
 }
 
 // addExit adds prompts to an exit, and returns nil if there is nothing new.
-func (d *Detector) addExit(at time.Time, endpoint uint64, prompts [][]uint64) *exit {
-	known := d.findExit(at, endpoint)
+func (d *Detector) addExit(at time.Time, service, endpoint uint64, prompts [][]uint64) *exit {
+	known := d.findExit(at, service, endpoint)
 	changed := false
 	for _, prompt := range prompts {
 		prompt = prompt[max(0, len(prompt)-maxParts):]
@@ -162,7 +178,7 @@
 }
 
 // findExit returns the record of an exit, which it creates if there is none.
-func (d *Detector) findExit(at time.Time, endpoint uint64) *exit {
+func (d *Detector) findExit(at time.Time, service, endpoint uint64) *exit {
 	for _, e := range d.exits {
 		if e.endpoint == endpoint {
 			return e
@@ -171,7 +187,7 @@
 	if len(d.exits) >= maxExits {
 		d.exits = slices.Delete(d.exits, 0, 1)
 	}
-	created := &exit{endpoint: endpoint, at: at, depths: map[uint64]int{}}
+	created := &exit{endpoint: endpoint, service: service, at: at, depths: map[uint64]int{}}
 	place, _ := slices.BinarySearchFunc(d.exits, created, func(a, b *exit) int { return a.at.Compare(b.at) })
 	d.exits = slices.Insert(d.exits, place, created)
 	return created
@@ -190,11 +206,11 @@
 		if previous != nil && previous.active(now) {
 			continue
 		}
-		count, first := d.count(part)
-		if count < d.exitsNeeded(part) || count*minExitFraction < d.moments(now, first) {
+		count, first, last := d.count(part)
+		if count < d.exitsNeeded(newest, part, last.Sub(first)) || count*minExitFraction < d.moments(now, first) {
 			continue
 		}
-		q := &quarantine{firstExit: first, since: now}
+		q := &quarantine{firstExit: first, since: now, provisional: true}
 		if previous != nil {
 			q.returns = previous.returns + 1
 		}
@@ -225,16 +241,34 @@
 	return false
 }
 
-// exitsNeeded returns the number of exits that quarantine a part.
-func (d *Detector) exitsNeeded(part uint64) int {
+// exitsNeeded returns the number of exits that quarantine a part of the newest exit, if those that
+// count are within span. Two in quick succession are enough for a part that had no answer yet, if
+// they point to no other part as well; the trial that follows is the third.
+func (d *Detector) exitsNeeded(newest *exit, part uint64, span time.Duration) int {
 	if d.quarantines[part] != nil {
 		return 1
 	}
+	if _, answered := d.lastAnswer(part); !answered && span < isolationTime && !d.hasRival(newest, part) {
+		return minExits - 1
+	}
 	return minExits
 }
 
-// count returns the number of exits that count against a part, and the time of the oldest.
-func (d *Detector) count(part uint64) (count int, first time.Time) {
+// hasRival reports whether several exits count against another part that is as deep in its prompt.
+func (d *Detector) hasRival(newest *exit, part uint64) bool {
+	for other, depth := range newest.depths {
+		if other != part && depth == newest.depths[part] {
+			if count, _, _ := d.count(other); count > 1 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// count returns the number of exits that count against a part, and the times of the oldest and of the
+// newest.
+func (d *Detector) count(part uint64) (count int, first, last time.Time) {
 	cleared, _ := d.lastAnswer(part)
 	if previous := d.quarantines[part]; previous != nil {
 		cleared = later(cleared, previous.until())
@@ -245,7 +279,7 @@
 // moments returns the number of exits in contextTime, or since first if that is longer ago, that
 // no quarantined part caused.
 func (d *Detector) moments(now, first time.Time) int {
-	count, _ := d.countExits(func(e *exit) bool {
+	count, _, _ := d.countExits(func(e *exit) bool {
 		const noPart = 0
 		return (!e.at.Before(first) || now.Sub(e.at) < contextTime) && !d.explained(e, noPart)
 	})
@@ -253,9 +287,8 @@
 }
 
 // countExits returns the number of exits that match, of those within minSeparation only one, and
-// the time of the oldest.
-func (d *Detector) countExits(matches func(*exit) bool) (count int, first time.Time) {
-	var last time.Time
+// the times of the first and the last that it counts.
+func (d *Detector) countExits(matches func(*exit) bool) (count int, first, last time.Time) {
 	for _, e := range d.exits {
 		if !matches(e) || count > 0 && e.at.Sub(last) < minSeparation {
 			continue
@@ -266,7 +299,7 @@
 		count++
 		last = e.at
 	}
-	return count, first
+	return count, first, last
 }
 
 // explained reports whether another part that is quarantined caused the exit.
@@ -294,9 +327,10 @@
 	}
 }
 
-// RecordAnswer records that an endpoint bears a request with these shared parts: its answer
-// is complete, or has been going on for SettledTime.
-func (d *Detector) RecordAnswer(now time.Time, parts []uint64) {
+// RecordAnswer records that an endpoint of the service bears a request with these shared parts: its
+// answer is complete, or has been going on for SettledTime.
+func (d *Detector) RecordAnswer(now time.Time, service uint64, parts []uint64) {
+	d.countAnswer(now, service)
 	for _, part := range parts {
 		if d.addAnswer(now, now, part) {
 			d.outbox.addAnswer(part)
@@ -341,8 +375,9 @@
 }
 
 // Quarantined returns the part that is quarantined, if there is one, and when a request with it
-// may be sent again: the end of objectionTime while the quarantine may be contradicted, and then
-// the end of the quarantine.
+// may be sent again: the end of objectionTime while the quarantine may be contradicted, then the
+// time at which the next trial has an answer while the quarantine is provisional, and otherwise the
+// end of the quarantine.
 func (d *Detector) Quarantined(now time.Time, parts []uint64) (part uint64, until time.Time, quarantined bool) {
 	if len(d.quarantines) == 0 {
 		return 0, time.Time{}, false
@@ -352,6 +387,9 @@
 			if objections := q.since.Add(objectionTime); now.Before(objections) {
 				return part, objections, true
 			}
+			if q.provisional {
+				return part, later(now, d.trialDue(part, q)).Add(trialAnswerTime), true
+			}
 			return part, q.until(), true
 		}
 	}
@@ -365,7 +403,11 @@
 		if q := d.quarantines[part]; q != nil && q.active(now) {
 			return true
 		}
-		if count, _ := d.count(part); count > 0 && count >= d.exitsNeeded(part)-1 {
+		needed := minExits
+		if d.quarantines[part] != nil {
+			needed = 1
+		}
+		if count, _, _ := d.count(part); count > 0 && count >= needed-1 {
 			return true
 		}
 	}
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -9,10 +9,12 @@
 
 var start = time.Unix(1000, 0)
 
+const service = 1
+
 // exits records n exits, a second apart, and returns the time after the last.
 func exits(d *Detector, now time.Time, n int, prompts ...[]uint64) time.Time {
 	for i := range n {
-		d.RecordExit(now, uint64(now.UnixNano())+uint64(i), prompts)
+		d.RecordExit(now, service, uint64(now.UnixNano())+uint64(i), prompts)
 		now = now.Add(time.Second)
 	}
 	return now
@@ -43,7 +45,7 @@
 	now = now.Add(objectionTime)
 	assert.Assert(t, quarantined(relay, now, 2) && quarantined(router, now, 2))
 	other := New()
-	other.RecordAnswer(start.Add(time.Second), []uint64{1, 2})
+	other.RecordAnswer(start.Add(time.Second), service, []uint64{1, 2})
 	other.Receive(now, relay.Announcement(now.Add(time.Second)), true)
 	relay.Receive(now, other.TakeReport(now), false)
 	assert.Assert(t, !quarantined(relay, now, 2))
@@ -61,7 +63,7 @@
 	assert.Assert(t, quarantined(d, now, 2), "one exit is enough, and the time is doubled")
 	assert.Assert(t, !quarantined(d, now.Add(firstQuarantine), 2))
 	now = now.Add(firstQuarantine + probationTime + time.Minute)
-	d.RecordExit(now, 1, [][]uint64{{1, 2}})
+	d.RecordExit(now, service, 1, [][]uint64{{1, 2}})
 	assert.Assert(t, !quarantined(d, now.Add(objectionTime), 2), "the time of probation is over")
 }
 
@@ -95,8 +97,8 @@
 				prompts[j][k] = i/minExits*10_000 + uint64(j*100+k)
 			}
 		}
-		d.RecordExit(now, i, prompts)
-		d.RecordAnswer(now, prompts[99])
+		d.RecordExit(now, service, i, prompts)
+		d.RecordAnswer(now, service, prompts[99])
 	}
 	assert.Assert(t, len(d.exits) <= maxExits && len(d.quarantines) <= maxQuarantines && len(d.outbox.exits) <= maxExits)
 	assert.Assert(t, len(d.answers) <= maxAnswers && len(d.olderAnswers) <= maxAnswers)
--- a/poison/report.go
+++ b/poison/report.go
@@ -37,6 +37,7 @@
 	Endpoint uint64     `cbor:"1,keyasint"`
 	AgeMS    uint32     `cbor:"2,keyasint"`
 	Prompts  [][]uint64 `cbor:"3,keyasint"` // see Detector.RecordExit
+	Service  uint64     `cbor:"4,keyasint,omitempty"`
 }
 
 // Answer is the newest answer to a prompt with a part.
@@ -51,6 +52,10 @@
 	AgeMS       uint32 `cbor:"2,keyasint"` // of the decision
 	FirstExitMS uint32 `cbor:"3,keyasint"` // age of the oldest exit that counts
 	Returns     int    `cbor:"4,keyasint,omitempty"`
+	// Provisional is set while trials are let through. TrialMS is the age of the newest one, plus 1;
+	// 0 if there was none.
+	Provisional bool   `cbor:"5,keyasint,omitempty"`
+	TrialMS     uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 func age(now, at time.Time) uint32 {
@@ -65,6 +70,7 @@
 type outbox struct {
 	exits   []*pendingExit
 	answers []uint64 // parts
+	trials  []uint64 // parts
 }
 
 type pendingExit struct {
@@ -102,7 +108,9 @@
 			continue
 		}
 		pending.due, pending.left = now.Add(exitResendInterval), pending.left-1
-		report.Exits = append(report.Exits, Exit{Endpoint: pending.endpoint, AgeMS: age(now, pending.at), Prompts: pending.prompts})
+		report.Exits = append(report.Exits, Exit{
+			Endpoint: pending.endpoint, Service: pending.service, AgeMS: age(now, pending.at), Prompts: pending.prompts,
+		})
 		for _, prompt := range pending.prompts {
 			answers = append(answers, prompt...)
 		}
@@ -113,11 +121,15 @@
 		report.addAnswer(now, part, d)
 	}
 	for part, q := range d.quarantines {
-		if now.Sub(later(q.announced, q.since)) >= unannouncedTime && now.Sub(q.reminded) >= reminderInterval {
+		unannounced := now.Sub(later(q.announced, q.since)) >= unannouncedTime && now.Sub(q.reminded) >= reminderInterval
+		if unannounced {
 			q.reminded = now
+		}
+		if unannounced || slices.Contains(d.outbox.trials, part) {
 			report.addQuarantine(now, part, q)
 		}
 	}
+	d.outbox.trials = nil
 	return report.orNil()
 }
 
@@ -137,9 +149,16 @@
 }
 
 func (r *Report) addQuarantine(now time.Time, part uint64, q *quarantine) {
-	if q.active(now) {
-		r.Quarantines = append(r.Quarantines, Quarantine{Part: part, AgeMS: age(now, q.since), FirstExitMS: age(now, q.firstExit), Returns: q.returns})
+	if !q.active(now) {
+		return
+	}
+	told := Quarantine{
+		Part: part, AgeMS: age(now, q.since), FirstExitMS: age(now, q.firstExit), Returns: q.returns, Provisional: q.provisional,
 	}
+	if !q.lastTrial.IsZero() {
+		told.TrialMS = age(now, q.lastTrial) + 1
+	}
+	r.Quarantines = append(r.Quarantines, told)
 }
 
 func (r *Report) addAnswer(now time.Time, part uint64, d *Detector) {
@@ -151,6 +170,7 @@
 // Announcement returns what a relay tells all routers now: the quarantines, and the answers that
 // contradicted some. It is nil if there is nothing, or nothing new since a short time.
 func (d *Detector) Announcement(now time.Time) *Report {
+	d.Confirm(now)
 	if now.Sub(d.announcedAt) < announceInterval && now.Sub(d.changedAt) > announceFreshTime {
 		return nil
 	}
@@ -167,11 +187,12 @@
 	return report.orNil()
 }
 
-// Active returns the quarantines that were not contradicted in time and have not ended.
+// Active returns the quarantines that were not contradicted in time and have not ended. It leaves out
+// the provisional ones.
 func (d *Detector) Active(now time.Time) []Quarantine {
 	report := &Report{}
 	for part, q := range d.quarantines {
-		if now.Sub(q.since) >= objectionTime {
+		if now.Sub(q.since) >= objectionTime && !q.provisional {
 			report.addQuarantine(now, part, q)
 		}
 	}
@@ -187,7 +208,7 @@
 		d.receiveQuarantine(now, q, announcement)
 	}
 	for _, e := range report.Exits {
-		if added := d.addExit(at(now, e.AgeMS), e.Endpoint, e.Prompts); added != nil {
+		if added := d.addExit(at(now, e.AgeMS), e.Service, e.Endpoint, e.Prompts); added != nil {
 			d.decide(now, added)
 		}
 	}
@@ -202,8 +223,14 @@
 		d.contradict(now, received.Part)
 		return
 	}
-	q := &quarantine{firstExit: firstExit, since: at(now, received.AgeMS), returns: received.Returns}
+	q := &quarantine{
+		firstExit: firstExit, since: at(now, received.AgeMS), returns: received.Returns, provisional: received.Provisional,
+	}
+	if received.TrialMS > 0 {
+		q.lastTrial = at(now, received.TrialMS-1)
+	}
 	if known := d.quarantines[received.Part]; known != nil && known.active(now) {
+		d.merge(now, received.Part, known, q)
 		q = known
 	} else if q.active(now) {
 		d.begin(now, received.Part, q, 0)
@@ -212,3 +239,14 @@
 		q.announced = now
 	}
 }
+
+// merge adds to a known quarantine what another router knows of it.
+func (d *Detector) merge(now time.Time, part uint64, known, received *quarantine) {
+	if received.lastTrial.Sub(known.lastTrial) > trialClockError {
+		known.lastTrial = received.lastTrial
+		d.changedAt = now
+	}
+	if known.provisional && !received.provisional {
+		d.confirm(now, part, known)
+	}
+}
--- a/poison/sim_test.go
+++ b/poison/sim_test.go
@@ -59,6 +59,7 @@
 	deadlyShare           float64
 	documents, sessions   int
 	deadlyFrom, deadlyEnd time.Duration
+	answerDelay           time.Duration // added to the time until an answer begins
 	begun                 time.Time
 }
 
@@ -152,7 +153,7 @@
 		parts[2] = deadlyPart
 	}
 	router := s.random.IntN(len(s.routers))
-	_, _, quarantined := s.routers[router].Quarantined(s.now, parts)
+	quarantined := s.routers[router].Admit(s.now, parts, min(router, relays)).Refused()
 	if !deadly {
 		s.sound++
 		if quarantined {
@@ -164,13 +165,14 @@
 	}
 	up := slices.DeleteFunc(slices.Clone(s.endpoints), func(e *simEndpoint) bool { return e.upAt.After(s.now) })
 	if len(up) == 0 {
+		s.routers[router].CancelTrial(parts, s.now)
 		return
 	}
 	if deadly && len(s.exits) >= 5 && s.now.Sub(s.exits[4]) > stableWindow {
 		s.late++
 	}
 	e := up[int(parts[2])%len(up)]
-	answers := s.now.Add(time.Duration(40+s.random.IntN(200)) * time.Millisecond)
+	answers := s.now.Add(s.answerDelay + time.Duration(40+s.random.IntN(200))*time.Millisecond)
 	e.flights = append(e.flights, &flight{
 		router: router, parts: parts, answers: answers, ends: answers.Add(time.Duration(s.random.IntN(3000)) * time.Millisecond),
 	})
@@ -188,7 +190,7 @@
 		over := !f.ends.After(s.now)
 		if !f.settled && (over || s.now.Sub(f.answers) >= SettledTime) {
 			f.settled = true
-			s.routers[f.router].RecordAnswer(s.now, f.parts)
+			s.routers[f.router].RecordAnswer(s.now, service, f.parts)
 		}
 		if !over {
 			kept = append(kept, f)
@@ -208,7 +210,7 @@
 	start := e.start
 	for _, router := range slices.Sorted(maps.Keys(prompts)) {
 		parts := prompts[router]
-		s.after(time.Duration(20+s.random.IntN(100))*time.Millisecond, func() { s.routers[router].RecordExit(s.now, start, parts) })
+		s.after(time.Duration(20+s.random.IntN(100))*time.Millisecond, func() { s.routers[router].RecordExit(s.now, service, start, parts) })
 	}
 	s.starts++
 	e.start, e.upAt, e.flights = s.starts, s.now.Add(restartTime), nil
@@ -241,7 +243,7 @@
 	s := newSimulation(1, 6, 18, 140)
 	s.deadlyFrom = 5 * time.Second
 	for _, d := range s.routers {
-		d.RecordAnswer(s.now, []uint64{deadlyPart})
+		d.RecordAnswer(s.now, service, []uint64{deadlyPart})
 	}
 	s.run(20 * time.Second)
 	assert.Assert(t, len(s.exits) >= minExits && s.late <= 3, "%d exits, %d requests late", len(s.exits), s.late)
@@ -304,3 +306,54 @@
 	}
 	assert.Assert(t, len(s.exits) <= exits+1, "%d exits", len(s.exits)-exits)
 }
+
+// Guards against parts that many sound prompts share and that stay refused after all endpoints
+// exited for another reason: no request is left then whose answer could lift the quarantine.
+func TestQuarantineAfterCommonExit(t *testing.T) {
+	for _, c := range []struct {
+		routers, endpoints int
+		rate               float64
+		gap                time.Duration
+		rounds             int
+	}{{4, 8, 12, 120 * time.Millisecond, 1}, {6, 18, 140, 120 * time.Millisecond, 10}, {1, 3, 40, 200 * time.Millisecond, 3}, {91, 90, 900, 300 * time.Millisecond, 1}} {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%d routers, seed %d", c.routers, seed), func(t *testing.T) {
+				s := newSimulation(seed, c.routers, c.endpoints, c.rate)
+				s.deadlyShare = 0
+				s.answerDelay = 500 * time.Millisecond // no answer comes between the exits
+				s.run(5 * time.Second)
+				for range c.rounds {
+					for step := range 4 {
+						for i, e := range s.endpoints {
+							if i%4 == step && !e.upAt.After(s.now) {
+								s.exit(e)
+							}
+						}
+						s.run(c.gap)
+					}
+					s.run(restartTime + 1500*time.Millisecond)
+				}
+				s.run(8 * time.Second)
+				s.sound, s.refused = 0, 0
+				s.run(5 * time.Second)
+				assert.Assert(t, s.refused*200 <= s.sound, "%d of %d sound requests were refused", s.refused, s.sound)
+			})
+		}
+	}
+}
+
+// Guards against a part of all prompts that becomes deadly and is sent again and again as a trial,
+// by one router after the other.
+func TestTrialsOfDeadlyPartEnd(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSimulation(seed, 12, 18, 140)
+		s.deadlyShare = 0
+		s.run(2 * time.Second)
+		s.deadlyShare = 1
+		s.run(10 * time.Second)
+		exits := len(s.exits)
+		assert.Assert(t, exits >= minExits)
+		s.run(time.Minute)
+		assert.Assert(t, len(s.exits) <= exits+1, "seed %d: %d exits after the first 10 s", seed, len(s.exits)-exits)
+	}
+}
--- a/router/chatexits.go
+++ b/router/chatexits.go
@@ -21,6 +21,8 @@
 	// maxExitsPerRequest is the number of engines that may exit before they answer a request.
 	// A second one at once is hardly ever a coincidence.
 	maxExitsPerRequest = 2
+	// allEngines stands for the service in the detector: one set of engines answers all chats.
+	allEngines = 0
 )
 
 // chatExits remembers which chats make engines exit, so that they are refused when they return.
@@ -41,8 +43,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.now()
-	_, until, quarantined := x.detector.Quarantined(now, []uint64{chatKey})
-	return until.Sub(now), quarantined
+	x.detector.Confirm(now)
+	admission := x.detector.Admit(now, []uint64{chatKey}, 0)
+	return admission.Until.Sub(now), admission.Refused()
 }
 
 // recordExit records that an engine exited before it answered a request of the chat. It reports
@@ -52,14 +55,14 @@
 	defer x.mu.Unlock()
 	now := x.now()
 	exit := xxhash.Sum64String(endpoint + "/" + strconv.FormatInt(now.UnixMilli(), 10))
-	x.detector.RecordExit(now, exit, [][]uint64{{chatKey}})
+	x.detector.RecordExit(now, allEngines, exit, [][]uint64{{chatKey}})
 	return !x.detector.Suspected(now, []uint64{chatKey})
 }
 
 func (x *chatExits) recordAnswer(chatKey uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.detector.RecordAnswer(x.now(), []uint64{chatKey})
+	x.detector.RecordAnswer(x.now(), allEngines, []uint64{chatKey})
 }
 
 // refuseQuarantined returns the refusal of a chat that makes engines exit, or nil.
