--- a/engine/stream.go
+++ b/engine/stream.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"github.com/hornbeamproxy/hornbeamproxy/httpcheck"
 )
 
 // StreamRequest is a request for a chat completion, usually a streamed one.
@@ -167,7 +169,11 @@
 
 func (r idleReader) Read(p []byte) (int, error) {
 	r.s.startIdleTimer()
-	return r.s.body.Read(p)
+	n, err := r.s.body.Read(p)
+	if httpcheck.MalformedBody(err) {
+		return 0, err // the bytes may be those of another event
+	}
+	return n, err
 }
 
 func (s *Stream) startIdleTimer() {
