--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -44,6 +44,9 @@
 	problems      []string
 	wishes        *wishes
 	versions      *versionLog
+	promptRoute   map[string]any // of configurePrompts, or nil
+	exits         exitLog
+	restarts      sync.WaitGroup // endpoints that exited and are not back
 }
 
 func (h *harness) addProblem(format string, args ...any) {
@@ -125,6 +128,7 @@
 	leaving, pausing atomic.Bool
 	version          string
 	fault            versionFault // of the version
+	losses           *losses      // of its streams, or nil
 	inFlight         atomic.Int64
 	gone             atomic.Bool // stopped for good
 }
@@ -178,6 +182,10 @@
 		return
 	}
 	time.Sleep(e.fault.delay)
+	if strings.HasPrefix(r.URL.Path, "/prompt/") {
+		h.servePrompt(e, rw, r)
+		return
+	}
 	if !strings.HasPrefix(r.URL.Path, "/chat/") && !strings.HasPrefix(r.URL.Path, "/report/") {
 		time.Sleep(5 * time.Millisecond)
 		_, _ = rw.Write(append([]byte(request+" "), body...))
@@ -188,6 +196,14 @@
 		_, _ = fmt.Sscan(last, &first)
 		first++
 	}
+	if at, lost := e.losses.draw(); lost > 0 {
+		var events []string
+		for event := first; event <= eventCount; event++ {
+			events = append(events, fmt.Sprintf("id: %d\ndata: %s %d\n\n", event, request, event))
+		}
+		writeLosing(rw, events, at, lost)
+		return
+	}
 	rw.Header().Set("Content-Type", "text/event-stream")
 	for event := first; event <= eventCount; event++ {
 		_, _ = fmt.Fprintf(rw, "id: %d\ndata: %s %d\n\n", event, request, event)
@@ -222,12 +238,16 @@
 			"service": "s", "attempts": attempts, "can_resume": resume,
 		}
 	}
+	routes := []map[string]any{
+		route("safe", "safe", 2, false), route("unsafe", "unsafe", 2, false),
+		route("chat", "streaming", 3, true), route("report", "streaming", 2, false),
+	}
+	if h.promptRoute != nil {
+		routes = append(routes, h.promptRoute)
+	}
 	h.platform.SetSpec("config", "main", map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			route("safe", "safe", 2, false), route("unsafe", "unsafe", 2, false),
-			route("chat", "streaming", 3, true), route("report", "streaming", 2, false),
-		},
+		"version":  version,
+		"routes":   routes,
 		"services": []map[string]any{{"name": "s"}},
 		"tenants":  []map[string]any{{"name": "w", "api_keys": keys}},
 	})
