poison: the usual name for a request that tests a quarantine, and a bound on those to report

"Probe" in place of "trial". The list of probes that a router has to report is bounded: the product's own interface makes no reports and never empties it.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -110,8 +110,8 @@
 	// answerRecorded is set when the current attempt has shown that its endpoint bears the
 	// request.
 	answerRecorded bool
-	// trial is set if the request was admitted although a part of its prompt is quarantined.
-	trial bool
+	// probe is set if the request was admitted although a part of its prompt is quarantined.
+	probe bool
 	// version is the current attempt as the roll-out of its service sees it.
 	version versionAttempt
 	// work is the part that concerns placement by work.
@@ -138,7 +138,7 @@
 // closes the caller's connection before a response is complete.
 func (x *exchange) serve() {
 	defer x.releaseBody()
-	defer x.cancelUnsentTrial()
+	defer x.cancelUnsentProbe()
 	if !x.admit() {
 		return
 	}
--- a/gateway/poison.go
+++ b/gateway/poison.go
@@ -50,7 +50,7 @@
 	return x.g.poison.Suspected(time.Now(), x.request.SharedParts())
 }
 
-// admitPrompt reports whether no part of the prompt is quarantined, or the request is a trial of
+// admitPrompt reports whether no part of the prompt is quarantined, or the request is a probe of
 // those that are. Otherwise it refuses the request.
 func (x *exchange) admitPrompt() bool {
 	if !x.route.CachesPrompts {
@@ -63,26 +63,26 @@
 	x.g.mu.Lock()
 	admission := x.g.poison.Admit(x.arrived, x.request.SharedParts(), rank)
 	x.g.mu.Unlock()
-	if admission.Refused() {
+	if admission.Refused {
 		x.refuse(http.StatusServiceUnavailable, api.RefusalPromptQuarantined, admission.Until.Sub(x.arrived))
 		return false
 	}
-	if admission.Trial {
-		x.trial = true
-		x.g.metrics.Counter("prompts.trials").Inc(1)
-		x.log("trial of a quarantined prompt part", string(api.RefusalPromptQuarantined), zap.String("part", strconv.FormatUint(admission.Part, 16)))
+	if admission.Probe {
+		x.probe = true
+		x.g.metrics.Counter("prompts.probes").Inc(1)
+		x.log("probe of a quarantined prompt part", string(api.RefusalPromptQuarantined), zap.String("part", strconv.FormatUint(admission.Part, 16)))
 	}
 	return true
 }
 
-// cancelUnsentTrial lets another request be the trial that this one was to be, if it was not sent.
-func (x *exchange) cancelUnsentTrial() {
-	if !x.trial || x.sends > 0 {
+// cancelUnsentProbe lets another request be the probe that this one was to be, if it was not sent.
+func (x *exchange) cancelUnsentProbe() {
+	if !x.probe || x.sends > 0 {
 		return
 	}
 	x.g.mu.Lock()
 	defer x.g.mu.Unlock()
-	x.g.poison.CancelTrial(x.request.SharedParts(), x.arrived)
+	x.g.poison.CancelProbe(x.request.SharedParts(), x.arrived)
 }
 
 // PoisonReport returns what this router has to tell the relays about exits of endpoints and
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -86,7 +86,7 @@
 }
 
 // ruledOut reports whether the exits that count against the part hardly have a common cause. One of
-// three observations is needed: an isolated exit followed a trial, when the trial was the only
+// three observations is needed: an isolated exit followed a probe, when the probe was the only
 // request with the part; several exits were isolated while endpoints answered; or endpoints answered
 // so many other requests that the part would have had an answer, too.
 func (d *Detector) ruledOut(now time.Time, part uint64, q *quarantine) bool {
@@ -97,7 +97,7 @@
 			continue
 		}
 		alone := d.isolated(e)
-		if alone && !q.lastTrial.IsZero() && e.at.After(q.lastTrial) {
+		if alone && !q.lastProbe.IsZero() && e.at.After(q.lastProbe) {
 			return true
 		}
 		if e.at.Sub(q.since) < evidenceTime {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -16,7 +16,7 @@
 // Exits of a common cause count against the parts that many prompts share, and once these are
 // refused no answer can clear them. A quarantine is therefore provisional until the evidence rules
 // out a common cause (see evidence.go). While it is provisional, single requests are let through as
-// trials (see trial.go), and the answer to one lifts it.
+// probes (see probe.go), and the answer to one lifts it.
 package poison
 
 import (
@@ -94,8 +94,8 @@
 	returns   int       // number of earlier quarantines of the part
 	// provisional is set until the evidence rules out that the exits have a common cause.
 	provisional bool
-	// lastTrial is when the newest trial began, at any router; zero if there was none.
-	lastTrial time.Time
+	// lastProbe is when the newest probe began, at any router; zero if there was none.
+	lastProbe time.Time
 	// announced is when a relay last announced it, and reminded when this router last told
 	// the relays because none did.
 	announced, reminded time.Time
@@ -243,7 +243,7 @@
 
 // exitsNeeded returns the number of exits that quarantine a part of the newest exit, if those that
 // count are within span. Two in quick succession are enough for a part that had no answer yet, if
-// they point to no other part as well; the trial that follows is the third.
+// they point to no other part as well; the probe that follows is the third.
 func (d *Detector) exitsNeeded(newest *exit, part uint64, span time.Duration) int {
 	if d.quarantines[part] != nil {
 		return 1
@@ -376,7 +376,7 @@
 
 // Quarantined returns the part that is quarantined, if there is one, and when a request with it
 // may be sent again: the end of objectionTime while the quarantine may be contradicted, then the
-// time at which the next trial has an answer while the quarantine is provisional, and otherwise the
+// time at which the next probe has an answer while the quarantine is provisional, and otherwise the
 // end of the quarantine.
 func (d *Detector) Quarantined(now time.Time, parts []uint64) (part uint64, until time.Time, quarantined bool) {
 	if len(d.quarantines) == 0 {
@@ -388,7 +388,7 @@
 				return part, objections, true
 			}
 			if q.provisional {
-				return part, later(now, d.trialDue(part, q)).Add(trialAnswerTime), true
+				return part, later(now, d.probeDue(part, q)).Add(probeAnswerTime), true
 			}
 			return part, q.until(), true
 		}
--- a/poison/report.go
+++ b/poison/report.go
@@ -52,10 +52,10 @@
 	AgeMS       uint32 `cbor:"2,keyasint"` // of the decision
 	FirstExitMS uint32 `cbor:"3,keyasint"` // age of the oldest exit that counts
 	Returns     int    `cbor:"4,keyasint,omitempty"`
-	// Provisional is set while trials are let through. TrialMS is the age of the newest one, plus 1;
+	// Provisional is set while probes are let through. ProbeMS is the age of the newest one, plus 1;
 	// 0 if there was none.
 	Provisional bool   `cbor:"5,keyasint,omitempty"`
-	TrialMS     uint32 `cbor:"6,keyasint,omitempty"`
+	ProbeMS     uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 func age(now, at time.Time) uint32 {
@@ -70,7 +70,7 @@
 type outbox struct {
 	exits   []*pendingExit
 	answers []uint64 // parts
-	trials  []uint64 // parts
+	probes  []uint64 // parts
 }
 
 type pendingExit struct {
@@ -97,6 +97,12 @@
 	}
 }
 
+func (o *outbox) addProbe(part uint64) {
+	if len(o.probes) < maxQuarantines && !slices.Contains(o.probes, part) {
+		o.probes = append(o.probes, part)
+	}
+}
+
 // TakeReport returns what this router has to tell the relays now, or nil. Exits come with the
 // newest answers to their parts.
 func (d *Detector) TakeReport(now time.Time) *Report {
@@ -125,11 +131,11 @@
 		if unannounced {
 			q.reminded = now
 		}
-		if unannounced || slices.Contains(d.outbox.trials, part) {
+		if unannounced || slices.Contains(d.outbox.probes, part) {
 			report.addQuarantine(now, part, q)
 		}
 	}
-	d.outbox.trials = nil
+	d.outbox.probes = nil
 	return report.orNil()
 }
 
@@ -155,8 +161,8 @@
 	told := Quarantine{
 		Part: part, AgeMS: age(now, q.since), FirstExitMS: age(now, q.firstExit), Returns: q.returns, Provisional: q.provisional,
 	}
-	if !q.lastTrial.IsZero() {
-		told.TrialMS = age(now, q.lastTrial) + 1
+	if !q.lastProbe.IsZero() {
+		told.ProbeMS = age(now, q.lastProbe) + 1
 	}
 	r.Quarantines = append(r.Quarantines, told)
 }
@@ -226,8 +232,8 @@
 	q := &quarantine{
 		firstExit: firstExit, since: at(now, received.AgeMS), returns: received.Returns, provisional: received.Provisional,
 	}
-	if received.TrialMS > 0 {
-		q.lastTrial = at(now, received.TrialMS-1)
+	if received.ProbeMS > 0 {
+		q.lastProbe = at(now, received.ProbeMS-1)
 	}
 	if known := d.quarantines[received.Part]; known != nil && known.active(now) {
 		d.merge(now, received.Part, known, q)
@@ -242,8 +248,8 @@
 
 // merge adds to a known quarantine what another router knows of it.
 func (d *Detector) merge(now time.Time, part uint64, known, received *quarantine) {
-	if received.lastTrial.Sub(known.lastTrial) > trialClockError {
-		known.lastTrial = received.lastTrial
+	if received.lastProbe.Sub(known.lastProbe) > probeClockError {
+		known.lastProbe = received.lastProbe
 		d.changedAt = now
 	}
 	if known.provisional && !received.provisional {
--- a/poison/sim_test.go
+++ b/poison/sim_test.go
@@ -153,7 +153,7 @@
 		parts[2] = deadlyPart
 	}
 	router := s.random.IntN(len(s.routers))
-	quarantined := s.routers[router].Admit(s.now, parts, min(router, relays)).Refused()
+	quarantined := s.routers[router].Admit(s.now, parts, min(router, relays)).Refused
 	if !deadly {
 		s.sound++
 		if quarantined {
@@ -165,7 +165,7 @@
 	}
 	up := slices.DeleteFunc(slices.Clone(s.endpoints), func(e *simEndpoint) bool { return e.upAt.After(s.now) })
 	if len(up) == 0 {
-		s.routers[router].CancelTrial(parts, s.now)
+		s.routers[router].CancelProbe(parts, s.now)
 		return
 	}
 	if deadly && len(s.exits) >= 5 && s.now.Sub(s.exits[4]) > stableWindow {
@@ -342,9 +342,9 @@
 	}
 }
 
-// Guards against a part of all prompts that becomes deadly and is sent again and again as a trial,
+// Guards against a part of all prompts that becomes deadly and is sent again and again as a probe,
 // by one router after the other.
-func TestTrialsOfDeadlyPartEnd(t *testing.T) {
+func TestProbesOfDeadlyPartEnd(t *testing.T) {
 	for seed := range uint64(5) {
 		s := newSimulation(seed, 12, 18, 140)
 		s.deadlyShare = 0
--- a/router/chatexits.go
+++ b/router/chatexits.go
@@ -45,7 +45,7 @@
 	now := x.now()
 	x.detector.Confirm(now)
 	admission := x.detector.Admit(now, []uint64{chatKey}, 0)
-	return admission.Until.Sub(now), admission.Refused()
+	return admission.Until.Sub(now), admission.Refused
 }
 
 // recordExit records that an engine exited before it answered a request of the chat. It reports
