--- a/edge/quarantines_test.go
+++ b/edge/quarantines_test.go
@@ -74,3 +74,20 @@
 	assert.Assert(t, last.load(t.Context(), false))
 	assert.Equal(t, len(last.gateway.Quarantines()), 0)
 }
+
+// Guards against a quarantine that may still be lifted by a probe being kept for the next start, where
+// no router knows the exits.
+func TestProvisionalQuarantineIsNotWritten(t *testing.T) {
+	server := httptest.NewServer(standin.NewPlatform(""))
+	defer server.Close()
+	first := newQuarantines(t, server.URL, true)
+	first.gateway.ReceivePoison(&poison.Report{Quarantines: []poison.Quarantine{{Part: 1, AgeMS: 10_000, FirstExitMS: 20_000, Provisional: true}}}, true)
+	first.save(t.Context())
+	started := newQuarantines(t, server.URL, false)
+	assert.Assert(t, started.load(t.Context(), false))
+	assert.Equal(t, len(started.gateway.Quarantines()), 0)
+	first.gateway.ReceivePoison(&poison.Report{Quarantines: []poison.Quarantine{{Part: 1, AgeMS: 10_000, FirstExitMS: 20_000}}}, true)
+	first.save(t.Context())
+	assert.Assert(t, started.load(t.Context(), false))
+	assert.Equal(t, len(started.gateway.Quarantines()), 1)
+}
