engine: an event that is followed by the end mark of its chunk waits for the next bytes

The engine client returned the event at once, and the chat would have been continued behind it. It reads on in this case only, which no sound stream of events is in.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -164,18 +164,30 @@
 }
 
 // idleReader starts the idle timer of a stream only when the body is read, so that
-// events that are already buffered need no timer.
+// events that are already buffered need no timer. It holds events back that may belong to a
+// malformed chunk.
 type idleReader struct{ s *Stream }
 
 func (r idleReader) Read(p []byte) (int, error) {
 	r.s.startIdleTimer()
 	n, err := r.s.body.Read(p)
+	if err == nil && endsLikeChunk(p[:n]) {
+		var more int
+		more, err = r.s.body.Read(p[n:])
+		n += more
+	}
 	if httpcheck.MalformedBody(err) {
 		return 0, err // the bytes may be those of another event
 	}
 	return n, err
 }
 
+// endsLikeChunk reports whether an event is followed by the mark that ends a chunk, or the first byte of
+// it. A chunk that lacks one or two bytes takes its end mark for data.
+func endsLikeChunk(data []byte) bool {
+	return bytes.HasSuffix(data, []byte("\n\n\r")) || bytes.HasSuffix(data, []byte("\n\n\r\n"))
+}
+
 func (s *Stream) startIdleTimer() {
 	if s.idleTimeout <= 0 || s.idleTimerRunning {
 		return
