poison: a probe shows nothing if other endpoints exit with its own

All endpoints had exited again while the only probe was in flight. Only its endpoint had requests, so that the exits of the others were not seen, and the exit counted as isolated; a relay confirmed the quarantine, for 10 min.

Change: half a second after the exit of a probe's endpoint its router opens connections to up to 8 other endpoints of the service, and records those that refuse. Exits that were not sent yet come first in a report.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -98,6 +98,8 @@
 	// a new connection to it has been opened; the endpoint gets no work meanwhile.
 	// probing is set while such a connection is being opened.
 	unverified, probing bool
+	// unreachableSince is when unverified was set.
+	unreachableSince time.Time
 }
 
 type remoteLoad struct {
--- a/balance/reachability.go
+++ b/balance/reachability.go
@@ -18,10 +18,16 @@
 // gets no work until RecordProbe reports a new connection. Like RecordFailure,
 // MarkUnreachable returns whether this call ejected the endpoint.
 func (s *State) MarkUnreachable(now time.Time) bool {
-	s.unverified = true
+	if !s.unverified {
+		s.unverified, s.unreachableSince = true, now
+	}
 	return s.RecordFailure(now)
 }
 
+// UnreachableSince returns when the endpoint could not be reached for the first time since a connection
+// to it was last opened, and false if there was no such time.
+func (s *State) UnreachableSince() (time.Time, bool) { return s.unreachableSince, s.unverified }
+
 // zoneState is an availability zone as a router sees it.
 type zoneState struct {
 	// silentAt has the endpoints of the zone that stopped answering within the last
--- a/gateway/endpointexit.go
+++ b/gateway/endpointexit.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/hornbeamproxy/hornbeamproxy/balance"
+	"github.com/hornbeamproxy/hornbeamproxy/poison"
 	"github.com/hornbeamproxy/hornbeamproxy/roster"
 )
 
@@ -27,12 +31,15 @@
 	exitMemory = time.Second
 	// maxExitRequests bounds the requests that are kept for one exit.
 	maxExitRequests = 64
+	// maxOtherChecks bounds the endpoints that are checked after the exit of one with a probe.
+	maxOtherChecks = 8
 )
 
 // brokenRequest is a request whose connection broke while an endpoint worked on it.
 type brokenRequest struct {
 	id, route string
 	parts     []uint64 // the ids of its prompt's shared parts
+	probe     bool     // whether one of them is quarantined
 	// answered is the time since the first event of the answer, negative if there was none.
 	answered time.Duration
 }
@@ -50,7 +57,7 @@
 	if !x.route.CachesPrompts {
 		return
 	}
-	request := brokenRequest{id: x.request.ID, route: x.route.Name, parts: x.request.SharedParts(), answered: -1}
+	request := brokenRequest{id: x.request.ID, route: x.route.Name, parts: x.request.SharedParts(), probe: x.probe, answered: -1}
 	now := time.Now()
 	if !x.answerBegan.IsZero() {
 		request.answered = now.Sub(x.answerBegan)
@@ -91,13 +98,54 @@
 	}
 	g.mu.Unlock()
 	if exited {
-		time.Sleep(exitMemory)
+		time.Sleep(poison.IsolationTime)
+		g.checkOthers(state.Endpoint, check)
+		time.Sleep(exitMemory - poison.IsolationTime)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.exitChecks, state.Endpoint)
 }
 
+// checkOthers finds out whether other endpoints of the service exited at about the same time, if a
+// probe of a quarantined part was at the one that exited. Without requests there, nothing else shows it.
+func (g *Gateway) checkOthers(exited *roster.Endpoint, check *exitCheck) {
+	g.mu.Lock()
+	var others []*balance.State
+	if slices.ContainsFunc(check.requests, func(r brokenRequest) bool { return r.probe }) {
+		for _, e := range g.roster.Members(exited.Service) {
+			state := g.balancer.State(e)
+			since, unreachable := state.UnreachableSince()
+			if e != exited && g.roster.Usable(e) && (!unreachable || check.exitedAt.Sub(since) < poison.IsolationTime) {
+				others = append(others, state)
+			}
+		}
+	}
+	g.mu.Unlock()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, other := range others[:min(len(others), maxOtherChecks)] {
+		go g.guard.Run("check of endpoint "+other.Endpoint.ID, func() { g.checkOther(other, check.exitedAt) })
+	}
+}
+
+// checkOther records that an endpoint has exited, if it refuses a connection.
+func (g *Gateway) checkOther(state *balance.State, at time.Time) {
+	pool := g.pool(state)
+	conn, err := pool.Probe(context.Background())
+	now := time.Now()
+	if err == nil {
+		pool.ReleaseUnused(conn, now)
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.poison.RecordOtherExit(now, at, xxhash.Sum64String(state.Endpoint.Service), state.Endpoint.Start())
+	g.logger.Warn("endpoint exited beside a probe", zap.String("endpoint", state.Endpoint.ID), zap.String("service", state.Endpoint.Service))
+}
+
 // logExit logs the exit of an endpoint with the requests that were there. Callers hold g.mu.
 func (g *Gateway) logExit(endpoint *roster.Endpoint, check *exitCheck) {
 	g.metrics.Counter("endpoints.exited").Inc(1)
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -177,6 +177,65 @@
 	}
 }
 
+// Guards against a quarantine that is confirmed because the endpoint of a probe exited, although all
+// others exited with it and had no requests that show it, and against one that nothing confirms.
+func TestProbeAmongOtherExits(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		t.Run(fmt.Sprint("alone ", alone), func(t *testing.T) {
+			g := newTestGateway(t).configure()
+			reached := make(chan *endpoint, 100)
+			var endpoints []*endpoint
+			start := func(round int) {
+				endpoints = nil
+				for i := range 4 {
+					var e *endpoint
+					e = newEndpoint(t, fmt.Sprintf("e%d-%d", round, i), func(*http.Request, io.Writer) bool {
+						reached <- e
+						time.Sleep(time.Second)
+						return false
+					})
+					g.register(e)
+					endpoints = append(endpoints, e)
+				}
+			}
+			send := func(i int) int {
+				response, _, _ := g.do(t, "/prompt/1", "Prompt-Prefix", fmt.Sprintf("a:800,b%d:80,c%d:20", i, i), "Request-Id", fmt.Sprint("r", i))
+				return response.StatusCode
+			}
+			start(1)
+			var requests sync.WaitGroup
+			for i := range 16 {
+				requests.Go(func() { send(i) })
+			}
+			for range 16 {
+				<-reached
+			}
+			for _, e := range endpoints {
+				e.exit()
+				g.RemoveEndpoint(e.id)
+				time.Sleep(120 * time.Millisecond)
+			}
+			requests.Wait()
+			start(2)
+			for i := 200; len(reached) == 0; i++ {
+				requests.Go(func() { send(i) })
+				time.Sleep(100 * time.Millisecond)
+			}
+			probed := <-reached
+			probed.exit()
+			for _, e := range endpoints {
+				if !alone && e != probed {
+					e.exit()
+				}
+			}
+			time.Sleep(1500 * time.Millisecond)
+			_ = g.PoisonAnnouncement()
+			assert.Equal(t, len(g.Quarantines()) == 1, alone)
+			requests.Wait()
+		})
+	}
+}
+
 // Guards against a new part whose endpoints exit in quick succession being sent on until a third one
 // exits.
 func TestNewPartIsStoppedAfterTwoQuickExits(t *testing.T) {
--- a/poison/evidence.go
+++ b/poison/evidence.go
@@ -10,9 +10,9 @@
 	// evidenceTime is the age from which an exit is weighed: the reports on others of the same moment
 	// have arrived.
 	evidenceTime = time.Second
-	// isolationTime is the time around an exit without any other one. A common cause makes several
+	// IsolationTime is the time around an exit without any other one. A common cause makes several
 	// endpoints exit within it.
-	isolationTime = 500 * time.Millisecond
+	IsolationTime = 500 * time.Millisecond
 	// minIsolatedExits is the number of isolated exits that confirm a quarantine, if endpoints
 	// answered as many requests meanwhile.
 	minIsolatedExits = 2
@@ -79,6 +79,25 @@
 	}
 }
 
+// concludeProbes confirms the quarantines of which a probe of this router has failed.
+func (d *Detector) concludeProbes(now time.Time) {
+	for part, q := range d.quarantines {
+		if q.provisional && q.active(now) && d.probeFailed(now, part, q) {
+			d.confirm(now, part, q)
+			d.outbox.addQuarantine(part)
+		}
+	}
+}
+
+// probeFailed reports whether an isolated exit followed a probe of this router, when the probe was the
+// only request with the part. The router that made the probe also knows whether other endpoints
+// exited, so that it alone decides.
+func (d *Detector) probeFailed(now time.Time, part uint64, q *quarantine) bool {
+	return !q.ownProbe.IsZero() && slices.ContainsFunc(d.exits, func(e *exit) bool {
+		return e.has(part) && e.at.After(q.ownProbe) && now.Sub(e.at) >= evidenceTime && d.isolated(e)
+	})
+}
+
 func (d *Detector) confirm(now time.Time, part uint64, q *quarantine) {
 	q.provisional = false
 	d.changedAt = now
@@ -86,25 +105,21 @@
 }
 
 // ruledOut reports whether the exits that count against the part hardly have a common cause. One of
-// three observations is needed: an isolated exit followed a probe, when the probe was the only
-// request with the part; several exits were isolated while endpoints answered; or endpoints answered
-// so many other requests that the part would have had an answer, too.
+// three observations is needed: a probe failed; several exits were isolated while endpoints answered; or
+// endpoints answered so many other requests that the part would have had an answer, too.
 func (d *Detector) ruledOut(now time.Time, part uint64, q *quarantine) bool {
+	if d.probeFailed(now, part, q) {
+		return true
+	}
 	var against []*exit // until shortly after the part was first refused
 	isolated := 0
 	for _, e := range d.exits {
-		if !e.has(part) || e.at.Before(q.firstExit) || now.Sub(e.at) < evidenceTime {
+		if !e.has(part) || e.at.Before(q.firstExit) || now.Sub(e.at) < evidenceTime || e.at.Sub(q.since) >= evidenceTime {
 			continue
 		}
-		alone := d.isolated(e)
-		if alone && !q.lastProbe.IsZero() && e.at.After(q.lastProbe) {
-			return true
-		}
-		if e.at.Sub(q.since) < evidenceTime {
-			against = append(against, e)
-			if alone {
-				isolated++
-			}
+		against = append(against, e)
+		if d.isolated(e) {
+			isolated++
 		}
 	}
 	moments, _, _ := d.countExits(func(e *exit) bool { return slices.Contains(against, e) })
@@ -154,10 +169,10 @@
 	return math.Pow(lostShare, float64(moments))
 }
 
-// isolated reports whether no other endpoint exited within isolationTime.
+// isolated reports whether no other endpoint exited within IsolationTime.
 func (d *Detector) isolated(e *exit) bool {
 	return !slices.ContainsFunc(d.exits, func(other *exit) bool {
-		return other != e && other.at.Sub(e.at).Abs() < isolationTime
+		return other != e && other.at.Sub(e.at).Abs() < IsolationTime
 	})
 }
 
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -96,6 +96,8 @@
 	provisional bool
 	// lastProbe is when the newest probe began, at any router; zero if there was none.
 	lastProbe time.Time
+	// ownProbe is when the newest probe of this router began; zero if there was none.
+	ownProbe time.Time
 	// announced is when a relay last announced it, and reminded when this router last told
 	// the relays because none did.
 	announced, reminded time.Time
@@ -158,6 +160,12 @@
 	}
 }
 
+// RecordOtherExit records the exit of an endpoint at which no prompt is known to have been without an
+// answer. It shows that endpoints exit for a reason of their own.
+func (d *Detector) RecordOtherExit(now, exited time.Time, service, endpoint uint64) {
+	d.outbox.addExit(now, d.findExit(exited, service, endpoint))
+}
+
 // addExit adds prompts to an exit, and returns nil if there is nothing new.
 func (d *Detector) addExit(at time.Time, service, endpoint uint64, prompts [][]uint64) *exit {
 	known := d.findExit(at, service, endpoint)
@@ -248,7 +256,7 @@
 	if d.quarantines[part] != nil {
 		return 1
 	}
-	if _, answered := d.lastAnswer(part); !answered && span < isolationTime && !d.hasRival(newest, part) {
+	if _, answered := d.lastAnswer(part); !answered && span < IsolationTime && !d.hasRival(newest, part) {
 		return minExits - 1
 	}
 	return minExits
--- a/poison/probe.go
+++ b/poison/probe.go
@@ -58,9 +58,9 @@
 
 // beginProbe records a probe and has the relays told of it, so that no other router makes one.
 func (d *Detector) beginProbe(now time.Time, part uint64, q *quarantine) {
-	q.lastProbe = now
+	q.lastProbe, q.ownProbe = now, now
 	d.changedAt = now
-	d.outbox.addProbe(part)
+	d.outbox.addQuarantine(part)
 }
 
 // CancelProbe records that a probe that was admitted at the given time was not sent, so that the next
@@ -68,7 +68,7 @@
 func (d *Detector) CancelProbe(parts []uint64, admitted time.Time) {
 	for _, part := range parts {
 		if q := d.quarantines[part]; q != nil && q.lastProbe.Equal(admitted) {
-			q.lastProbe = time.Time{}
+			q.lastProbe, q.ownProbe = time.Time{}, time.Time{}
 		}
 	}
 }
--- a/poison/probe_test.go
+++ b/poison/probe_test.go
@@ -93,3 +93,38 @@
 	router.Receive(now, relay.Announcement(now), true)
 	assert.Equal(t, len(router.Active(now)), 1)
 }
+
+// Guards against a quarantine that a relay confirms because it did not hear that other endpoints exited
+// with that of a probe, or that the router which made the probe confirms although it did.
+func TestProbeIsJudgedWhereItWasMade(t *testing.T) {
+	router, relay := New(), New()
+	due := commonExits(router, start).Add(probePause)
+	commonExits(relay, start)
+	assert.Assert(t, router.Admit(due, []uint64{2}, 0).Probe)
+	relay.Receive(due, router.TakeReport(due), false)
+	exited := due.Add(100 * time.Millisecond)
+	router.RecordExit(exited, service, 20, [][]uint64{{2, 30}})
+	relay.Receive(exited, router.TakeReport(exited), false)
+	checked := exited.Add(IsolationTime)
+	for i := range uint64(3) {
+		router.RecordOtherExit(checked, exited, service, 21+i)
+	}
+	decided := exited.Add(evidenceTime)
+	relay.Confirm(decided)
+	relay.Receive(decided, router.TakeReport(decided), false)
+	assert.Equal(t, len(relay.Active(decided)), 0)
+	assert.Equal(t, len(router.Active(decided)), 0)
+}
+
+// Guards against a failed probe that the relays do not hear of.
+func TestFailedProbeIsToldToRelays(t *testing.T) {
+	router, relay := New(), New()
+	due := commonExits(router, start).Add(probePause)
+	commonExits(relay, start)
+	assert.Assert(t, router.Admit(due, []uint64{2}, 0).Probe)
+	exited := due.Add(100 * time.Millisecond)
+	router.RecordExit(exited, service, 20, [][]uint64{{2, 30}})
+	decided := exited.Add(evidenceTime)
+	relay.Receive(decided, router.TakeReport(decided), false)
+	assert.Equal(t, len(relay.Active(decided)), 1)
+}
--- a/poison/report.go
+++ b/poison/report.go
@@ -70,7 +70,8 @@
 type outbox struct {
 	exits   []*pendingExit
 	answers []uint64 // parts
-	probes  []uint64 // parts
+	// quarantines are the parts of which this router has made a probe or confirmed the quarantine.
+	quarantines []uint64
 }
 
 type pendingExit struct {
@@ -97,18 +98,21 @@
 	}
 }
 
-func (o *outbox) addProbe(part uint64) {
-	if len(o.probes) < maxQuarantines && !slices.Contains(o.probes, part) {
-		o.probes = append(o.probes, part)
+func (o *outbox) addQuarantine(part uint64) {
+	if len(o.quarantines) < maxQuarantines && !slices.Contains(o.quarantines, part) {
+		o.quarantines = append(o.quarantines, part)
 	}
 }
 
 // TakeReport returns what this router has to tell the relays now, or nil. Exits come with the
 // newest answers to their parts.
 func (d *Detector) TakeReport(now time.Time) *Report {
+	d.concludeProbes(now)
 	report := &Report{}
 	answers := d.outbox.answers
 	d.outbox.answers = nil
+	// Exits that were not sent yet come first.
+	slices.SortStableFunc(d.outbox.exits, func(a, b *pendingExit) int { return b.left - a.left })
 	for _, pending := range d.outbox.exits {
 		if now.Before(pending.due) || len(report.Exits) == maxExitsPerReport {
 			continue
@@ -131,11 +135,11 @@
 		if unannounced {
 			q.reminded = now
 		}
-		if unannounced || slices.Contains(d.outbox.probes, part) {
+		if unannounced || slices.Contains(d.outbox.quarantines, part) {
 			report.addQuarantine(now, part, q)
 		}
 	}
-	d.outbox.probes = nil
+	d.outbox.quarantines = nil
 	return report.orNil()
 }
 
